Spare fresh connections when idle ones are closed; test the proxy on loopback

Cause: at SIGTERM and when sockets run short the frontend closed every connection that was not busy, those included that had only just been accepted and whose first request was still on its way. That request was lost (hyper's graceful shutdown closes a connection with nothing read at once). Blamed lines: Frontend::close_idle. A connection without an answer so far is now spared, for 2 s under pressure and until the accept queue is empty at SIGTERM.

--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -38,12 +38,16 @@
 const SILENT: Duration = Duration::from_millis(200);
 /// Longest wait for the last answers.
 const FINISH: Duration = Duration::from_millis(3500);
+/// Span within which a new connection's first request is waited for when sockets run short.
+const FIRST: Duration = Duration::from_secs(2);
 /// Wait after a failed accept, lest it spin.
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// What is known of a connection.
 struct Client {
     busy: Cell<bool>,
+    /// It has had an answer. Before that its first request may be on the way at any moment.
+    used: Cell<bool>,
     since: Cell<Instant>,
     close: Notify,
 }
@@ -95,14 +99,14 @@
         }
         // Idle connections close now: a request that crosses that comes again while connections still do.
         self.draining.set(true);
-        self.close_idle(usize::MAX);
+        self.close_idle(usize::MAX, Duration::MAX);
         let end = Instant::now() + LINGER;
         while timeout_at(end, self.clone().accept(&listener)).await.is_ok() {}
         let end = Instant::now() + LINGER; // a bound, should they never cease to come
         while Instant::now() < end && timeout(QUIET, self.clone().accept(&listener)).await.is_ok() {}
         drop(listener);
         sleep(SILENT).await;
-        self.close_idle(usize::MAX);
+        self.close_idle(usize::MAX, Duration::ZERO);
         let end = Instant::now() + FINISH;
         while self.clients.borrow().values().any(|c| c.busy.get()) {
             if timeout_at(end, self.left.notified()).await.is_err() {
@@ -114,7 +118,7 @@
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
         // Over the budget only a few are let in, to be refused; the rest wait until one has left.
         if self.clients.borrow().len() >= self.most + self.most / 8 {
-            self.close_idle(1);
+            self.close_idle(1, FIRST);
             let _ = timeout(PAUSE, self.left.notified()).await;
             return;
         }
@@ -122,11 +126,12 @@
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true); // slower without, no worse
                 if self.clients.borrow().len() >= self.most * 7 / 8 {
-                    self.close_idle(1);
+                    self.close_idle(1, FIRST);
                 }
                 let id = self.next.replace(self.next.get() + 1);
                 let client = Rc::new(Client {
                     busy: Cell::new(false),
+                    used: Cell::new(false),
                     since: Cell::new(Instant::now()),
                     close: Notify::new(),
                 });
@@ -141,16 +146,18 @@
             Err(e) => {
                 note!("accept: {e}");
                 self.upstreams.close_idle();
-                self.close_idle(1);
+                self.close_idle(1, FIRST);
                 sleep(PAUSE).await;
             }
         }
     }
 
-    /// Asks up to `most` connections that stand between requests to close, those idle longest first.
-    fn close_idle(&self, most: usize) {
+    /// Asks up to `most` connections that stand between requests to close, those idle longest first. One that
+    /// has had no request yet is spared for a while: to close it would lose the request on its way.
+    fn close_idle(&self, most: usize, spare: Duration) {
         let clients = self.clients.borrow();
-        let mut idle: Vec<&Rc<Client>> = clients.values().filter(|c| !c.busy.get()).collect();
+        let idle = |c: &&Rc<Client>| !c.busy.get() && (c.used.get() || c.since.get().elapsed() >= spare);
+        let mut idle: Vec<&Rc<Client>> = clients.values().filter(idle).collect();
         idle.sort_by_key(|c| c.since.get());
         idle.into_iter().take(most).for_each(|c| c.close.notify_one());
     }
@@ -171,6 +178,7 @@
                 } else {
                     client.busy.set(false);
                 }
+                client.used.set(true);
                 client.since.set(Instant::now());
                 Ok::<_, Infallible>(response)
             }
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -77,7 +77,8 @@
     });
     // Of its budget an eighth goes to connections that are only refused.
     let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, budget * 8 / 15, ready);
-    eprintln!("sandgap: {} listens on {}", config.name, config.listen);
+    let address = listener.local_addr().map_err(at("the listener"))?;
+    eprintln!("sandgap: {} listens on {address}", config.name);
     let stop = async move {
         tokio::select! {
             _ = term.recv() => {}
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,409 @@
+//! The proxy on loopback sockets, one failure a test.
+mod sockets;
+
+use std::io::Write;
+use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::process::Command;
+use std::thread;
+use std::time::Duration;
+
+use sockets::*;
+
+fn status(answer: Option<Message>) -> u16 {
+    answer.expect("an answer").status()
+}
+
+/// A proxy with these backends, all up.
+fn proxy_with(backends: &[&Backend]) -> (Discovery, Proxy) {
+    let discovery = Discovery::new();
+    discovery.say(&all_up(backends));
+    let proxy = Proxy::up(&discovery, &Setup::default());
+    (discovery, proxy)
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_so_does_the_answer() {
+    let backend = Backend::new(Deed::Write(ok("the answer")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let mut client = Client::new(&proxy);
+    let request = "POST /booking/7?sid=a%20b&x=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: r-1\r\n\
+        X-Tenant-Id: acme\r\nX-Timeout: 3.5\r\nIdempotency-Key: k-1\r\nConnection: keep-alive, X-Hop\r\n\
+        X-Hop: 1\r\nContent-Length: 4\r\n\r\nbody";
+    let answer = client.ask(request).expect("an answer");
+    assert_eq!((answer.status(), answer.text().as_str()), (200, "the answer"));
+    assert_eq!(answer.header("x-own"), Some("kept"));
+    let seen = &backend.seen()[0];
+    assert_eq!(seen.first, "POST /booking/7?sid=a%20b&x=1 HTTP/1.1");
+    assert_eq!(
+        (seen.id(), seen.header("idempotency-key"), seen.text().as_str()),
+        ("r-1", Some("k-1"), "body")
+    );
+    assert_eq!((seen.header("host"), seen.header("x-hop")), (Some("origin.svc"), None));
+    let left: f64 = seen.header("x-timeout").expect("a time").parse().expect("a number");
+    assert!(left > 0.0 && left <= 3.5, "{left}");
+    // The connections on both sides are used again.
+    assert_eq!(status(client.ask(&page("r-2"))), 200);
+    assert_eq!(backend.seen().len(), 2);
+    assert_eq!(backend.came.load(std::sync::atomic::Ordering::SeqCst), 1);
+}
+
+#[test]
+fn it_is_up_only_once_it_has_the_list() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    let proxy = Proxy::start(&discovery, &Setup::default());
+    wait_for("the watch", || !discovery.asked.lock().unwrap().is_empty());
+    assert!(!proxy.is_up());
+    discovery.say(&all_up(&[&backend]));
+    wait_for("/up", || proxy.is_up());
+}
+
+#[test]
+fn without_discovery_it_serves_from_the_list_it_remembers() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let mut discovery = Discovery::new();
+    discovery.address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap(); // nobody there now
+    let proxy = Proxy::up(&discovery, &Setup { known: all_up(&[&backend]), ..Setup::default() });
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+}
+
+#[test]
+fn broken_and_stale_news_is_survived_and_a_watch_resumes() {
+    let (old, new) = (Backend::new(Deed::Write(ok("old"))), Backend::new(Deed::Write(ok("new"))));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&old]));
+    let proxy = Proxy::up(&discovery, &Setup::default());
+    // A broken line may hide a change: the watch is taken up again from the last good one.
+    discovery.say(r#"{"seq":2,"whole":false,"hosts":[{"host":3}]}"#);
+    let resumed = || discovery.asked.lock().unwrap().iter().any(|m| m.first.contains("watch=1&after=1 "));
+    wait_for("a watch that resumes", resumed);
+    discovery.say(&list(5, true, &[host("s-new", new.address, "up", 0)]));
+    let text = |id: &str| Client::new(&proxy).ask(&page(id)).expect("an answer").text();
+    wait_for("the new list", || text("r-1") == "new");
+    discovery.say(&list(4, true, &[host("s-0", old.address, "up", 0)]));
+    wait_for("a line about it", || proxy.log.lock().unwrap().contains("stale"));
+    assert_eq!(text("r-2"), "new");
+}
+
+#[test]
+fn bad_requests_get_a_plain_4xx_and_reach_no_backend() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, mut proxy) = proxy_with(&[&backend]);
+    let good = submit("r-1", "5", "body");
+    let cases = [
+        (good.replace("/submit", "/nothing"), 404),
+        (good.replace("POST", "GET"), 405),
+        (page("r-1").replace("GET", "POST"), 405),
+        (good.replace("X-Request-ID: r-1\r\n", ""), 400),
+        (good.replace("X-Tenant-Id: acme\r\n", ""), 400),
+        (good.replace("acme", "nobody"), 400),
+        (good.replace("X-Timeout: 5\r\n", ""), 400),
+        (good.replace("X-Timeout: 5", "X-Timeout: soon"), 400),
+        (good.replace("X-Timeout: 5", "X-Timeout: -1"), 400),
+        (good.replace("X-Timeout: 5", "X-Timeout: inf"), 400),
+        (good.replace("X-Timeout: 5", "X-Timeout: 5\r\nX-Timeout: 6"), 400),
+        (good.replace("X-Timeout: 5", "X-Timeout: 5\r\nX-Cost: much"), 400),
+        (good.replace("Host: x", "Host: x\r\nIdempotency-Key: k"), 400),
+        (good.replace("/submit", "/booking"), 400),
+        (good.replace("Host: x", "no header"), 400),
+        ("\u{1}\u{2}\u{3}\r\n\r\n".into(), 400),
+        (submit("r-1", "5", &"x".repeat((64 << 10) + 1)), 413),
+    ];
+    for (request, wanted) in &cases {
+        assert_eq!(status(Client::new(&proxy).ask(request)), *wanted, "{:.200}", request);
+    }
+    assert!(backend.seen().is_empty());
+    let largest = "x".repeat(64 << 10);
+    assert_eq!(status(Client::new(&proxy).ask(&submit("r-2", "1e300", &largest))), 200);
+    assert_eq!(backend.seen()[0].body.len(), 64 << 10);
+    assert!(proxy.runs());
+}
+
+/// How two backends of which both do the same leave a request that must not run twice.
+fn unsafe_twice(answer: Deed) -> (u16, usize) {
+    let (one, two) = (Backend::new(answer.clone()), Backend::new(answer));
+    let (_discovery, proxy) = proxy_with(&[&one, &two]);
+    let status = status(Client::new(&proxy).ask(&submit("r-1", "2", "x")));
+    (status, one.seen().len() + two.seen().len())
+}
+
+#[test]
+fn what_may_have_run_is_neither_sent_again_nor_refused() {
+    let short = ok("0123456789").replace("0123456789", "01234");
+    for answer in [
+        Deed::Write(empty("500 Oops")),
+        // 503 and 504 prove nothing by themselves.
+        Deed::Write(empty("503 Busy")),
+        Deed::Write(empty("504 Late")),
+        Deed::Write(empty("503 Busy\r\nX-Not-Processed: 0")),
+        Deed::Write(empty("302 Elsewhere")),
+        // Half a body is no answer, and neither is one whose end nobody can tell.
+        Deed::WriteAndClose(short),
+        Deed::WriteAndClose("HTTP/1.1 200 OK\r\n\r\nperhaps all".into()),
+        Deed::WriteAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n".into()),
+        Deed::WriteAndClose("garbage \u{1}\r\n\r\n".into()),
+        Deed::WriteAndClose(String::new()),
+        Deed::Write(ok(&"x".repeat((64 << 10) + 1))),
+    ] {
+        let text = match &answer {
+            Deed::Write(text) | Deed::WriteAndClose(text) | Deed::Hold(_, text) => text.clone(),
+        };
+        assert_eq!(unsafe_twice(answer), (502, 1), "{text:.200}");
+    }
+}
+
+#[test]
+fn what_surely_never_ran_is_tried_elsewhere_and_may_be_refused() {
+    for status in ["503 Busy", "504 Late"] {
+        let full = Deed::Write(empty(&format!("{status}\r\nX-Not-Processed: 1")));
+        assert_eq!(unsafe_twice(full), (503, 2));
+    }
+}
+
+#[test]
+fn a_cut_answer_to_what_may_be_repeated_is_made_good_elsewhere() {
+    let short = Deed::WriteAndClose(ok("0123456789").replace("0123456789", "01234"));
+    let (cut, whole) = (Backend::new(short), Backend::new(Deed::Write(ok("0123456789"))));
+    let (_discovery, proxy) = proxy_with(&[&cut, &whole]);
+    let mut n = 0;
+    wait_for("the one that cuts", || {
+        n += 1;
+        let answer = Client::new(&proxy).ask(&page(&format!("r-{n}"))).expect("an answer");
+        assert_eq!((answer.status(), answer.text().as_str()), (200, "0123456789"));
+        !cut.seen().is_empty()
+    });
+}
+
+#[test]
+fn a_backend_that_refuses_or_never_takes_connections_costs_nothing() {
+    // Nobody listens at the one; the other's accept queue is full, so that connections never come up.
+    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mute = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    mute.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    mute.listen(0).unwrap();
+    let at = mute.local_addr().unwrap().as_socket().unwrap();
+    let fill: Vec<_> = (0..4)
+        .map(|_| thread::spawn(move || TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok()))
+        .collect();
+    let _full: Vec<_> = fill.into_iter().map(|f| f.join().unwrap()).collect();
+    for address in [dead, at] {
+        let backend = Backend::new(Deed::Write(ok("")));
+        let discovery = Discovery::new();
+        let hosts = [host("s-0", address, "up", 0), host("s-1", backend.address, "up", 0)];
+        discovery.say(&list(1, true, &hosts));
+        let proxy = Proxy::up(&discovery, &Setup::default());
+        for n in 0..6 {
+            let answer = Client::new(&proxy).ask(&submit(&format!("r-{n}"), "5", "x"));
+            assert_eq!(status(answer), 200, "request {n} at {address}");
+        }
+    }
+}
+
+#[test]
+fn nothing_new_goes_to_a_backend_that_drains_is_gone_or_has_moved() {
+    let (one, two) = (Backend::new(Deed::Write(ok("one"))), Backend::new(Deed::Write(ok("two"))));
+    let (discovery, proxy) = proxy_with(&[&one]);
+    let text = |id: &str| Client::new(&proxy).ask(&page(id)).map(|m| m.text());
+    assert_eq!(text("r-0").as_deref(), Some("one"));
+    let mut seq = 1;
+    let mut tell = |lines: &[String], whole: bool| {
+        seq += 1;
+        discovery.say(&list(seq, whole, lines));
+    };
+    // Drain: the pooled connection goes at once, and later requests go to the other.
+    tell(&[host("s-0", one.address, "draining", 0), host("s-1", two.address, "up", 0)], false);
+    wait_for("the pooled connection's end", || one.ended() == 1);
+    let before = one.seen().len();
+    (0..5).for_each(|n| assert_eq!(text(&format!("r-a{n}")).as_deref(), Some("two")));
+    assert_eq!(one.seen().len(), before);
+    // Gone from a whole list.
+    let three = Backend::new(Deed::Write(ok("three")));
+    tell(&[host("s-2", three.address, "up", 0)], true);
+    wait_for("the pooled connection's end", || two.ended() == 1);
+    let before = two.seen().len();
+    (0..5).for_each(|n| assert_eq!(text(&format!("r-b{n}")).as_deref(), Some("three")));
+    assert_eq!(two.seen().len(), before);
+    // Restarted at another address.
+    let four = Backend::new(Deed::Write(ok("four")));
+    tell(&[host("s-2", four.address, "up", 0)], false);
+    wait_for("the pooled connection's end", || three.ended() == 1);
+    (0..5).for_each(|n| assert_eq!(text(&format!("r-c{n}")).as_deref(), Some("four")));
+}
+
+#[test]
+fn an_idle_connection_is_retired_before_the_backend_closes_it() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup { idle_close: 1000, ..Setup::default() });
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+    wait_for("its end", || backend.ended() == 1);
+}
+
+#[test]
+fn a_connection_that_the_backend_has_closed_is_never_used() {
+    let backend = Backend::new(Deed::WriteAndClose(ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    for n in 1..20 {
+        assert_eq!(status(Client::new(&proxy).ask(&submit(&format!("r-{n}"), "5", "x"))), 200);
+        wait_for("the backend's close", || backend.ended() == n);
+    }
+}
+
+#[test]
+fn a_silent_backend_s_request_fails_in_time_and_its_late_answer_goes_nowhere() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |request| match request.id() {
+        "r-held" => Deed::Hold(held.clone(), ok("late")),
+        _ => Deed::Write(ok("prompt")),
+    });
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let mut client = Client::new(&proxy);
+    assert_eq!(status(client.ask(&submit("r-held", "0.5", "x"))), 502);
+    wait_for("the request", || backend.seen().len() == 1);
+    gate.open();
+    // Its connection is not used again, and the client gets the next answer and no other.
+    wait_for("the connection's end", || backend.ended() == 1);
+    assert_eq!(client.ask(&page("r-next")).expect("an answer").text(), "prompt");
+}
+
+#[test]
+fn nothing_goes_out_for_a_client_that_has_left() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |_| Deed::Hold(held.clone(), ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    // Enough to fill the backend's slots, so that the last ones wait in the proxy.
+    let mut clients: Vec<Client> = (0..12).map(|_| Client::new(&proxy)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&submit(&format!("r-{n}"), "5", "x"));
+    }
+    wait_for("the first", || !backend.seen().is_empty());
+    for client in &mut clients {
+        client.leave();
+        assert!(client.is_closed(), "no answer is owed");
+    }
+    let before = backend.seen().len();
+    assert!(before < 12, "the proxy queues");
+    gate.open();
+    let mut last = Client::new(&proxy);
+    assert_eq!(status(last.ask(&submit("r-last", "5", "x"))), 200);
+    assert_eq!(backend.seen().len(), before + 1);
+}
+
+#[test]
+fn at_sigterm_what_is_taken_is_answered_and_new_connections_are_too() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |request| match request.id() {
+        "r-held" => Deed::Hold(held.clone(), ok("held")),
+        _ => Deed::Write(ok("prompt")),
+    });
+    let (_discovery, mut proxy) = proxy_with(&[&backend]);
+    let (mut busy, mut idle) = (Client::new(&proxy), Client::new(&proxy));
+    assert_eq!(status(idle.ask(&page("r-1"))), 200);
+    busy.send(&submit("r-held", "5", "x"));
+    wait_for("the request", || backend.seen().iter().any(|m| m.id() == "r-held"));
+    // This one waits in the accept queue or is fresh when the signal comes.
+    let mut fresh = Client::new(&proxy);
+    proxy.terminate();
+    let answer = fresh.ask(&page("r-2")).expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(idle.is_closed(), "an idle connection closes");
+    gate.open();
+    let answer = busy.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(proxy.wait().success());
+}
+
+#[test]
+fn past_its_budget_of_sockets_every_client_still_gets_an_answer() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    // Once by its own budget, once by the system's limit, where accepting fails.
+    for setup in [
+        Setup { sockets: 64, ..Setup::default() },
+        Setup { sockets: 1024, descriptors: Some(24), ..Setup::default() },
+    ] {
+        let mut proxy = Proxy::up(&discovery, &setup);
+        let mut clients: Vec<Client> = (0..40).map(|_| Client::new(&proxy)).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.send(&page(&format!("r-{n}")));
+        }
+        for mut client in clients {
+            let status = status(client.answer());
+            assert!(status == 200 || status == 503, "{status}");
+        }
+        assert!(proxy.runs());
+        wait_for("service as before", || {
+            Client::new(&proxy).ask(&page("r-x")).is_some_and(|m| m.status() == 200)
+        });
+    }
+}
+
+#[test]
+fn odd_datagrams_are_survived_and_others_are_told() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let other = UdpSocket::bind("127.0.0.1:0").unwrap();
+    other.set_read_timeout(Some(LIMIT)).unwrap();
+    // An address of this test's own, so that nobody else takes the port meanwhile.
+    let own = UdpSocket::bind("127.93.17.5:0").unwrap().local_addr().unwrap();
+    let tell = Some((own, other.local_addr().unwrap()));
+    let mut proxy = Proxy::up(&discovery, &Setup { may_tell: tell, ..Setup::default() });
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for size in [0, 1, 3, 255, 256, 257, 2000] {
+        for first in [0u8, 1, 255] {
+            let mut bytes = vec![255; size];
+            bytes.iter_mut().take(1).for_each(|b| *b = first);
+            other.send_to(&bytes, own).unwrap();
+            stranger.send_to(&bytes, own).unwrap();
+        }
+    }
+    let (size, from) = other.recv_from(&mut [0; 512]).expect("this proxy's word");
+    assert!(size > 0 && size <= 256 && from == own);
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+    assert!(proxy.runs());
+}
+
+#[test]
+fn a_bad_configuration_ends_it_with_a_word_why() {
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let good = config(nowhere, &Setup::default());
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = taken.local_addr().unwrap().to_string();
+    for (text, word) in [
+        ("{".to_owned(), "EOF"),
+        (good.replace("\"127.0.0.1:0\"", "17"), "socket address"),
+        (good.replace("\"classes\"", "\"glasses\""), "classes"),
+        (good.replace("127.0.0.1:0", "192.0.2.1:1"), "listen on 192.0.2.1:1"),
+        (good.replace("\"seed\":\"8c1f30d27a5be964\"", &format!("\"seed\":{{\"x\":\"{taken}\"}}")), "seed"),
+    ] {
+        let file = config_file(&text);
+        let run = Command::new(env!("CARGO_BIN_EXE_sandgap")).env("NODE_CONFIG", &file).output().unwrap();
+        let _ = std::fs::remove_file(&file);
+        let log = String::from_utf8_lossy(&run.stderr).into_owned();
+        assert!(!run.status.success() && log.contains(word), "{word}: {log}");
+    }
+    let run = Command::new(env!("CARGO_BIN_EXE_sandgap")).env_remove("NODE_CONFIG").output().unwrap();
+    assert!(!run.status.success());
+}
+
+#[test]
+fn a_client_that_sends_slowly_or_not_at_all_holds_nobody_up() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let mut slow = TcpStream::connect(proxy.address).unwrap();
+    let request = submit("r-slow", "5", "body");
+    let (start, rest) = request.split_at(request.len() - 2);
+    slow.write_all(start.as_bytes()).unwrap();
+    let _silent = TcpStream::connect(proxy.address).unwrap();
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+    assert_eq!(backend.seen().len(), 1, "a request goes on only once it is whole");
+    slow.write_all(rest.as_bytes()).unwrap();
+    wait_for("the slow one", || backend.seen().len() == 2);
+    assert_eq!(backend.seen()[1].body, b"body");
+}
--- /dev/null
+++ b/tests/sockets/mod.rs
@@ -0,0 +1,426 @@
+//! A proxy process on loopback, with a small discovery and small backends for it. All ports are the system's
+//! choice, and all waits end on a condition or after a generous limit.
+#![allow(dead_code)] // each test file uses its own part
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// No wait takes longer, however loaded the machine.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// Waits until something holds.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A message as read off a connection.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn id(&self) -> &str {
+        self.header("x-request-id").unwrap_or("")
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Reads a message; `None` where the connection ends before one is whole.
+pub fn read_message(stream: &mut impl BufRead) -> Option<Message> {
+    let mut message = Message::default();
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end();
+        if message.first.is_empty() {
+            message.first = line.to_owned();
+        } else if line.is_empty() {
+            break;
+        } else {
+            let (name, value) = line.split_once(':')?;
+            message.headers.push((name.to_owned(), value.trim().to_owned()));
+        }
+    }
+    let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// What a backend does with a request.
+#[derive(Clone)]
+pub enum Deed {
+    /// Writes these bytes and keeps the connection.
+    Write(String),
+    /// Writes these bytes and closes.
+    WriteAndClose(String),
+    /// Says nothing until the gate opens, then writes these bytes.
+    Hold(Gate, String),
+}
+
+/// Something that opens once.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<AtomicUsize>);
+
+impl Gate {
+    pub fn open(&self) {
+        self.0.store(1, Ordering::SeqCst);
+    }
+
+    fn wait(&self) {
+        wait_for("a gate", || self.0.load(Ordering::SeqCst) == 1);
+    }
+}
+
+pub fn ok(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nX-Own: kept\r\n\r\n{body}", body.len())
+}
+
+pub fn empty(status: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n")
+}
+
+type Seen = Arc<Mutex<Vec<Message>>>;
+
+/// A backend that does the same to each request, and remembers them.
+pub struct Backend {
+    pub address: SocketAddr,
+    seen: Seen,
+    /// Connections that have come, and those of them that have ended.
+    pub came: Arc<AtomicUsize>,
+    pub ended: Arc<AtomicUsize>,
+}
+
+impl Backend {
+    pub fn new(deed: Deed) -> Self {
+        Backend::with(move |_| deed.clone())
+    }
+
+    pub fn with(deed: impl Fn(&Message) -> Deed + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (seen, came, ended) = (Seen::default(), Arc::default(), Arc::default());
+        let backend = Backend { address, seen, came, ended };
+        let (seen, came, ended) = (backend.seen.clone(), backend.came.clone(), backend.ended.clone());
+        let deed = Arc::new(deed);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (seen, ended, deed) = (seen.clone(), ended.clone(), deed.clone());
+                came.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    backend_connection(stream.expect("a connection"), &seen, &*deed);
+                    ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        backend
+    }
+
+    pub fn seen(&self) -> Vec<Message> {
+        self.seen.lock().expect("no panic").clone()
+    }
+
+    pub fn ended(&self) -> usize {
+        self.ended.load(Ordering::SeqCst)
+    }
+}
+
+fn backend_connection(stream: TcpStream, seen: &Seen, deed: &dyn Fn(&Message) -> Deed) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+    let mut stream = stream;
+    while let Some(request) = read_message(&mut reader) {
+        let deed = deed(&request);
+        seen.lock().expect("no panic").push(request);
+        // The proxy may have gone away meanwhile, which is its right.
+        let wrote = match deed {
+            Deed::Write(text) => stream.write_all(text.as_bytes()),
+            Deed::WriteAndClose(text) => {
+                let _ = stream.write_all(text.as_bytes());
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            }
+            Deed::Hold(gate, text) => {
+                gate.wait();
+                stream.write_all(text.as_bytes())
+            }
+        };
+        if wrote.is_err() {
+            return;
+        }
+    }
+}
+
+/// Discovery for one proxy: each watch gets the lines sent so far and those that follow.
+pub struct Discovery {
+    pub address: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+    pub asked: Seen,
+    _stop: Sender<()>,
+}
+
+impl Discovery {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (lines, asked) = (Arc::new(Mutex::new(Vec::new())), Seen::default());
+        let (stop, stopped) = channel();
+        let stopped = Arc::new(Mutex::new(stopped));
+        let (told, heard) = (lines.clone(), asked.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (told, heard, stopped) = (told.clone(), heard.clone(), stopped.clone());
+                thread::spawn(move || watch(stream.expect("a connection"), &told, &heard, &stopped));
+            }
+        });
+        Discovery { address, lines, asked, _stop: stop }
+    }
+
+    pub fn say(&self, line: &str) {
+        self.lines.lock().expect("no panic").push(line.to_owned());
+    }
+}
+
+fn watch(mut stream: TcpStream, lines: &Mutex<Vec<String>>, asked: &Seen, stop: &Mutex<Receiver<()>>) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+    let Some(request) = read_message(&mut reader) else { return };
+    // A watch that resumes gets only what is said from now on.
+    let resumes = request.first.contains("after=");
+    asked.lock().expect("no panic").push(request);
+    let mut sent = if resumes { lines.lock().expect("no panic").len() } else { 0 };
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let mut silence = 0;
+    loop {
+        let fresh: Vec<String> = lines.lock().expect("no panic")[sent..].to_vec();
+        sent += fresh.len();
+        silence = if fresh.is_empty() { silence + 1 } else { 0 };
+        let beat = if silence % 100 == 99 { "\n" } else { "" };
+        let text = fresh.iter().map(|l| format!("{l}\n")).collect::<String>() + beat;
+        if !text.is_empty() && write!(stream, "{:x}\r\n{text}\r\n", text.len()).is_err() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+        if matches!(
+            stop.lock().expect("no panic").try_recv(),
+            Err(std::sync::mpsc::TryRecvError::Disconnected)
+        ) {
+            return;
+        }
+    }
+}
+
+/// A line of the list.
+pub fn host(name: &str, dial: SocketAddr, health: &str, born_ms: u64) -> String {
+    format!(
+        r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"k","block":1,"health":"{health}","share":4.0,"born_ms":{born_ms}}}"#
+    )
+}
+
+pub fn list(seq: u64, whole: bool, hosts: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
+}
+
+/// All backends up, the first version of the list.
+pub fn all_up(backends: &[&Backend]) -> String {
+    let line = |(i, b): (usize, &&Backend)| host(&format!("s-{i}"), b.address, "up", 0);
+    list(1, true, &backends.iter().enumerate().map(line).collect::<Vec<_>>())
+}
+
+/// What a test may set otherwise.
+pub struct Setup {
+    pub known: String,
+    pub sockets: usize,
+    pub idle_close: u32,
+    pub may_tell: Option<(SocketAddr, SocketAddr)>,
+    /// Descriptors that the system allows the process.
+    pub descriptors: Option<u32>,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup { known: "null".into(), sockets: 256, idle_close: 30_000, may_tell: None, descriptors: None }
+    }
+}
+
+pub fn config(discovery: SocketAddr, setup: &Setup) -> String {
+    let tells = setup.may_tell.is_some();
+    let peers = setup.may_tell.map_or(String::new(), |(own, other)| {
+        format!(r#""peer_listen":"{own}","peers":["{own}","{other}"],"peers_all":"{other}","#)
+    });
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
+        "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"pushed",
+        "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],
+        "classes":[{{"name":"page","effect":"idempotent","promise":4000,"deadline":5000,"worth":1}},
+        {{"name":"submit","effect":"at_most_once","promise":4000,"deadline":5000,"worth":1}},
+        {{"name":"booking","effect":"deduplicated","dedupScope":"cell","window":2500,"promise":4000,"deadline":5000,"worth":1}}],
+        "ceilings":{{"maxAttempts":6,"dialTimeout":400,"idleClose":{},"mayTell":{tells}}},
+        "rules":{{"startCapacity":0.3,"cold":8700,"fall":1500,"fallMultiple":2.5,"drainGrace":500}}}}}}"#,
+        setup.sockets,
+        setup.known,
+        if tells { 2 } else { 1 },
+        setup.idle_close,
+    )
+}
+
+/// A running proxy.
+pub struct Proxy {
+    child: Child,
+    pub address: SocketAddr,
+    pub log: Arc<Mutex<String>>,
+    file: std::path::PathBuf,
+}
+
+static COUNT: AtomicUsize = AtomicUsize::new(0);
+
+/// Writes a configuration where the process finds it.
+pub fn config_file(text: &str) -> std::path::PathBuf {
+    let number = COUNT.fetch_add(1, Ordering::SeqCst);
+    let file = std::env::temp_dir().join(format!("sandgap-{}-{number}.json", std::process::id()));
+    std::fs::write(&file, text).expect("a file");
+    file
+}
+
+impl Proxy {
+    pub fn start(discovery: &Discovery, setup: &Setup) -> Self {
+        let file = config_file(&config(discovery.address, setup));
+        let program = env!("CARGO_BIN_EXE_sandgap");
+        let mut command = match setup.descriptors {
+            Some(limit) => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", &format!("ulimit -n {limit}; exec \"$0\""), program]);
+                shell
+            }
+            None => Command::new(program),
+        };
+        let mut child =
+            command.env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the proxy starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let log = Arc::new(Mutex::new(String::new()));
+        let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
+            line.split_once("listens on ").map(|(_, address)| address.parse().expect("an address"))
+        });
+        let kept = log.clone();
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                eprintln!("{line}");
+                kept.lock().expect("no panic").push_str(&(line + "\n"));
+            }
+        });
+        Proxy { child, address: address.expect("the proxy listens"), log, file }
+    }
+
+    /// Starts a proxy and waits until it is up.
+    pub fn up(discovery: &Discovery, setup: &Setup) -> Self {
+        let proxy = Proxy::start(discovery, setup);
+        wait_for("/up", || proxy.is_up());
+        proxy
+    }
+
+    pub fn is_up(&self) -> bool {
+        Client::new(self).ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").is_some_and(|m| m.status() == 200)
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        let mut status = None;
+        wait_for("the proxy's end", || {
+            status = self.child.try_wait().expect("a child");
+            status.is_some()
+        });
+        status.expect("just seen")
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A client's connection.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn new(proxy: &Proxy) -> Self {
+        let stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        Client(BufReader::new(stream))
+    }
+
+    pub fn send(&mut self, text: &str) {
+        let _ = self.0.get_mut().write_all(text.as_bytes()); // a closed connection shows at the answer
+    }
+
+    pub fn answer(&mut self) -> Option<Message> {
+        read_message(&mut self.0)
+    }
+
+    pub fn ask(&mut self, text: &str) -> Option<Message> {
+        self.send(text);
+        self.answer()
+    }
+
+    /// Ends the sending, as a client that leaves does.
+    pub fn leave(&self) {
+        self.0.get_ref().shutdown(Shutdown::Write).expect("a connection");
+    }
+
+    /// Whether the proxy closes the connection with nothing more on it.
+    pub fn is_closed(&mut self) -> bool {
+        match self.0.read(&mut [0; 1]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+}
+
+/// A request that is safe to repeat.
+pub fn page(id: &str) -> String {
+    format!(
+        "GET /page?sid=7f HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\nX-Timeout: 5\r\n\r\n"
+    )
+}
+
+/// One that must not run twice.
+pub fn submit(id: &str, timeout: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /submit?sid=7f HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\nX-Timeout: {timeout}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
