Harden the shell: silent watches, odd list entries, stuck connections, lost log

Causes found by reading the code against the protocol, each with a test where a socket can show it: - A silent watch was given up after 5 s; with the reconnect that could pass the 6 s after which news counts as told. Now 3 s, half as long again as the beat. - One unreadable entry made a whole list line void, and a resumed watch would have met it again for ever. A connection asked to close is now cut after 1 s. - A panic of the driver left a process that failed everything; it now ends. - A closed log pipe made eprintln! panic. - X-Timeout told the client's patience, not the attempt's own time-out.

The check at the first byte written now has a test in which the drain is told while the connection hangs in a full accept queue.

--- a/src/bin/sandgap/discovery.rs
+++ b/src/bin/sandgap/discovery.rs
@@ -20,16 +20,18 @@
 use crate::driver::{Inbox, Input};
 use crate::note;
 
-/// A watch sends an empty line every 2 s. One that is silent for this long may hang on a dead machine.
-const SILENCE: Duration = Duration::from_secs(5);
+/// A watch sends an empty line every 2 s. One that is silent for longer may hang on a dead machine, and what
+/// it would tell counts as told 6 s after it was said: a new watch has to be up before that.
+const SILENCE: Duration = Duration::from_secs(3);
 const CONNECT: Duration = Duration::from_secs(1);
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 const MOST: usize = 4 << 20; // bytes of a line
 
 /// One line of the list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Host {
     pub host: String,
+    /// Where it is reached; `None` if that can't be read.
     pub dial: Option<SocketAddr>,
     pub site: Option<String>,
     pub class: Option<String>,
@@ -37,16 +39,46 @@
     pub health: String,
     pub share: Option<f64>,
     /// Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
     pub born_ms: f64,
 }
 
+impl Host {
+    /// Reads what can be read: one odd entry must not hide what the rest of the list says.
+    fn read(entry: &Value) -> Option<Self> {
+        let text = |key: &str| entry[key].as_str().map(str::to_owned);
+        let Some(host) = text("host") else {
+            note!("discovery: an entry without a name");
+            return None;
+        };
+        let dial = entry["dial"].as_str().and_then(|d| d.parse().ok());
+        if dial.is_none() && entry["health"] != "removed" {
+            note!("discovery: {host} has no address");
+        }
+        Some(Host {
+            host,
+            dial,
+            site: text("site"),
+            class: text("class"),
+            block: entry["block"].as_u64(),
+            health: text("health").unwrap_or_default(),
+            share: entry["share"].as_f64(),
+            born_ms: entry["born_ms"].as_f64().unwrap_or(0.0),
+        })
+    }
+}
+
 /// The whole list or what has changed.
 #[derive(Debug, Deserialize)]
-pub struct List {
-    pub seq: u64,
-    pub whole: bool,
-    pub hosts: Vec<Host>,
+struct List {
+    seq: u64,
+    whole: bool,
+    hosts: Vec<Value>,
+}
+
+impl List {
+    fn entries(&self) -> Vec<Host> {
+        self.hosts.iter().filter_map(Host::read).collect()
+    }
 }
 
 /// Reads the list that the configuration remembers; a broken one is as good as none.
@@ -55,7 +87,7 @@
         return None;
     }
     match List::deserialize(known) {
-        Ok(list) => Some(list.hosts),
+        Ok(list) => Some(list.entries()),
         Err(e) => {
             note!("the remembered list is of no use: {e}");
             None
@@ -137,7 +169,8 @@
             return Err("changes without a list".into());
         }
         self.seq = Some(list.seq);
-        self.inbox.put(Input::List(if list.whole { Scope::Full } else { Scope::Delta }, list.hosts));
+        let scope = if list.whole { Scope::Full } else { Scope::Delta };
+        self.inbox.put(Input::List(scope, list.entries()));
         Ok(())
     }
 }
@@ -149,7 +182,7 @@
         serde_json::from_slice::<List>(&body).map_err(|e| format!("a broken list: {e}"))
     });
     match list.await.unwrap_or_else(|_| Err("no answer".into())) {
-        Ok(list) => inbox.put(Input::List(Scope::Full, list.hosts)),
+        Ok(list) => inbox.put(Input::List(Scope::Full, list.entries())),
         Err(e) => {
             note!("discovery: {e}");
             inbox.put(Input::List(Scope::Failed, Vec::new()));
--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -366,17 +366,14 @@
         let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.wanted.get() && e.is_open()) else {
             return report.tell(Outcome::Moot, None);
         };
-        let patience = live.deadline;
-        let until = timeout.map_or(patience, |t| {
-            patience.min(report.sent + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
+        let until = timeout.map_or(live.deadline, |t| {
+            live.deadline.min(report.sent + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
         });
         let (upstreams, endpoint) = (self.parts.upstreams.clone(), endpoint.clone());
         let (wanted, message) = (live.wanted.clone(), live.message.clone());
         tokio::task::spawn_local(async move {
             upstreams
-                .attempt(endpoint, wanted, message, until, patience, |outcome, reply| {
-                    report.tell(outcome, reply)
-                })
+                .attempt(endpoint, wanted, message, until, |outcome, reply| report.tell(outcome, reply))
                 .await;
         });
     }
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use wharfhitch::settings::{Names, number_of};
 use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
 
@@ -36,8 +36,10 @@
 const QUIET: Duration = Duration::from_millis(20);
 /// A connection that has sent nothing is waited for this much longer.
 const SILENT: Duration = Duration::from_millis(200);
-/// Longest wait for the last answers.
-const FINISH: Duration = Duration::from_millis(3500);
+/// What the last answers may take to go out, after the longest deadline.
+const FINISH: Duration = Duration::from_millis(200);
+/// A connection asked to close that neither reads nor writes for this span is cut.
+const CUT: Duration = Duration::from_secs(1);
 /// Span within which a new connection's first request is waited for when sockets run short.
 const FIRST: Duration = Duration::from_secs(2);
 /// Wait after a failed accept, lest it spin.
@@ -107,7 +109,8 @@
         drop(listener);
         sleep(SILENT).await;
         self.close_idle(usize::MAX, Duration::ZERO);
-        let end = Instant::now() + FINISH;
+        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
         while self.clients.borrow().values().any(|c| c.busy.get()) {
             if timeout_at(end, self.left.notified()).await.is_err() {
                 return note!("ended with connections open");
@@ -189,12 +192,24 @@
             .max_buf_size(HEAD_SIZE)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
+        let mut cut = None;
         loop {
+            let wait = cut.unwrap_or_else(|| Instant::now() + HEAD);
             tokio::select! {
                 biased; // what has come in counts before a wish to close
                 // Malformed HTTP has been answered by hyper; a client that left needs nothing.
                 _ = connection.as_mut() => return,
-                () = client.close.notified() => connection.as_mut().graceful_shutdown(),
+                () = client.close.notified() => {
+                    connection.as_mut().graceful_shutdown();
+                    cut = cut.or(Some(Instant::now() + CUT));
+                }
+                // A half-sent head or an answer that nobody reads would hold its socket for ever.
+                () = sleep_until(wait), if cut.is_some() => {
+                    if !client.busy.get() {
+                        return;
+                    }
+                    cut = Some(Instant::now() + CUT);
+                }
             }
         }
     }
--- a/src/bin/sandgap/log.rs
+++ b/src/bin/sandgap/log.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::fmt::Arguments;
+use std::io::Write as _;
 use std::time::{Duration, Instant};
 
 const BURST: u32 = 20; // lines in a second; the rest are counted and left out
@@ -18,17 +19,22 @@
         Some(since) if now - since < Duration::from_secs(1) => (since, count + 1),
         _ => {
             if count > BURST {
-                eprintln!("sandgap: {} lines left out", count - BURST);
+                write(format_args!("{} lines left out", count - BURST));
             }
             (now, 1)
         }
     };
     WINDOW.set((Some(since), count));
     if count <= BURST {
-        eprintln!("sandgap: {text}");
+        write(text);
     }
 }
 
+/// Writes a line. Unlike `eprintln!` it survives a log that nobody reads any more.
+fn write(text: Arguments) {
+    let _ = writeln!(std::io::stderr(), "sandgap: {text}");
+}
+
 /// Logs a formatted line, rate-limited.
 #[macro_export]
 macro_rules! note {
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -62,7 +62,7 @@
     let classes = config.settings.classes.clone();
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
-    spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
+    let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
     inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
     let list = discovery::Discovery::new(config.discovery, inbox.clone());
     if pushed {
@@ -78,15 +78,18 @@
     // Of its budget an eighth goes to connections that are only refused.
     let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, budget * 8 / 15, ready);
     let address = listener.local_addr().map_err(at("the listener"))?;
-    eprintln!("sandgap: {} listens on {address}", config.name);
+    note!("{} listens on {address}", config.name);
     let stop = async move {
         tokio::select! {
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
     };
-    front.serve(listener, stop).await;
-    Ok(())
+    // Without its module a proxy could only fail everything: then it is better dead and started anew.
+    tokio::select! {
+        () = front.serve(listener, stop) => Ok(()),
+        end = driver => Err(format!("the driver has ended: {end:?}")),
+    }
 }
 
 fn start() -> Result<(), String> {
@@ -103,7 +106,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("sandgap: {text}");
+            note!("{text}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -289,7 +289,7 @@
     /// Makes one attempt and tells how it ended; `report` gets that before the connection is pooled.
     pub async fn attempt(
         &self, endpoint: Rc<Endpoint>, wanted: Rc<Cell<bool>>, message: Rc<Outgoing>, until: Instant,
-        patience: Instant, report: impl FnOnce(Outcome, Option<Reply>),
+        report: impl FnOnce(Outcome, Option<Reply>),
     ) {
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
         let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
@@ -299,7 +299,7 @@
         if !endpoint.is_open() || !wanted.get() {
             return report(Outcome::Moot, None);
         }
-        let Some(request) = message.request(patience) else { return report(Outcome::Moot, None) };
+        let Some(request) = message.request(until) else { return report(Outcome::Moot, None) };
         let meter = connection.meter.clone();
         meter.start(Gate { endpoint: endpoint.clone(), wanted }, message.body.len());
         match timeout_at(until, exchange(&mut connection.sender, request)).await {
@@ -372,13 +372,13 @@
 }
 
 impl Outgoing {
-    /// The request for one attempt; `X-Timeout` tells what is left of the client's patience.
-    fn request(&self, patience: Instant) -> Option<Request<Full<Bytes>>> {
+    /// The request for one attempt; `X-Timeout` tells how long this proxy will wait.
+    fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = patience.saturating_duration_since(Instant::now()).as_secs_f64();
+        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
         let left = HeaderValue::from_str(&format!("{left:.3}")).ok()?;
         request.headers_mut().insert("x-timeout", left);
         Some(request)
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -1,11 +1,9 @@
 //! The proxy on loopback sockets, one failure a test.
 mod sockets;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::process::Command;
-use std::thread;
-use std::time::Duration;
 
 use sockets::*;
 
@@ -74,10 +72,14 @@
     discovery.say(&all_up(&[&old]));
     let proxy = Proxy::up(&discovery, &Setup::default());
     // A broken line may hide a change: the watch is taken up again from the last good one.
-    discovery.say(r#"{"seq":2,"whole":false,"hosts":[{"host":3}]}"#);
+    discovery.say(r#"{"seq":2,"whole":false,"hosts":"#);
     let resumed = || discovery.asked.lock().unwrap().iter().any(|m| m.first.contains("watch=1&after=1 "));
     wait_for("a watch that resumes", resumed);
-    discovery.say(&list(5, true, &[host("s-new", new.address, "up", 0)]));
+    // An odd entry hides nothing of the rest.
+    let odd = [r#"{"host":3}"#, "null", r#"{"host":"s-odd","dial":"nowhere","health":"up","born_ms":"x"}"#];
+    let mut lines: Vec<String> = odd.iter().map(|o| o.to_string()).collect();
+    lines.push(host("s-new", new.address, "up", 0));
+    discovery.say(&list(5, true, &lines));
     let text = |id: &str| Client::new(&proxy).ask(&page(id)).expect("an answer").text();
     wait_for("the new list", || text("r-1") == "new");
     discovery.say(&list(4, true, &[host("s-0", old.address, "up", 0)]));
@@ -178,14 +180,8 @@
 fn a_backend_that_refuses_or_never_takes_connections_costs_nothing() {
     // Nobody listens at the one; the other's accept queue is full, so that connections never come up.
     let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let mute = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    mute.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
-    mute.listen(0).unwrap();
-    let at = mute.local_addr().unwrap().as_socket().unwrap();
-    let fill: Vec<_> = (0..4)
-        .map(|_| thread::spawn(move || TcpStream::connect_timeout(&at, Duration::from_millis(300)).ok()))
-        .collect();
-    let _full: Vec<_> = fill.into_iter().map(|f| f.join().unwrap()).collect();
+    let (mute, _full) = full_listener();
+    let at = mute.local_addr().unwrap();
     for address in [dead, at] {
         let backend = Backend::new(Deed::Write(ok("")));
         let discovery = Discovery::new();
@@ -230,6 +226,57 @@
     (0..5).for_each(|n| assert_eq!(text(&format!("r-c{n}")).as_deref(), Some("four")));
 }
 
+#[test]
+fn a_drain_told_while_the_connection_comes_up_still_counts() {
+    let (slow, full) = full_listener();
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[host("s-0", slow.local_addr().unwrap(), "up", 0)]));
+    let patient = Setup { dial_timeout: 30_000, deadline: 40_000, ..Setup::default() };
+    let proxy = Proxy::up(&discovery, &patient);
+    let mut first = Client::new(&proxy);
+    first.send(&submit("r-first", "40", "x"));
+    assert!(proxy.is_up()); // by now the first has most likely been read, and its connection begun
+    let other = Backend::new(Deed::Write(ok("other")));
+    let gone = host("s-0", slow.local_addr().unwrap(), "draining", 0);
+    discovery.say(&list(2, false, &[gone, host("s-1", other.address, "up", 0)]));
+    // Nobody else can serve these before the drain has been told.
+    let mut n = 0;
+    wait_for("the news", || {
+        n += 1;
+        let quick = page(&format!("r-{n}")).replace("X-Timeout: 5", "X-Timeout: 0.3");
+        Client::new(&proxy).ask(&quick).is_some_and(|m| m.text() == "other")
+    });
+    for _ in &full {
+        slow.accept().unwrap();
+    }
+    // Now there is room, and the first one's connection comes up, but nothing may be written to it.
+    let (mut connection, _) = slow.accept().unwrap();
+    connection.set_read_timeout(Some(LIMIT)).unwrap();
+    let mut bytes = Vec::new();
+    let _ = connection.read_to_end(&mut bytes); // an end or a reset, after whatever was written
+    assert!(bytes.is_empty(), "{}", String::from_utf8_lossy(&bytes));
+    assert_eq!(first.answer().expect("an answer").text(), "other");
+}
+
+#[test]
+fn half_sent_requests_and_unread_connections_give_way_to_others() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup { sockets: 64, ..Setup::default() });
+    // More than the budget allows, and none of them ever finishes its head.
+    let _stuck: Vec<TcpStream> = (0..40)
+        .map(|_| {
+            let mut stream = TcpStream::connect(proxy.address).unwrap();
+            stream.write_all(b"GET /page HTTP/1.1\r\nHost").unwrap();
+            stream
+        })
+        .collect();
+    wait_for("room for a whole request", || {
+        Client::new(&proxy).ask(&page("r-1")).is_some_and(|m| m.status() == 200)
+    });
+}
+
 #[test]
 fn an_idle_connection_is_retired_before_the_backend_closes_it() {
     let backend = Backend::new(Deed::Write(ok("")));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -244,6 +244,22 @@
     format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
 }
 
+/// A listener whose accept queue is full: connections to it don't come up until `accept` has made room.
+pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("a port");
+    socket.listen(0).expect("a queue");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("an address");
+    let mut fill = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+        fill.push(stream);
+        assert!(fill.len() < 100, "the queue never fills");
+    }
+    (listener, fill)
+}
+
 /// All backends up, the first version of the list.
 pub fn all_up(backends: &[&Backend]) -> String {
     let line = |(i, b): (usize, &&Backend)| host(&format!("s-{i}"), b.address, "up", 0);
@@ -255,6 +271,9 @@
     pub known: String,
     pub sockets: usize,
     pub idle_close: u32,
+    pub dial_timeout: u32,
+    /// Of every class; its aim is four fifths of it.
+    pub deadline: u32,
     pub may_tell: Option<(SocketAddr, SocketAddr)>,
     /// Descriptors that the system allows the process.
     pub descriptors: Option<u32>,
@@ -262,12 +281,21 @@
 
 impl Default for Setup {
     fn default() -> Self {
-        Setup { known: "null".into(), sockets: 256, idle_close: 30_000, may_tell: None, descriptors: None }
+        Setup {
+            known: "null".into(),
+            sockets: 256,
+            idle_close: 30_000,
+            dial_timeout: 400,
+            deadline: 5000,
+            may_tell: None,
+            descriptors: None,
+        }
     }
 }
 
 pub fn config(discovery: SocketAddr, setup: &Setup) -> String {
     let tells = setup.may_tell.is_some();
+    let (deadline, aim) = (setup.deadline, setup.deadline / 5 * 4);
     let peers = setup.may_tell.map_or(String::new(), |(own, other)| {
         format!(r#""peer_listen":"{own}","peers":["{own}","{other}"],"peers_all":"{other}","#)
     });
@@ -276,14 +304,15 @@
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
         "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"pushed",
         "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],
-        "classes":[{{"name":"page","effect":"idempotent","promise":4000,"deadline":5000,"worth":1}},
-        {{"name":"submit","effect":"at_most_once","promise":4000,"deadline":5000,"worth":1}},
-        {{"name":"booking","effect":"deduplicated","dedupScope":"cell","window":2500,"promise":4000,"deadline":5000,"worth":1}}],
-        "ceilings":{{"maxAttempts":6,"dialTimeout":400,"idleClose":{},"mayTell":{tells}}},
+        "classes":[{{"name":"page","effect":"idempotent","promise":{aim},"deadline":{deadline},"worth":1}},
+        {{"name":"submit","effect":"at_most_once","promise":{aim},"deadline":{deadline},"worth":1}},
+        {{"name":"booking","effect":"deduplicated","dedupScope":"cell","window":2500,"promise":{aim},"deadline":{deadline},"worth":1}}],
+        "ceilings":{{"maxAttempts":6,"dialTimeout":{},"idleClose":{},"mayTell":{tells}}},
         "rules":{{"startCapacity":0.3,"cold":8700,"fall":1500,"fallMultiple":2.5,"drainGrace":500}}}}}}"#,
         setup.sockets,
         setup.known,
         if tells { 2 } else { 1 },
+        setup.dial_timeout,
         setup.idle_close,
     )
 }
