Give clients the larger part of the budget of sockets; say what remains

The module sends only into free slots, so upstreams need far less than clients. Clients get 5/8 instead of 8/15, upstreams 1/4 instead of 2/5.

--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -46,7 +46,7 @@
         None => None,
     };
     let budget = config.sockets - RESERVE;
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget * 2 / 5));
+    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget / 4));
     let ready = Rc::new(Cell::new(false));
     let known_only = Rc::new(Cell::new(false));
     let watch = Rc::new(Notify::new());
@@ -75,8 +75,9 @@
         tokio::time::sleep(PATIENCE).await;
         up.set(up.get() || known_only.get());
     });
-    // Of its budget an eighth goes to connections that are only refused.
-    let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, budget * 8 / 15, ready);
+    // The module sends to a backend only while it has a free slot there, but clients come as they like: most
+    // of the budget is theirs. Beyond `most` an eighth more are let in, only to be refused.
+    let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, budget * 5 / 8, ready);
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
     let stop = async move {
