Take SIGHUP: read the configuration again and move the watch

Now the file is read again; discovery follows the new address without after=, takes the first whole list whatever its version, keeps the old watch until then and believes nothing of it afterwards. The new test fails on the sources before (the process is gone).

--- a/src/bin/sandgap/discovery.rs
+++ b/src/bin/sandgap/discovery.rs
@@ -1,6 +1,6 @@
 //! The list of backends: a watch that resumes where it broke off, and single whole lists.
 
-use std::convert::Infallible;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +13,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use wharfhitch::Scope;
 
@@ -95,25 +96,72 @@
     }
 }
 
-/// The watch and what it knows of the list's version.
-pub struct Discovery {
+/// Follows discovery wherever the configuration says that it is. With `asked` a watch is opened only when the
+/// module wants one. After a move the old service is listened to until the new one has told its list.
+pub async fn follow(mut addresses: watch::Receiver<SocketAddr>, inbox: Inbox, asked: Option<Rc<Notify>>) {
+    let believed = Rc::new(Cell::new(0));
+    let mut serving = JoinSet::new();
+    for number in 0.. {
+        let (told, first) = oneshot::channel();
+        let address = *addresses.borrow_and_update();
+        let source = Discovery {
+            address,
+            inbox: inbox.clone(),
+            seq: None,
+            number,
+            believed: believed.clone(),
+            told: Some(told),
+        };
+        let mut next = JoinSet::new();
+        next.spawn_local(source.keep(asked.clone()));
+        tokio::select! {
+            biased; // a list that has been taken makes its source the one that counts
+            Ok(()) = first => serving = next, // ends the one before
+            moved = addresses.changed() => match moved {
+                Ok(()) => continue,
+                Err(_) => std::future::pending().await, // nobody is left who could move it
+            },
+        }
+        note!("discovery at {address} has told its list");
+        if addresses.changed().await.is_err() {
+            while serving.join_next().await.is_some() {}
+        }
+    }
+}
+
+/// A watch at one address and what it knows of the list's version there.
+struct Discovery {
     address: SocketAddr,
     inbox: Inbox,
-    /// Version of the list that the driver has.
+    /// Version of the list that the driver has from here.
     seq: Option<u64>,
+    /// Addresses are counted up; the highest that has told a whole list is believed, and none before it.
+    number: u64,
+    believed: Rc<Cell<u64>>,
+    /// Told of the first whole list.
+    told: Option<oneshot::Sender<()>>,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, inbox: Inbox) -> Self {
-        Discovery { address, inbox, seq: None }
-    }
-
-    /// Keeps a watch open for ever, and takes it up again where it broke off.
-    pub async fn follow(mut self) -> Infallible {
+    /// Keeps a watch open for ever, and takes it up again where it broke off. Where discovery is asked, each
+    /// watch but the first one after a move waits for the module's wish, and its end is told.
+    async fn keep(mut self, asked: Option<Rc<Notify>>) {
         let mut backoff = BACKOFF.0;
         loop {
+            let waits = self.number == 0 || self.seq.is_some();
+            if let Some(asked) = asked.as_ref().filter(|_| waits) {
+                asked.notified().await;
+            }
             let before = self.seq;
             let error = self.watch().await;
+            if self.number < self.believed.get() {
+                return; // what it would say is late
+            }
+            if asked.is_some() && waits {
+                note!("discovery: {error}");
+                self.inbox.put(Input::List(Scope::Failed, Vec::new()));
+                continue;
+            }
             if self.seq != before {
                 backoff = BACKOFF.0;
             }
@@ -123,16 +171,6 @@
         }
     }
 
-    /// Opens a watch each time that the module asks for one, and tells it when it has ended.
-    pub async fn on_request(mut self, asked: Rc<Notify>) -> Infallible {
-        loop {
-            asked.notified().await;
-            let error = self.watch().await;
-            note!("discovery: {error}");
-            self.inbox.put(Input::List(Scope::Failed, Vec::new()));
-        }
-    }
-
     /// Watches until it ends; returns why it ended.
     async fn watch(&mut self) -> String {
         let after = self.seq.map_or(String::new(), |seq| format!("&after={seq}"));
@@ -157,6 +195,9 @@
     }
 
     fn take(&mut self, line: &[u8]) -> Result<(), String> {
+        if self.number < self.believed.get() {
+            return Err("discovery has moved".into());
+        }
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
@@ -170,7 +211,11 @@
         }
         self.seq = Some(list.seq);
         let scope = if list.whole { Scope::Full } else { Scope::Delta };
+        self.believed.set(self.number);
         self.inbox.put(Input::List(scope, list.entries()));
+        if let Some(told) = self.told.take() {
+            let _ = told.send(()); // nobody waits for it while the process ends
+        }
         Ok(())
     }
 }
@@ -195,7 +240,7 @@
     body: hyper::body::Incoming,
     buffer: Vec<u8>,
     /// Ends the connection with the answer.
-    _connection: tokio::task::JoinSet<()>,
+    _connection: JoinSet<()>,
     _sender: http1::SendRequest<Empty<Bytes>>,
 }
 
@@ -236,7 +281,7 @@
 async fn get(address: SocketAddr, query: &str) -> Result<Lines, String> {
     let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-    let mut task = tokio::task::JoinSet::new();
+    let mut task = JoinSet::new();
     task.spawn_local(async move {
         let _ = connection.await; // its end shows in the body
     });
--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustc_hash::FxHashMap;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::settings::{Names, index_of, number_of};
 use wharfhitch::{
@@ -125,7 +125,8 @@
     pub inbox: Inbox,
     pub upstreams: Rc<Upstreams>,
     pub peers: Option<Rc<Peers>>,
-    pub discovery: SocketAddr,
+    /// Where discovery is at present.
+    pub discovery: watch::Receiver<SocketAddr>,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
     /// Set once discovery has told the list.
@@ -345,7 +346,8 @@
             }
             Action::Subscribe => self.parts.watch.notify_one(),
             Action::FetchList => {
-                tokio::task::spawn_local(discovery::fetch(self.parts.discovery, self.parts.inbox.clone()));
+                let address = *self.parts.discovery.borrow();
+                tokio::task::spawn_local(discovery::fetch(address, self.parts.inbox.clone()));
             }
         }
     }
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -9,13 +9,14 @@
 mod upstream;
 
 use std::cell::Cell;
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
 use wharfhitch::{Balancer, Scope};
 
@@ -27,13 +28,29 @@
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-async fn run(config: Config) -> Result<(), String> {
+/// At each SIGHUP reads the configuration's file again. Discovery may have moved; all else needs a new start.
+async fn reload(mut hup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>) {
+    while hup.recv().await.is_some() {
+        match config::read(&path) {
+            Ok(Config { discovery: address, .. }) => {
+                note!("the configuration names discovery at {address}");
+                discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+            }
+            Err(e) => note!("the configuration stays as it was: {e}"),
+        }
+    }
+}
+
+async fn run(path: PathBuf, config: Config) -> Result<(), String> {
     let at = |what: &str| {
         let what = what.to_owned();
         move |e: std::io::Error| format!("{what}: {e}")
     };
     let mut term = signal(SignalKind::terminate()).map_err(at("SIGTERM"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
+    let hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
+    let (discovery, addresses) = watch::channel(config.discovery);
+    spawn_local(reload(hup, path, discovery));
     let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
     let (inbox, inputs) = Inbox::new();
     let peers = match config.peers {
@@ -49,13 +66,13 @@
     let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget / 4));
     let ready = Rc::new(Cell::new(false));
     let known_only = Rc::new(Cell::new(false));
-    let watch = Rc::new(Notify::new());
+    let asked = Rc::new(Notify::new());
     let parts = Parts {
         inbox: inbox.clone(),
         upstreams: upstreams.clone(),
         peers,
-        discovery: config.discovery,
-        watch: watch.clone(),
+        discovery: addresses.clone(),
+        watch: asked.clone(),
         ready: ready.clone(),
         remembered: known_only.clone(),
     };
@@ -64,12 +81,7 @@
     let balancer = Balancer::new(config.settings, config.seed);
     let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
     inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
-    let list = discovery::Discovery::new(config.discovery, inbox.clone());
-    if pushed {
-        spawn_local(list.follow());
-    } else {
-        spawn_local(list.on_request(watch));
-    }
+    spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
     let up = ready.clone();
     spawn_local(async move {
         tokio::time::sleep(PATIENCE).await;
@@ -95,10 +107,11 @@
 
 fn start() -> Result<(), String> {
     let path = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
-    let config = config::read(Path::new(&path))?;
+    let path = PathBuf::from(path);
+    let config = config::read(&path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let outcome = LocalSet::new().block_on(&runtime, run(config));
+    let outcome = LocalSet::new().block_on(&runtime, run(path, config));
     runtime.shutdown_background();
     outcome
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -454,3 +454,37 @@
     wait_for("the slow one", || backend.seen().len() == 2);
     assert_eq!(backend.seen()[1].body, b"body");
 }
+
+#[test]
+fn at_sighup_the_watch_moves_to_where_discovery_is_now() {
+    let [one, two, three] = ["one", "two", "three"].map(|text| Backend::new(Deed::Write(ok(text))));
+    let line =
+        |seq: u64, name: &str, backend: &Backend| list(seq, true, &[host(name, backend.address, "up", 0)]);
+    let setup = Setup::default();
+    let (first, second, third) = (Discovery::new(), Discovery::new(), Discovery::new());
+    first.say(&line(50, "s-1", &one));
+    let mut proxy = Proxy::up(&first, &setup);
+    let text = |proxy: &Proxy| Client::new(proxy).ask(&page("r-1")).map(|m| m.text());
+    assert_eq!(text(&proxy).as_deref(), Some("one"));
+    // What can't be read changes nothing.
+    proxy.reload("{");
+    wait_for("a line about it", || proxy.said("stays as it was"));
+    // Twice in a row: the service in between never says a thing, and until the last one does the old list holds.
+    proxy.reload(&config(second.address, &setup));
+    wait_for("a watch of the second", || !second.asked.lock().unwrap().is_empty());
+    proxy.reload(&config(third.address, &setup));
+    wait_for("a watch of the third", || !third.asked.lock().unwrap().is_empty());
+    first.say(&line(51, "s-2", &two));
+    wait_for("the old service's word", || text(&proxy).as_deref() == Some("two"));
+    // The new one counts its versions anew and asks for no others' past.
+    third.say(&line(3, "s-3", &three));
+    wait_for("the new list", || text(&proxy).as_deref() == Some("three"));
+    assert!(third.asked.lock().unwrap().iter().all(|m| !m.first.contains("after=")));
+    // Nothing late from the others gets in.
+    first.say(&line(99, "s-1", &one));
+    second.say(&line(99, "s-1", &one));
+    third.say(&line(4, "s-2", &two));
+    wait_for("the newest list", || text(&proxy).as_deref() == Some("two"));
+    (0..50).for_each(|_| assert_eq!(text(&proxy).as_deref(), Some("two")));
+    assert!(proxy.runs());
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -376,8 +376,23 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration and says so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.file, text).expect("a file");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+    }
+
+    /// Whether the log holds a text.
+    pub fn said(&self, text: &str) -> bool {
+        self.log.lock().expect("no panic").contains(text)
     }
 
     pub fn wait(&mut self) -> ExitStatus {
