Judge failures against a middling server's; shed what can't be held; accept through floods; tests

Ruled out: sockets (a third used), CPU (a tenth of a core), requests in flight by the module against the list of running ones (equal). To blame: choice.rs judge(), where two failures near each other close a server, whatever happens to all others, and a trial lets one request in at a time; ended(), where an attempt sent just before its client gave up counted as a failure when it timed out. Requests beyond 5/16 of the descriptors are shed, least valuable first; where no connection can give way the queue is not left to age (100 ms). An answer that has begun ends within 250 ms.

--- a/src/bin/sandgap/config.rs
+++ b/src/bin/sandgap/config.rs
@@ -8,6 +8,10 @@
 use wharfhitch::Settings;
 use wharfhitch::settings::{self, Connections, Names, number_of};
 
+/// Part of the descriptors that requests may hold. Clients use a third at most; what the module gives up a
+/// little before that leaves room to hear of better requests.
+const HELD: (usize, usize) = (5, 16);
+
 /// The file as it stands; unknown keys are passed over.
 #[derive(Deserialize)]
 struct File {
@@ -66,7 +70,7 @@
     if !file.settings.is_object() {
         return Err("'settings' is no object".into());
     }
-    let (settings, names) = settings::parse(&file.settings);
+    let (mut settings, names) = settings::parse(&file.settings);
     if settings.classes.is_empty() || names.classes.iter().any(String::is_empty) {
         return Err("'settings' has no named classes".into());
     }
@@ -80,12 +84,14 @@
         }
         _ => None,
     };
+    let sockets = file.limits.sockets.unwrap_or(1024).max(64);
+    settings.limits.most_held = sockets * HELD.0 / HELD.1;
     Ok(Config {
         name: file.name,
         listen: file.listen,
         discovery: file.discovery,
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
-        sockets: file.limits.sockets.unwrap_or(1024).max(64),
+        sockets,
         peers,
         known: file.known,
         connections: settings::connections(&file.settings),
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -42,6 +42,8 @@
 const IDLE_MOST: Duration = Duration::from_secs(15);
 /// A new connection's first byte is waited for this long even when descriptors run short.
 const GRACE: Duration = Duration::from_millis(50);
+/// Where nobody can give way, those who come wait in the accept queue for this long, then they are turned away.
+const QUEUE: Duration = Duration::from_millis(100);
 /// Span between looks for connections whose time is up.
 const SWEEP: Duration = Duration::from_millis(100);
 /// After a refusal the client may still be sending, and a close would reset the connection before it has read
@@ -92,6 +94,9 @@
     since: Cell<Instant>,
     /// When its next request has to be whole.
     due: Cell<Instant>,
+    accepted: Instant,
+    /// The earliest time at which it may have come, until its first request has been read.
+    queued: Cell<Option<Instant>>,
     /// It has ended its sending.
     ended: Cell<bool>,
     close: Notify,
@@ -134,6 +139,8 @@
     /// Connections, those of them with an open request, and the others by stage and age.
     open: Cell<usize>,
     busy: Cell<usize>,
+    /// When the accept queue was last seen empty.
+    empty: Cell<Instant>,
     standing: RefCell<[BTreeMap<u64, Rc<Client>>; SPARED.len()]>,
     ids: OpenIds,
     left: Notify,
@@ -155,6 +162,7 @@
             draining: Cell::new(false),
             open: Cell::new(0),
             busy: Cell::new(0),
+            empty: Cell::new(Instant::now()),
             standing: RefCell::default(),
             ids: OpenIds::default(),
             left: Notify::new(),
@@ -203,18 +211,36 @@
     }
 
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
-        // Over the budget one leaves for each that comes, and if none can, the next waits for it.
+        // Over the budget one leaves for each that comes, and if none can, the next waits a little for it. To
+        // let them wait on would age all that come, until their answers are too late.
         let most = self.most();
         if self.open.get() >= most {
-            self.make_room();
-            let _ = timeout(PAUSE, self.left.notified()).await;
+            let late = self.empty.get().elapsed() >= QUEUE;
+            if self.make_room(late) || !late {
+                let _ = timeout(PAUSE, self.left.notified()).await;
+                return;
+            }
+            match timeout(Duration::ZERO, listener.accept()).await {
+                Ok(Ok(turned_away)) => drop(turned_away),
+                Ok(Err(_)) => sleep(PAUSE).await,
+                Err(_) => self.empty.set(Instant::now()),
+            }
             return;
         }
-        match listener.accept().await {
+        let next = tokio::select! {
+            biased;
+            next = listener.accept() => next,
+            () = std::future::ready(()) => {
+                let next = listener.accept().await;
+                self.empty.set(Instant::now()); // until this one came
+                next
+            }
+        };
+        match next {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true); // slower without, no worse
                 if self.open.get() >= most * 7 / 8 {
-                    self.make_room();
+                    self.make_room(false);
                 }
                 let now = Instant::now();
                 let client = Rc::new(Client {
@@ -222,6 +248,8 @@
                     ticket: Cell::new(0),
                     since: Cell::new(now),
                     due: Cell::new(now + WHOLE),
+                    accepted: now,
+                    queued: Cell::new(Some(self.empty.get())),
                     ended: Cell::new(false),
                     close: Notify::new(),
                 });
@@ -240,7 +268,7 @@
             Err(e) => {
                 note!("accept: {e}");
                 self.upstreams.close_idle();
-                self.make_room();
+                self.make_room(false);
                 sleep(PAUSE).await;
             }
         }
@@ -266,14 +294,19 @@
         self.next.replace(self.next.get() + 1)
     }
 
-    /// Asks the one that is the first to give way to close, if any has stood long enough. It is asked once.
-    fn make_room(&self) {
+    /// Asks the one that is the first to give way to close, if any has stood long enough; it is asked once. With
+    /// `late`, those that have sent nothing are not spared: who comes is at least as likely to.
+    fn make_room(&self, late: bool) -> bool {
         let mut standing = self.standing.borrow_mut();
-        for (of_stage, spared) in standing.iter_mut().zip(SPARED) {
-            if let Some(oldest) = of_stage.first_entry().filter(|e| e.get().since.get().elapsed() >= spared) {
-                return oldest.remove().close.notify_one();
+        for (stage, (all, spared)) in standing.iter_mut().zip(SPARED).enumerate() {
+            let spared = if late && stage <= Stage::Silent as usize { Duration::ZERO } else { spared };
+            let oldest = all.first_entry().filter(|e| e.get().since.get().elapsed() >= spared);
+            if let Some(oldest) = oldest {
+                oldest.remove().close.notify_one();
+                return true;
             }
         }
+        false
     }
 
     fn close_all(&self, stage: Stage) {
@@ -299,12 +332,15 @@
                 if client.stage.get() == Stage::Idle {
                     client.due.set(Instant::now() + WHOLE); // its head came along with the request before
                 }
+                // A request that came while its connection was waiting to be accepted is as old as that.
+                let queued = client.queued.take().filter(|_| client.accepted.elapsed() < GRACE);
+                let came = queued.unwrap_or_else(Instant::now);
                 front.turn(&client, Stage::Busy);
                 let over = front.busy.get() > front.budget / BUSY.1 * BUSY.0;
                 let mut response = if over {
                     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
                 } else {
-                    front.respond(request, client.due.get()).await
+                    front.respond(request, came, client.due.get()).await
                 };
                 // Where one request was wrong, nobody knows where the next one would begin.
                 if over || front.draining.get() || response.status().is_client_error() {
@@ -354,9 +390,10 @@
         }
     }
 
-    /// Answers a request, which has to be whole when it is `due`.
-    async fn respond(&self, request: Request<Incoming>, due: Instant) -> Response<Full<Bytes>> {
-        let came = Instant::now();
+    /// Answers a request that came at `came` and has to be whole when it is `due`.
+    async fn respond(
+        &self, request: Request<Incoming>, came: Instant, due: Instant,
+    ) -> Response<Full<Bytes>> {
         if request.uri().path() == "/up" {
             let up = self.ready.get() && !self.draining.get();
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -33,7 +33,7 @@
 
 /// Once an answer has begun, its head and its body must each come to their end within this span. An answer that
 /// is told longer than it is would else keep its request until the client gives up.
-const STALL: Duration = Duration::from_millis(500);
+const STALL: Duration = Duration::from_millis(250);
 
 /// A client's request in the form in which it goes on.
 pub struct Outgoing {
@@ -143,8 +143,8 @@
         self.partial.set(None);
     }
 
-    /// Notes what has been read of an answer. One that stops at a blank line may be a whole head: of an interim
-    /// answer, after which the real one takes its time, or of one with a body, which then follows at once.
+    /// Notes what has been read of an answer. What stops at a blank line may be an interim answer's whole head,
+    /// after which the real one takes its time.
     fn got(&self, bytes: &[u8]) {
         let since = self.partial.get().unwrap_or_else(Instant::now);
         self.partial.set((!bytes.ends_with(BLANK)).then_some(since));
@@ -389,7 +389,8 @@
     if body.size_hint().lower() > BODY as u64 {
         return Err("the answer is too long".into());
     }
-    let body = Limited::new(body, BODY).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    let body = timeout(STALL, Limited::new(body, BODY).collect()).await.map_err(|e| e.to_string())?;
+    let body = body.map_err(|e| e.to_string())?.to_bytes();
     let mut unseen = head.headers.get_all("x-not-processed").iter();
     let unseen = unseen.next().is_some_and(|v| v.as_bytes().trim_ascii() == b"1") && unseen.next().is_none();
     Ok(match head.status {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,10 +32,12 @@
 const PULL: f64 = 3.0; // a crossing's price, as a delay, is counted this many times: aims leave slack
 const SLACK_SCALE: f64 = 0.5; // part of the aim over which slack takes a request's urgency away
 const FAIL_GAIN: f64 = 0.3; // weight of a failure in a server's failure mean: two in a row close it
-const FAIL_CLOSE: f64 = 0.4; // failure mean above which a server is closed
+const FAIL_CLOSE: f64 = 0.4; // failure mean above which a server is closed ...
+const AMBIENT: (f64, f64) = (3.0, 0.85); // ... or this many times that of a middling one, up to a bound
 pub(crate) const BACKOFF: Millis = 250.0; // first closing; doubles with each failed trial
 const BACKOFF_MAX: Millis = 4000.0; // longest closing: a mended server is found again within this
 const HANG: f64 = 5.0; // silence of this many expected latencies marks a server as hung
+const FAIR: f64 = 3.0; // expected latencies within which most attempts are answered
 const CLASS_BACKOFF: f64 = 4.0; // times as long a server stays closed to a class alone
 const ALL_ILL: f64 = 0.9; // with more than this part closed, as a whole or to a class, it is not believed
 const DISTRUST: f64 = 0.5; // nor with more than this part, if as few attempts are served
@@ -97,6 +99,7 @@
             Event::Message { from, bytes } => return self.hear(now, from as usize, &bytes),
         }
         self.pump(now, out);
+        self.shed(out);
     }
 
     // ---- queue and threshold ----
@@ -154,15 +157,35 @@
         }
     }
 
-    /// How pressing a request is: its worth for the time it takes, discounted by its slack. Worth decides
-    /// under overload, urgency else.
-    fn press(&self, r: &Request, now: Millis) -> f64 {
+    /// What a request is worth for the time it takes.
+    fn value(&self, r: &Request) -> f64 {
         let (c, work) = (&self.cfg.classes[r.class], self.class_ms[r.class].0.max(0.1) * r.size);
         let worth = if self.cfg.worth_by_work { c.worth * r.size } else { c.worth };
+        worth / work * if r.over_share { self.cfg.over_share_worth } else { 1.0 }
+    }
+
+    /// How pressing a request is: its value, discounted by its slack. Worth decides under overload, urgency
+    /// else.
+    fn press(&self, r: &Request, now: Millis) -> f64 {
+        let (c, work) = (&self.cfg.classes[r.class], self.class_ms[r.class].0.max(0.1) * r.size);
         let slack = r.aim - now - work;
-        let part = if r.over_share { self.cfg.over_share_worth } else { 1.0 };
-        let part = if slack < 0.0 { part * c.late_worth } else { part };
-        part * worth / work * (-slack.max(0.0) / (SLACK_SCALE * c.aim.max(1.0))).exp()
+        let part = if slack < 0.0 { c.late_worth } else { 1.0 };
+        part * self.value(r) * (-slack.max(0.0) / (SLACK_SCALE * c.aim.max(1.0))).exp()
+    }
+
+    /// Gives up what waits beyond the requests that may be held, the least valuable first and among their
+    /// like the last to come, which would wait longest. Held on, they would keep better ones out.
+    fn shed(&mut self, out: &mut Vec<Action>) {
+        let most = self.cfg.limits.most_held;
+        let over =
+            |s: &Self| s.requests.len() > most && s.requests.values().filter(|r| !r.done).count() > most;
+        while self.waiting > 0 && over(self) {
+            let waits = |id: &&RequestId| self.requests.get(id).is_some_and(|r| r.waiting);
+            let last = self.queues.iter().filter_map(|q| q.iter().rev().find(waits));
+            let value = |id: &RequestId| self.value(&self.requests[id]);
+            let Some(&id) = last.min_by(|a, b| value(a).total_cmp(&value(b))) else { return };
+            self.answer(id, out);
+        }
     }
 
     /// Gives a server's free slots to those who wait for it as their home, the most pressing first.
@@ -362,16 +385,20 @@
         let s = &mut self.servers[k];
         (s.progress, s.full) = if good { (now, s.full) } else { (s.progress, full) };
         let jitter = 0.75 + 0.5 * self.rng.f64();
-        for (h, longer) in [(&mut s.health, 1.0), (&mut s.by_class[class], CLASS_BACKOFF)] {
+        // What befalls all alike is no fault of one: closed for it one by one, they would leave nobody to
+        // serve, and the few requests that still go out would meet the more failures.
+        let limit = |i: usize| FAIL_CLOSE.max((AMBIENT.0 * self.ambient[i]).min(AMBIENT.1));
+        let whole = (&mut s.health, limit(0), 1.0);
+        for (h, limit, longer) in [whole, (&mut s.by_class[class], limit(class + 1), CLASS_BACKOFF)] {
             if good {
                 h.fails *= 1.0 - FAIL_GAIN / 2.0;
-                h.trial &= h.fails > FAIL_CLOSE / 2.0;
+                h.trial &= h.fails > limit / 2.0;
                 h.backoff = if h.trial { h.backoff } else { BACKOFF };
                 // An answer also lifts a closing that was mere slowness.
-                h.closed = if h.fails < FAIL_CLOSE { h.closed.min(now) } else { h.closed };
+                h.closed = if h.fails < limit { h.closed.min(now) } else { h.closed };
             } else {
                 h.fails += FAIL_GAIN * (1.0 - h.fails);
-                if h.fails > FAIL_CLOSE && h.closed <= now {
+                if h.fails > limit && h.closed <= now {
                     close(h, now, longer * h.backoff * jitter);
                 }
             }
@@ -409,7 +436,11 @@
         } else {
             self.servers[k].own -= u32::from(!silent); // a silent one gave it back before
         }
-        self.success += (f64::from(u8::from(outcome == Outcome::Served)) - self.success) / CLASS_SAMPLES;
+        if !matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
+            self.success += (f64::from(u8::from(outcome == Outcome::Served)) - self.success) / CLASS_SAMPLES;
+        }
+        // One sent shortly before its client gave up had no fair chance: that it timed out proves nothing.
+        let fair = FAIR * self.class_ms[class].0 * size * self.servers[k].slow.0 / self.servers[k].warmth;
         match outcome {
             Outcome::Served => {
                 self.fit_window(latency < LATE * self.cfg.classes[class].aim);
@@ -417,7 +448,7 @@
                 self.judge(k, class, true, false, now);
             }
             Outcome::Moot | Outcome::Cancelled => {}
-            Outcome::TimedOut if silent => {} // blamed already
+            Outcome::TimedOut if silent || latency < fair => {} // blamed already, or not to blame
             _ => self.judge(k, class, false, outcome == Outcome::Full, now),
         }
         if outcome == Outcome::Full {
@@ -528,8 +559,8 @@
         self.mean = self.mean_latency();
         self.mean_room = self.servers.iter().map(|s| s.room).sum::<f64>() / self.servers.len().max(1) as f64;
         for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= 3.0 * KIND_WEIGHT) {
-            // Overfilled servers are slow all alike and look as if they had more cores: against that jam a
-            // kind whose latency has left its calm level gets fewer slots until it is back.
+            // Overfilled servers are slow all alike and look as if they had more cores: against that jam
+            // a kind whose latency has left its calm level gets fewer slots until it is back.
             let latency = kind.slow.0 * self.mean;
             kind.throttle = if kind.calm.is_finite() { kind.throttle } else { 1.0 }; // at last measured
             kind.calm = latency.min(kind.calm * CALM_CREEP);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -127,6 +127,8 @@
     pub fall_multiple: f64,
     /// ...for this span, a cold server falls over.
     pub fall: Millis,
+    /// Requests that may be held unanswered at once.
+    pub most_held: usize,
     /// Attempts allowed for one request.
     pub max_attempts: u32,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -132,6 +132,7 @@
             cold: number(rules, "cold", 30_000.0),
             fall_multiple: number(rules, "fallMultiple", 1.0),
             fall: number(rules, "fall", 1000.0),
+            most_held: usize::MAX,
             max_attempts: number(ceilings, "maxAttempts", 1.0).max(1.0) as u32,
         },
     };
--- a/src/state.rs
+++ b/src/state.rs
@@ -328,6 +328,7 @@
     pub(crate) allowance: Vec<f64>, // requests that each tenant may still ask for within its share
     pub(crate) retries: f64,        // further attempts that the budget allows
     pub(crate) hints: Vec<(f64, f64)>, // mean hint by class, and its weight
+    pub(crate) ambient: Vec<f64>,   // failure mean of a middling server, as a whole and for each class
     pub(crate) doubt: bool,         // so many servers look ill that health is not believed
     pub(crate) success: f64,        // running mean of attempts that were served
     pub(crate) ticks: u64,
@@ -375,6 +376,7 @@
             allowance: vec![1.0; cfg.tenants.len()],
             retries: 2.0,
             hints: vec![(1.0, 0.0); cfg.classes.len()],
+            ambient: vec![0.0; cfg.classes.len() + 1],
             doubt: false,
             success: 1.0,
             ticks: 0,
@@ -415,10 +417,9 @@
         r.waiting = false;
         self.waiting -= 1;
         if let Some(h) = r.home {
-            let s = &mut self.servers[h];
-            s.wanted -= 1;
-            if s.wanted == 0 {
-                s.line.clear(); // who is left in it no longer waits
+            self.servers[h].wanted -= 1;
+            if self.servers[h].wanted == 0 {
+                self.servers[h].line.clear(); // who is left in it no longer waits
             }
         }
     }
@@ -502,9 +503,15 @@
     }
 
     /// Counts the listed servers and those of them that are closed as ill, and notes for each class the part
-    /// that is closed to it.
+    /// that is closed to it and how often a middling server fails.
     pub(crate) fn census(&mut self, now: Millis) -> (f64, f64) {
         let listed: Vec<&Server> = self.servers.iter().filter(|s| s.told.is_none()).collect();
+        for (i, middle) in self.ambient.iter_mut().enumerate() {
+            let health = |s: &&Server| if i == 0 { s.health.fails } else { s.by_class[i - 1].fails };
+            let mut fails: Vec<f64> = listed.iter().map(health).collect();
+            fails.sort_by(f64::total_cmp);
+            *middle = fails.get(fails.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
+        }
         let up = listed.len() as f64 + 0.01;
         for (class, part) in self.blocked.iter_mut().enumerate() {
             *part = listed.iter().filter(|s| s.by_class[class].closed > now).count() as f64 / up;
@@ -555,6 +562,11 @@
         r.attempts.iter().find(|a| a.ran).map(|a| (a.server, group, a.sent + window))
     }
 
+    /// Places for servers, vacant ones included.
+    pub fn places(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Gives a new server a place, one that has become vacant if there is one.
     fn settle_in(&mut self, server: Server) -> usize {
         let id = server.info.id;
@@ -580,15 +592,12 @@
         }
         let requests = self.requests.values();
         let asked = requests.flat_map(|r| r.attempts.iter().map(|a| a.server).chain(r.home));
-        let peers = self.peers.iter().flatten().flat_map(|p| p.holds.iter().chain(&p.blames)).copied();
+        let peers = self.peers.iter().flatten().flat_map(|p| [&p.holds, &p.blames]).flatten().copied();
         asked.chain(peers).chain(self.ghosts.iter().map(|g| g.1)).for_each(|k| free[k] = false);
         for k in (0..free.len()).filter(|&k| free[k]) {
             self.place(k, now); // takes it out of its band
-            let id = self.servers[k].info.id;
-            self.index.remove(&id);
-            if self.names.get(&short(id)) == Some(&k) {
-                self.names.remove(&short(id));
-            }
+            self.index.retain(|_, place| *place != k);
+            self.names.retain(|_, place| *place != k);
             self.vacant.push(k);
         }
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -367,3 +367,55 @@
     assert!(good >= 12, "answers in good time widen it: {good}");
     assert!(late <= 6, "late ones, of 1200 ms, do not: {late}");
 }
+
+#[test]
+fn servers_that_come_and_go_leave_nothing_behind() {
+    // Long days: each replaced server kept its record, and all of them were looked over ten times a second.
+    for warm_keys in [false, true] {
+        let mut hand = Hand::new(Settings { warm_keys, may_tell: true, ..settings(2) }, vec![server(0)]);
+        hand.give(request(1, 2, 1e9)); // keyed: where it went first must be known until it ends
+        let told = |id: u64, state| Backend { state, ..server(id) };
+        for id in 1..3000 {
+            let entries = vec![told(id, State::Up), told(id - 1, State::Gone)];
+            let mut actions = hand.give(Event::List { scope: Scope::Delta, entries });
+            actions.extend(hand.pass(120.0));
+            actions.extend(hand.give(request(10 * id, 0, 3000.0)));
+            let mut out = sends(&actions);
+            // The servers that a whole list lacks have left too.
+            if id % 100 == 0 {
+                out.extend(sends(&hand.give(full(vec![told(id, State::Up)]))));
+            }
+            while let Some((sent, _)) = out.pop() {
+                if sent > 1 {
+                    out.extend(sends(&hand.give(ended(sent, 0, 20.0, Outcome::Served))));
+                }
+            }
+        }
+        assert!(hand.balancer.places() <= 8, "{} places", hand.balancer.places());
+    }
+}
+
+#[test]
+fn beyond_what_may_be_held_the_least_valuable_are_given_up_at_once() {
+    // Four times the load: requests with no hope kept all connections, and what came then was not taken at all.
+    let mut settings = settings(1);
+    settings.limits.most_held = 20;
+    settings.classes[0].worth = 0.1;
+    let mut hand = Hand::new(settings, vec![server(1)]);
+    let mut given_up = vec![];
+    for id in 0..60 {
+        for action in hand.give(request(id, (id % 2) as usize, 5000.0)) {
+            match action {
+                Action::Refuse { request, retry_after } => {
+                    assert!(retry_after.is_some_and(|after| after > 0.0));
+                    given_up.push(request.0);
+                }
+                Action::Fail(_) => panic!("none of them can have run"),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(given_up.len(), 40);
+    // Those of little worth went first.
+    assert!(given_up[..15].iter().all(|id| id % 2 == 0), "{given_up:?}");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -30,6 +30,7 @@
             fall_multiple: 3.0,
             fall: 2000.0,
             max_attempts: 4,
+            most_held: usize::MAX,
         },
     }
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -490,3 +490,178 @@
     (0..50).for_each(|_| assert_eq!(text(&proxy).as_deref(), Some("two")));
     assert!(proxy.runs());
 }
+
+#[test]
+fn a_client_that_never_sends_a_whole_request_is_closed() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let whole = submit("r-1", "5", "body");
+    for sent in ["", "GET /page HTTP/1.1\r\nHost", &whole[..whole.len() - 2]] {
+        let mut client = Client::new(&proxy);
+        client.send(sent);
+        let end = client.last_answer(); // an error or nothing, and then the end
+        assert!(end.is_none_or(|(status, closed)| status == 408 && closed), "{sent}: {end:?}");
+    }
+    // A later request that never ends, on a connection that has had an answer.
+    let mut client = Client::new(&proxy);
+    assert_eq!(status(client.ask(&page("r-2"))), 200);
+    client.send("GET /pa");
+    assert!(client.is_closed());
+    assert_eq!(backend.seen().len(), 1);
+}
+
+#[test]
+fn lengths_that_lie_hide_no_second_request() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let hidden = submit("r-hidden", "5", "x");
+    let good = submit("r-1", "5", &format!("0\r\n\r\n{hidden}"));
+    let length = good.lines().find(|l| l.starts_with("Content-Length")).unwrap().to_owned();
+    let with = |lines: &str| good.replace(&length, lines);
+    let cases = [
+        with(&format!("{length}\r\nTransfer-Encoding: chunked")),
+        with(&format!("Transfer-Encoding: chunked\r\n{length}")),
+        with(&format!("Transfer-Encoding: identity\r\n{length}")),
+        with("Transfer-Encoding: chunked"),
+        with("Transfer-Encoding: gzip"),
+        with("Content-Length: 4\r\nContent-Length: 5"),
+        with("Content-Length: -1"),
+        with("Content-Length: 0x10"),
+        with("Content-Length: 99999999999999999999999999"),
+        with("Content-Length: 5000000000"),
+    ];
+    for case in &cases {
+        let mut client = Client::new(&proxy);
+        client.send(case);
+        let (status, closed) = client.last_answer().expect("an answer");
+        assert!((400..500).contains(&status) && closed, "{status} {closed} to {case}");
+    }
+    assert!(backend.seen().is_empty());
+}
+
+#[test]
+fn a_refusal_reaches_a_client_that_is_still_sending() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let head = submit("r-1", "5", "");
+    let cases = [
+        (head.replace("Content-Length: 0", "Content-Length: 60000000"), 413),
+        (head.replace("Content-Length: 0", "Content-Length: 60000000").replace("/submit", "/nothing"), 404),
+        ("GET /page HTTP/1.1\r\nX-Endless: ".to_owned(), 431),
+    ];
+    for (head, wanted) in cases {
+        let mut client = Client::new(&proxy);
+        client.send(&head);
+        // It reads only once it has sent all it wants to send.
+        (0..60).for_each(|_| client.send(&"x".repeat(1_000_000)));
+        client.leave();
+        assert_eq!(client.last_answer(), Some((wanted, true)), "{head}");
+    }
+    assert!(backend.seen().is_empty());
+}
+
+#[test]
+fn an_id_that_is_open_is_turned_away_and_free_again_afterwards() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |_| Deed::Hold(held.clone(), ok("first")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let mut first = Client::new(&proxy);
+    first.send(&submit("r-1", "5", "x"));
+    wait_for("the first", || backend.seen().len() == 1);
+    assert_eq!(status(Client::new(&proxy).ask(&submit("r-1", "5", "y"))), 409);
+    gate.open();
+    assert_eq!(first.answer().expect("an answer").text(), "first");
+    assert_eq!(backend.seen().len(), 1);
+    assert_eq!(status(Client::new(&proxy).ask(&submit("r-1", "5", "z"))), 200);
+}
+
+#[test]
+fn a_flood_of_silent_connections_keeps_nobody_waiting() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup { sockets: 64, ..Setup::default() });
+    let _silent: Vec<TcpStream> = (0..600).map(|_| TcpStream::connect(proxy.address).unwrap()).collect();
+    assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
+}
+
+#[test]
+fn spoilt_answers_fail_at_once_and_may_have_run() {
+    let long = format!("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n{}", "x".repeat(1000));
+    for answer in [
+        "\u{1}\u{2} noise \r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nX-Endless: ".into(),
+        format!("HTTP/1.1 200 OK\r\nX-Endless: {}", "x".repeat(100_000)),
+        ok("0123456789").replace("0123456789", "01234"),
+        long,
+        empty("503 Busy\r\nX-Not-Processed: 1").replace("Length: 0", "Length: 5"),
+        empty("503 Busy\r\nX-Not-Processed: 1\r\nX-Not-Processed: 0"),
+        "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: x\r\n\r\n".into(),
+        "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n01234".into(),
+    ] {
+        // Its connection stays open, so that only the time-out of a client with much patience would end it.
+        let (spoilt, good) =
+            (Backend::new(Deed::Write(answer.clone())), Backend::new(Deed::Write(ok("good"))));
+        let discovery = Discovery::new();
+        discovery.say(&all_up(&[&spoilt]));
+        let setup = Setup { deadline: 90_000, ..Setup::default() };
+        let proxy = Proxy::up(&discovery, &setup);
+        assert_eq!(status(Client::new(&proxy).ask(&submit("r-1", "90", "x"))), 502, "{answer:.80}");
+        wait_for("the connection's end", || spoilt.ended() == 1);
+        // What may be repeated is made good elsewhere.
+        discovery.say(&list(2, false, &[host("s-good", good.address, "up", 0)]));
+        let answer = Client::new(&proxy).ask(&page("r-2").replace("Timeout: 5", "Timeout: 90"));
+        assert_eq!(answer.expect("an answer").text(), "good");
+    }
+}
+
+#[test]
+fn what_follows_an_answer_is_nobody_s() {
+    let backend = Backend::with(|request| {
+        let answer = ok(request.id());
+        let interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n";
+        Deed::Write(match request.id().len() % 3 {
+            0 => format!("{interim}{answer}{answer}"),
+            1 => format!("{answer}\u{1} noise"),
+            _ => answer.replace("X-Own: kept", "X-Server-Load: {not readable"),
+        })
+    });
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let mut client = Client::new(&proxy);
+    for n in 0..60 {
+        let id = format!("r-{}{n}", "x".repeat(n % 3));
+        assert_eq!(client.ask(&page(&id)).expect("an answer").text(), id);
+    }
+    assert_eq!(backend.seen().len(), 60);
+}
+
+#[test]
+fn a_refused_client_is_told_when_to_come_back() {
+    let backend = Backend::new(Deed::Write(empty("503 Busy\r\nX-Not-Processed: 1")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let answer = Client::new(&proxy).ask(&submit("r-1", "5", "x")).expect("an answer");
+    let after: f64 = answer.header("retry-after").expect("a time").parse().expect("a number");
+    assert!(answer.status() == 503 && after > 0.0 && after <= 6.0, "{after}");
+}
+
+#[test]
+fn thousands_of_backends_that_come_and_go_leave_nothing_behind() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (discovery, proxy) = proxy_with(&[&backend]);
+    let round = |n: usize, health: &'static str| (0..400).map(move |i| (format!("s-{n}-{i}"), health));
+    let mut after_some = 0;
+    for n in 1..=60 {
+        let changes = round(n, "up").chain(round(n - 1, "removed"));
+        let lines: Vec<String> =
+            changes.map(|(name, health)| host(&name, backend.address, health, 0)).collect();
+        discovery.say(&list(n as u64 + 1, false, &lines));
+        std::thread::sleep(Duration::from_millis(120)); // between two looks of the module at its servers
+        assert_eq!(status(Client::new(&proxy).ask(&page(&format!("r-{n}")))), 200);
+        if n == 10 {
+            after_some = proxy.memory();
+        }
+    }
+    let grown = proxy.memory().saturating_sub(after_some);
+    assert!(grown < 6 << 10, "{grown} KiB for 20,000 backends that are gone");
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -390,6 +390,14 @@
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
     }
 
+    /// Resident memory in KiB.
+    pub fn memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a line");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// Whether the log holds a text.
     pub fn said(&self, text: &str) -> bool {
         self.log.lock().expect("no panic").contains(text)
@@ -440,6 +448,12 @@
         self.answer()
     }
 
+    /// The answer as far as it tells where it ends, then whether the connection ends with nothing more on it.
+    pub fn last_answer(&mut self) -> Option<(u16, bool)> {
+        let answer = self.answer()?;
+        Some((answer.status(), self.is_closed()))
+    }
+
     /// Ends the sending, as a client that leaves does.
     pub fn leave(&self) {
         self.0.get_ref().shutdown(Shutdown::Write).expect("a connection");
