Measure a kind's calm latency on more answers, and let it rise where the fewest slots bring no calm

A trace once a second: no server closed, none on trial, but both kinds throttled to 0.30 (28.8 of 87 slots) from second 5 on, at a steady latency of 65 and 100 ms against a calm level of 38 and 45. Ruled out: sockets, CPU, SIGHUP (each new list was in within 10 ms), shedding (the queue was short by then).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,6 +21,8 @@
 const LOOK: usize = 6; // requests looked at before a decision gives up on finding one that may go
 const CROWDED: f64 = 1.6; // latency over its calm level at which a kind counts as crowded
 const CALM_CREEP: f64 = 1.001; // by which the calm level may rise in a review: a tenth in ten seconds
+const CALM_LEAP: f64 = 1.01; // and where the fewest slots bring no calm: it was taken for too low
+const CALM_SAMPLES: f64 = 60.0; // answers before a kind's latency is measured: the least of few is too low
 const THROTTLE_MIN: f64 = 0.3; // the least part of its slots that a crowded kind keeps
 pub(crate) const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
 const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
@@ -558,12 +560,13 @@
     fn review(&mut self, now: Millis) {
         self.mean = self.mean_latency();
         self.mean_room = self.servers.iter().map(|s| s.room).sum::<f64>() / self.servers.len().max(1) as f64;
-        for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= 3.0 * KIND_WEIGHT) {
+        for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= CALM_SAMPLES) {
             // Overfilled servers are slow all alike and look as if they had more cores: against that jam
             // a kind whose latency has left its calm level gets fewer slots until it is back.
             let latency = kind.slow.0 * self.mean;
             kind.throttle = if kind.calm.is_finite() { kind.throttle } else { 1.0 }; // at last measured
-            kind.calm = latency.min(kind.calm * CALM_CREEP);
+            let creep = if kind.throttle > THROTTLE_MIN { CALM_CREEP } else { CALM_LEAP };
+            kind.calm = latency.min(kind.calm * creep);
             kind.core = if kind.lone.1 >= KIND_WEIGHT { kind.lone.0 } else { kind.calm };
             let calm = kind.calm.max(kind.core * (1.0 + 0.5 / kind.cores));
             let step = (CROWDED * calm / latency).clamp(0.95, 1.02);
