--- a/src/state.rs
+++ b/src/state.rs
@@ -587,9 +587,6 @@
         let left = |s: &Server| s.info.state == State::Gone && s.own == 0 && s.wanted == 0;
         let mut free: Vec<bool> = self.servers.iter().map(left).collect();
         self.vacant.iter().for_each(|&k| free[k] = false);
-        if !free.contains(&true) {
-            return;
-        }
         let requests = self.requests.values();
         let asked = requests.flat_map(|r| r.attempts.iter().map(|a| a.server).chain(r.home));
         let peers = self.peers.iter().flatten().flat_map(|p| [&p.holds, &p.blames]).flatten().copied();
