Move the daemon to crates/sandgap; open its circle with a neutral event vocabulary

Need: driver, frontend, discovery and peers imported one another, and their words named HTTP types, so that nothing else could feed the driver.

--- a/check.sh
+++ b/check.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo fmt --all -- --check
-cargo clippy --locked --all-targets --all-features -- -D warnings
-cargo clippy --locked --lib --no-default-features -- -D warnings
-cargo test --locked --release
-RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps
+cargo clippy --locked --workspace --all-targets --all-features -- -D warnings
+cargo clippy --locked -p wharfhitch --lib --no-default-features -- -D warnings
+cargo test --locked --release --workspace
+RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps
--- a/src/bin/sandgap/config.rs
+++ b/crates/sandgap/src/config.rs
@@ -37,25 +37,35 @@
 
 /// Where proxies exchange datagrams.
 pub struct PeerAddresses {
+    /// Where this proxy's datagrams arrive.
     pub listen: SocketAddr,
     /// One address a proxy, in the order of their numbers.
     pub peers: Vec<SocketAddr>,
+    /// What is sent here reaches every other proxy.
     pub all: SocketAddr,
 }
 
 /// All that the parts of the proxy need to know.
 pub struct Config {
+    /// Its name, the same after a restart.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// The source of all chance.
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Where the other proxies are, if they may be told anything.
     pub peers: Option<PeerAddresses>,
     /// The list of backends as last seen, in discovery's form; perhaps old, perhaps nothing.
     pub known: Value,
+    /// What the module is told.
     pub settings: Settings,
+    /// The names that its numbers stand for.
     pub names: Names,
+    /// Figures of connections.
     pub connections: Connections,
 }
 
--- a/src/bin/sandgap/main.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -1,17 +1,8 @@
-//! The reverse proxy: clients, backends, discovery and peers on sockets, every decision in the module.
-
-mod config;
-mod discovery;
-mod driver;
-mod frontend;
-mod log;
-mod peers;
-mod upstream;
+//! The daemon: one proxy from its configuration until it has finished.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,8 +11,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use wharfhitch::{Balancer, Scope};
 
-use config::Config;
-use driver::{Driver, Inbox, Input, Parts};
+use crate::config::{self, Config};
+use crate::driver::{Driver, Parts};
+use crate::event::{Inbox, Input};
+use crate::{discovery, front, note, peers, upstream};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
 const RESERVE: usize = 32;
@@ -51,7 +44,7 @@
     let hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     let (discovery, addresses) = watch::channel(config.discovery);
     spawn_local(reload(hup, path, discovery));
-    let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
+    let listener = front::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
     let (inbox, inputs) = Inbox::new();
     let peers = match config.peers {
         Some(addresses) => {
@@ -71,7 +64,7 @@
     let asked = Rc::new(Notify::new());
     let parts = Parts {
         inbox: inbox.clone(),
-        upstreams: upstreams.clone(),
+        backs: vec![upstreams.clone()],
         peers,
         discovery: addresses.clone(),
         watch: asked.clone(),
@@ -89,7 +82,7 @@
         tokio::time::sleep(PATIENCE).await;
         up.set(up.get() || known_only.get());
     });
-    let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, budget, ready);
+    let front = front::Frontend::new(inbox, config.names, classes, upstreams, budget, ready);
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
     let stop = async move {
@@ -105,9 +98,12 @@
     }
 }
 
-fn start() -> Result<(), String> {
-    let path = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
-    let path = PathBuf::from(path);
+/// Runs one proxy by the configuration in `path` until it is told to stop and has finished what it took.
+///
+/// # Errors
+/// A configuration that can't be read, an address that can't be used, or the end of the driver, in a text that
+/// names what is wrong.
+pub fn serve(path: PathBuf) -> Result<(), String> {
     let config = config::read(&path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
@@ -115,13 +111,3 @@
     runtime.shutdown_background();
     outcome
 }
-
-fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(text) => {
-            note!("{text}");
-            ExitCode::FAILURE
-        }
-    }
-}
--- a/src/bin/sandgap/discovery.rs
+++ b/crates/sandgap/src/discovery.rs
@@ -18,7 +18,7 @@
 use tokio::time::{sleep, timeout};
 use wharfhitch::Scope;
 
-use crate::driver::{Inbox, Input};
+use crate::event::{Host, Inbox, Input};
 use crate::note;
 
 /// A watch sends an empty line every 2 s. One that is silent for longer may hang on a dead machine, and what
@@ -28,44 +28,27 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 const MOST: usize = 4 << 20; // bytes of a line
 
-/// One line of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Host {
-    pub host: String,
-    /// Where it is reached; `None` if that can't be read.
-    pub dial: Option<SocketAddr>,
-    pub site: Option<String>,
-    pub class: Option<String>,
-    pub block: Option<u64>,
-    pub health: String,
-    pub share: Option<f64>,
-    /// Unix time in milliseconds; 0 for long ago.
-    pub born_ms: f64,
-}
-
-impl Host {
-    /// Reads what can be read: one odd entry must not hide what the rest of the list says.
-    fn read(entry: &Value) -> Option<Self> {
-        let text = |key: &str| entry[key].as_str().map(str::to_owned);
-        let Some(host) = text("host") else {
-            note!("discovery: an entry without a name");
-            return None;
-        };
-        let dial = entry["dial"].as_str().and_then(|d| d.parse().ok());
-        if dial.is_none() && entry["health"] != "removed" {
-            note!("discovery: {host} has no address");
-        }
-        Some(Host {
-            host,
-            dial,
-            site: text("site"),
-            class: text("class"),
-            block: entry["block"].as_u64(),
-            health: text("health").unwrap_or_default(),
-            share: entry["share"].as_f64(),
-            born_ms: entry["born_ms"].as_f64().unwrap_or(0.0),
-        })
+/// Reads what can be read: one odd entry must not hide what the rest of the list says.
+fn host(entry: &Value) -> Option<Host> {
+    let text = |key: &str| entry[key].as_str().map(str::to_owned);
+    let Some(host) = text("host") else {
+        note!("discovery: an entry without a name");
+        return None;
+    };
+    let dial = entry["dial"].as_str().and_then(|d| d.parse().ok());
+    if dial.is_none() && entry["health"] != "removed" {
+        note!("discovery: {host} has no address");
     }
+    Some(Host {
+        host,
+        dial,
+        site: text("site"),
+        class: text("class"),
+        block: entry["block"].as_u64(),
+        health: text("health").unwrap_or_default(),
+        share: entry["share"].as_f64(),
+        born_ms: entry["born_ms"].as_f64().unwrap_or(0.0),
+    })
 }
 
 /// The whole list or what has changed.
@@ -78,7 +61,7 @@
 
 impl List {
     fn entries(&self) -> Vec<Host> {
-        self.hosts.iter().filter_map(Host::read).collect()
+        self.hosts.iter().filter_map(host).collect()
     }
 }
 
--- a/src/bin/sandgap/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -12,15 +12,14 @@
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::settings::{Names, index_of, number_of};
 use wharfhitch::{
-    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Millis, Outcome, RequestId,
-    Scope, State, TenantId, ZoneId,
+    Action, Backend, BackendId, Balancer, CellId, Event, KindId, Millis, Outcome, RequestId, Scope, State,
+    ZoneId,
 };
 
-use crate::discovery::{self, Host};
-use crate::frontend::OpenId;
+use crate::discovery;
+use crate::event::{Answer, Arrival, Attempt, Back, Endpoint, Exchange, Host, Inbox, Input, Reply, Report};
 use crate::note;
 use crate::peers::Peers;
-use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams};
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
@@ -28,59 +27,6 @@
 /// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
 const NAMES: usize = 250;
 
-/// What happens outside the module.
-pub enum Input {
-    /// A whole request has been read.
-    Request(Box<Arrival>),
-    /// Its client has left.
-    Gone(RequestId),
-    /// An attempt has ended.
-    Ended { request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply> },
-    /// News of the list.
-    List(Scope, Vec<Host>),
-    /// Another proxy's message.
-    Datagram { from: u32, bytes: Vec<u8> },
-}
-
-/// A client's request.
-pub struct Arrival {
-    pub id: RequestId,
-    pub class: ClassId,
-    pub tenant: Option<TenantId>,
-    pub key: Option<Key>,
-    pub hint: Option<Millis>,
-    /// When the client gives up.
-    pub deadline: Instant,
-    pub message: Outgoing,
-    pub answer: oneshot::Sender<Answer>,
-    pub open: OpenId,
-}
-
-/// The one final answer.
-pub enum Answer {
-    Served(Reply),
-    /// Trying again is harmless, after a while if one is named.
-    Refused(Option<Millis>),
-    Failed,
-}
-
-/// Where all parts put what they have seen.
-#[derive(Clone)]
-pub struct Inbox(mpsc::UnboundedSender<Input>);
-
-impl Inbox {
-    /// An inbox and the end that the driver reads. Its length is bounded by the budget of sockets: each
-    /// connection holds one request, and each request a few attempts.
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<Input>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Inbox(sender), receiver)
-    }
-
-    pub fn put(&self, input: Input) {
-        let _ = self.0.send(input); // fails only while the process ends
-    }
-}
-
 /// The module's clock is monotonic and starts with the process; Unix time is converted here alone, by an
 /// offset taken once, so that the same start always gives the same time.
 struct Clock {
@@ -112,12 +58,10 @@
     answer: Option<oneshot::Sender<Answer>>,
     /// Whether an attempt may still begin for it.
     wanted: Rc<Cell<bool>>,
-    message: Rc<Outgoing>,
+    exchange: Rc<dyn Exchange>,
     deadline: Instant,
     attempts: u32,
     out: u32,
-    /// Its id is taken for as long.
-    _open: OpenId,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -128,8 +72,11 @@
 
 /// What the driver needs of the other parts.
 pub struct Parts {
+    /// Where attempts report.
     pub inbox: Inbox,
-    pub upstreams: Rc<Upstreams>,
+    /// The senders of each protocol.
+    pub backs: Vec<Rc<dyn Back>>,
+    /// The other proxies, if they may be told anything.
     pub peers: Option<Rc<Peers>>,
     /// Where discovery is at present.
     pub discovery: watch::Receiver<SocketAddr>,
@@ -148,12 +95,15 @@
     parts: Parts,
     clock: Clock,
     endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
+    /// Endpoints numbered so far.
+    numbered: u64,
     live: FxHashMap<RequestId, Live>,
     due: BinaryHeap<Reverse<(Instant, Due)>>,
     actions: Vec<Action>,
 }
 
 impl Driver {
+    /// A driver with nothing in it yet.
     pub fn new(balancer: Balancer, names: Names, parts: Parts) -> Self {
         Driver {
             balancer,
@@ -161,6 +111,7 @@
             parts,
             clock: Clock::new(),
             endpoints: FxHashMap::default(),
+            numbered: 0,
             live: FxHashMap::default(),
             due: BinaryHeap::new(),
             actions: Vec::new(),
@@ -189,7 +140,7 @@
                 }
             }
             if now >= sweep {
-                self.parts.upstreams.sweep();
+                self.parts.backs.iter().for_each(|b| b.sweep());
                 sweep = now + SWEEP;
             }
         }
@@ -212,7 +163,7 @@
     }
 
     fn request(&mut self, arrival: Arrival) {
-        let Arrival { id, class, tenant, key, hint, deadline, message, answer, open } = arrival;
+        let Arrival { id, class, tenant, key, hint, deadline, exchange, answer } = arrival;
         let last = deadline - LAST_RESORT;
         let budget = last.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
         self.live.insert(
@@ -220,11 +171,10 @@
             Live {
                 answer: Some(answer),
                 wanted: Rc::new(Cell::new(true)),
-                message: Rc::new(message),
+                exchange,
                 deadline,
                 attempts: 0,
                 out: 0,
-                _open: open,
             },
         );
         self.due.push(Reverse((last, Due::LastResort(id))));
@@ -279,7 +229,7 @@
             self.endpoints.retain(|id, endpoint| {
                 let stays = listed.contains(id);
                 if !stays {
-                    endpoint.set_open(false);
+                    close(endpoint, &self.parts.backs);
                 }
                 stays
             });
@@ -304,15 +254,18 @@
         if let Some(address) = host.dial {
             let same = |e: &Rc<Endpoint>| e.address == address && e.born_ms == host.born_ms;
             if !self.endpoints.get(&id).is_some_and(same) {
-                let endpoint = Endpoint::new(address, host.born_ms);
-                self.parts.upstreams.add(&endpoint);
+                self.numbered += 1;
+                let endpoint = Endpoint::new(self.numbered, address, host.born_ms);
                 if let Some(old) = self.endpoints.insert(id, endpoint) {
-                    old.set_open(false);
+                    close(&old, &self.parts.backs);
                 }
             }
         }
         if let Some(endpoint) = self.endpoints.get(&id) {
-            endpoint.set_open(state == State::Up);
+            match state {
+                State::Up => endpoint.set_open(true),
+                State::Draining | State::Gone => close(endpoint, &self.parts.backs),
+            }
         }
         if state == State::Gone {
             self.endpoints.remove(&id);
@@ -371,58 +324,27 @@
         let Some(live) = self.live.get_mut(&request) else {
             return note!("a send for a request that is not held");
         };
-        let mut report = Report {
-            inbox: self.parts.inbox.clone(),
-            request,
-            attempt: live.attempts,
-            sent: Instant::now(),
-            told: false,
-        };
+        let report = Report::new(self.parts.inbox.clone(), request, live.attempts);
         live.attempts += 1;
         live.out += 1;
         let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.wanted.get() && e.is_open()) else {
             return report.tell(Outcome::Moot, None);
         };
         let until = timeout.map_or(live.deadline, |t| {
-            live.deadline.min(report.sent + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
-        });
-        let (upstreams, endpoint) = (self.parts.upstreams.clone(), endpoint.clone());
-        let (wanted, message) = (live.wanted.clone(), live.message.clone());
-        tokio::task::spawn_local(async move {
-            upstreams
-                .attempt(endpoint, wanted, message, until, |outcome, reply| report.tell(outcome, reply))
-                .await;
+            live.deadline.min(report.sent() + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
         });
+        let (endpoint, wanted) = (endpoint.clone(), live.wanted.clone());
+        live.exchange.clone().attempt(Attempt { endpoint, wanted, until, report });
     }
 }
 
+/// Nothing new goes there any more, and nothing is kept for it.
+fn close(endpoint: &Endpoint, backs: &[Rc<dyn Back>]) {
+    endpoint.set_open(false);
+    backs.iter().for_each(|b| b.retire(endpoint));
+}
+
 /// The number of a zone or kind; past `NAMES` of them, what is new has none.
 fn known(names: &mut Vec<String>, name: &str) -> Option<u32> {
     (names.len() < NAMES || names.iter().any(|n| n == name)).then(|| index_of(names, name) as u32)
 }
-
-/// Tells how an attempt ended, exactly once: an attempt that dies on the way may have run.
-struct Report {
-    inbox: Inbox,
-    request: RequestId,
-    attempt: u32,
-    sent: Instant,
-    told: bool,
-}
-
-impl Report {
-    fn tell(&mut self, outcome: Outcome, reply: Option<Reply>) {
-        self.told = true;
-        let latency = self.sent.elapsed().as_secs_f64() * 1000.0;
-        let (request, attempt) = (self.request, self.attempt);
-        self.inbox.put(Input::Ended { request, attempt, latency, outcome, reply });
-    }
-}
-
-impl Drop for Report {
-    fn drop(&mut self) {
-        if !self.told {
-            self.tell(Outcome::Reset, None);
-        }
-    }
-}
--- /dev/null
+++ b/crates/sandgap/src/front/connection.rs
@@ -0,0 +1,145 @@
+//! One client's connection, from its accept to its end.
+
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use hyper::StatusCode;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::Frontend;
+use super::admission::{Client, Stage};
+use super::answer::plain;
+use super::limits::{BUSY, CUT, GRACE, HEAD_SIZE, LINGER, WHOLE};
+use crate::upstream::{end_sending, poll_read, poll_write};
+
+impl Frontend {
+    pub(super) async fn connection(self: &Rc<Self>, stream: Rc<TcpStream>, client: &Rc<Client>) {
+        let service = service_fn(|request| {
+            let (front, client) = (self.clone(), client.clone());
+            async move {
+                if client.stage.get() == Stage::Idle {
+                    client.due.set(Instant::now() + WHOLE); // its head came along with the request before
+                }
+                // A request that came while its connection was waiting to be accepted is as old as that.
+                let queued = client.queued.take().filter(|_| client.accepted.elapsed() < GRACE);
+                let came = queued.unwrap_or_else(Instant::now);
+                front.turn(&client, Stage::Busy);
+                let over = front.busy.get() > front.budget / BUSY.1 * BUSY.0;
+                let mut response = if over {
+                    plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
+                } else {
+                    front.respond(request, came, client.due.get()).await
+                };
+                // Where one request was wrong, nobody knows where the next one would begin.
+                if over || front.draining.get() || response.status().is_client_error() {
+                    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                } else {
+                    front.turn(&client, Stage::Idle);
+                }
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let io = Heard { stream: stream.clone(), client: client.clone(), front: self.clone() };
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(HEAD_SIZE)
+            .serve_connection(TokioIo::new(io), service);
+        tokio::pin!(connection);
+        let mut cut = None;
+        loop {
+            let wait = cut.unwrap_or_else(Instant::now);
+            tokio::select! {
+                biased; // what has come in counts before a wish to close
+                _ = connection.as_mut() => break,
+                () = client.close.notified() => {
+                    if matches!(client.stage.get(), Stage::Silent | Stage::Begun) {
+                        return;
+                    }
+                    connection.as_mut().graceful_shutdown();
+                    cut = cut.or(Some(Instant::now() + CUT));
+                }
+                // An answer that nobody reads would hold its socket for ever.
+                () = sleep_until(wait), if cut.is_some() => {
+                    if client.stage.get() != Stage::Busy {
+                        return;
+                    }
+                    cut = Some(Instant::now() + CUT);
+                }
+            }
+        }
+        // Malformed HTTP has been answered by hyper; a client that left needs nothing.
+        if !client.ended.get() {
+            self.turn(client, Stage::Refused);
+            tokio::select! {
+                _ = timeout(LINGER.0, drain(&stream)) => {}
+                () = client.close.notified() => {}
+            }
+        }
+    }
+}
+
+/// A client's socket. It notes when a request begins, and when the client has ended its sending.
+struct Heard {
+    stream: Rc<TcpStream>,
+    client: Rc<Client>,
+    front: Rc<Frontend>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        std::task::ready!(poll_read(&self.stream, cx, buf))?;
+        if buf.filled().len() == before {
+            self.client.ended.set(true);
+        }
+        let stage = self.client.stage.get();
+        if matches!(stage, Stage::Silent | Stage::Idle) {
+            if stage == Stage::Idle {
+                self.client.due.set(Instant::now() + WHOLE);
+            }
+            self.front.turn(&self.client, Stage::Begun);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        poll_write(&self.stream, cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(end_sending(&self.stream))
+    }
+}
+
+/// Ends the sending and reads on until the client ends its own, within bounds.
+async fn drain(stream: &TcpStream) {
+    if end_sending(stream).is_err() {
+        return;
+    }
+    let mut buffer = vec![0; HEAD_SIZE];
+    let mut left = LINGER.1;
+    while left > 0 && stream.readable().await.is_ok() {
+        match stream.try_read(&mut buffer) {
+            Ok(0) => return,
+            Ok(n) => left = left.saturating_sub(n),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandgap/src/front/head.rs
@@ -0,0 +1,101 @@
+//! Reading and checking a head: what the module has to know, and what can't be right.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::header::HeaderMap;
+use hyper::{Method, StatusCode, Uri};
+use rustc_hash::FxHashSet;
+use wharfhitch::settings::number_of;
+use wharfhitch::{ClassId, Effect, Key, TenantId};
+
+use super::Frontend;
+
+/// The ids of open requests. A second request under one of them could be taken for the first.
+pub(super) type OpenIds = Rc<RefCell<FxHashSet<Rc<str>>>>;
+
+/// Holds an id until the request and its attempts have ended.
+pub(super) struct OpenId {
+    ids: OpenIds,
+    id: Rc<str>,
+}
+
+impl OpenId {
+    pub(super) fn take(ids: &OpenIds, id: &str) -> Option<Self> {
+        let id: Rc<str> = id.into();
+        ids.borrow_mut().insert(id.clone()).then(|| OpenId { ids: ids.clone(), id })
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+/// What a request's head says.
+pub(super) struct Asked {
+    pub(super) id: String,
+    pub(super) class: ClassId,
+    pub(super) tenant: Option<TenantId>,
+    pub(super) key: Option<Key>,
+    pub(super) hint: Option<f64>,
+    pub(super) patience: Duration,
+}
+
+impl Frontend {
+    /// Reads what the module has to know; what can't be right goes no further.
+    pub(super) fn check(
+        &self, method: &Method, uri: &Uri, headers: &HeaderMap,
+    ) -> Result<Asked, (StatusCode, &'static str)> {
+        let bad = |text| (StatusCode::BAD_REQUEST, text);
+        let name = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let class = self.names.classes.iter().position(|c| c == name);
+        let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
+        let wanted = if self.classes[class].effect == Effect::Safe { Method::GET } else { Method::POST };
+        if *method != wanted {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
+        }
+        let keyed = matches!(self.classes[class].effect, Effect::Keyed { .. });
+        if keyed != one(headers, "idempotency-key")?.is_some() && *method == Method::POST {
+            return Err(bad("Idempotency-Key does not fit the class"));
+        }
+        let id = one(headers, "x-request-id")?.filter(|id| !id.is_empty());
+        let id = id.ok_or(bad("X-Request-ID is missing"))?.to_owned();
+        let tenant = match one(headers, "x-tenant-id")? {
+            _ if self.names.tenants.is_empty() => None,
+            Some(name) => {
+                let tenant = self.names.tenants.iter().position(|t| t == name);
+                Some(TenantId(tenant.ok_or(bad("no such tenant"))?))
+            }
+            None => return Err(bad("X-Tenant-Id is missing")),
+        };
+        let number = |name: &'static str| -> Result<Option<f64>, _> {
+            let Some(text) = one(headers, name)? else { return Ok(None) };
+            let number = text.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0);
+            number.map(Some).ok_or(bad("a header is no number"))
+        };
+        let patience = number("x-timeout")?.ok_or(bad("X-Timeout is missing"))?;
+        let patience = Duration::from_secs_f64(patience.min(self.classes[class].deadline / 1000.0));
+        let query = uri.query().unwrap_or_default();
+        let sid = query.split('&').find_map(|p| p.strip_prefix("sid="));
+        let hint = number("x-cost")?.map(|us| us / 1000.0);
+        Ok(Asked { id, class: ClassId(class), tenant, key: sid.map(|s| Key(number_of(s))), hint, patience })
+    }
+}
+
+/// A header that may stand once.
+fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, (StatusCode, &'static str)> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next().map(|v| v.to_str()).transpose();
+    match (value, values.next()) {
+        (Ok(value), None) => Ok(value),
+        _ => Err((StatusCode::BAD_REQUEST, "a header is malformed or stands twice")),
+    }
+}
+
+/// Path and query alone, as they came, also of a request in absolute form.
+pub(super) fn target(uri: &Uri) -> Uri {
+    uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()))
+}
--- /dev/null
+++ b/crates/sandgap/src/front/mod.rs
@@ -0,0 +1,187 @@
+//! Clients: reads whole requests, checks them, and gives each exactly one final answer.
+
+mod admission;
+mod answer;
+mod connection;
+mod head;
+mod limits;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+use wharfhitch::Class;
+use wharfhitch::settings::Names;
+
+use crate::event::Inbox;
+use crate::note;
+use crate::upstream::Upstreams;
+use admission::{Client, Stage};
+use head::OpenIds;
+use limits::{BACKLOG, FINISH, PAUSE, QUEUE, QUIET, SILENT, SPARED, STAY, SWEEP, WHOLE};
+
+/// What all connections share.
+pub struct Frontend {
+    inbox: Inbox,
+    names: Names,
+    classes: Vec<Class>,
+    upstreams: Rc<Upstreams>,
+    /// Sockets for clients and backends together.
+    budget: usize,
+    /// Whether the module has a list.
+    ready: Rc<Cell<bool>>,
+    next: Cell<u64>,
+    draining: Cell<bool>,
+    /// Connections, those of them with an open request, and the others by stage and age.
+    open: Cell<usize>,
+    busy: Cell<usize>,
+    /// When the accept queue was last seen empty.
+    empty: Cell<Instant>,
+    standing: RefCell<[BTreeMap<u64, Rc<Client>>; SPARED.len()]>,
+    ids: OpenIds,
+    left: Notify,
+}
+
+impl Frontend {
+    /// A front for clients. `budget` counts sockets of clients and backends together; `ready` says whether
+    /// the module has a list.
+    pub fn new(
+        inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, budget: usize,
+        ready: Rc<Cell<bool>>,
+    ) -> Rc<Self> {
+        Rc::new(Frontend {
+            inbox,
+            names,
+            classes,
+            upstreams,
+            budget,
+            ready,
+            next: Cell::new(0),
+            draining: Cell::new(false),
+            open: Cell::new(0),
+            busy: Cell::new(0),
+            empty: Cell::new(Instant::now()),
+            standing: RefCell::default(),
+            ids: OpenIds::default(),
+            left: Notify::new(),
+        })
+    }
+
+    /// Accepts and serves until `stop`, then finishes what has been taken.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+        let sweeper = self.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                sleep(SWEEP).await;
+                sweeper.sweep();
+            }
+        });
+        tokio::pin!(stop);
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut stop => break,
+                () = self.clone().accept(&listener) => {}
+            }
+        }
+        // Idle connections close now: a request that crosses that comes again while connections still do.
+        self.draining.set(true);
+        self.close_all(Stage::Idle);
+        let end = Instant::now() + STAY;
+        while timeout_at(end, self.clone().accept(&listener)).await.is_ok() {}
+        let end = Instant::now() + STAY; // a bound, should they never cease to come
+        while Instant::now() < end && timeout(QUIET, self.clone().accept(&listener)).await.is_ok() {}
+        drop(listener);
+        sleep(SILENT).await;
+        self.close_all(Stage::Silent);
+        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
+        while self.busy.get() > 0 {
+            if timeout_at(end, self.left.notified()).await.is_err() {
+                return note!("ended with connections open");
+            }
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: &TcpListener) {
+        // Over the budget one leaves for each that comes, and if none can, the next waits a little for it. To
+        // let them wait on would age all that come, until their answers are too late.
+        let most = self.most();
+        if self.open.get() >= most {
+            let late = self.empty.get().elapsed() >= QUEUE;
+            if self.make_room(late) || !late {
+                let _ = timeout(PAUSE, self.left.notified()).await;
+                return;
+            }
+            match timeout(Duration::ZERO, listener.accept()).await {
+                Ok(Ok(turned_away)) => drop(turned_away),
+                Ok(Err(_)) => sleep(PAUSE).await,
+                Err(_) => self.empty.set(Instant::now()),
+            }
+            return;
+        }
+        let next = tokio::select! {
+            biased;
+            next = listener.accept() => next,
+            () = std::future::ready(()) => {
+                let next = listener.accept().await;
+                self.empty.set(Instant::now()); // until this one came
+                next
+            }
+        };
+        match next {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true); // slower without, no worse
+                if self.open.get() >= most * 7 / 8 {
+                    self.make_room(false);
+                }
+                let now = Instant::now();
+                let client = Rc::new(Client {
+                    stage: Cell::new(Stage::Busy),
+                    ticket: Cell::new(0),
+                    since: Cell::new(now),
+                    due: Cell::new(now + WHOLE),
+                    accepted: now,
+                    queued: Cell::new(Some(self.empty.get())),
+                    ended: Cell::new(false),
+                    close: Notify::new(),
+                });
+                self.open.set(self.open.get() + 1);
+                self.busy.set(self.busy.get() + 1);
+                self.turn(&client, Stage::Silent);
+                tokio::task::spawn_local(async move {
+                    self.connection(Rc::new(stream), &client).await;
+                    self.turn(&client, Stage::Busy);
+                    self.busy.set(self.busy.get() - 1);
+                    self.open.set(self.open.get() - 1);
+                    self.left.notify_waiters();
+                });
+            }
+            // Out of descriptors or the like: make room, wait a moment, go on.
+            Err(e) => {
+                note!("accept: {e}");
+                self.upstreams.close_idle();
+                self.make_room(false);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+
+    fn number(&self) -> u64 {
+        self.next.replace(self.next.get() + 1)
+    }
+}
+
+/// Listens on the one address.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?; // a restart finds old connections in TIME_WAIT
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/sandgap/src/lib.rs
@@ -0,0 +1,14 @@
+//! The reverse proxy: clients, backends, discovery and peers on sockets, every decision in the module.
+//!
+//! [`event`] has the words that all parts share; `driver` owns the module and is the only one to ask it;
+//! `front` serves clients; `upstream` makes attempts; `discovery` and `peers` bring news.
+
+pub mod config;
+pub mod daemon;
+pub mod discovery;
+pub mod driver;
+pub mod event;
+pub mod front;
+pub mod log;
+pub mod peers;
+pub mod upstream;
--- a/src/bin/sandgap/peers.rs
+++ b/crates/sandgap/src/peers.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use crate::config::PeerAddresses;
-use crate::driver::{Inbox, Input};
+use crate::event::{Inbox, Input};
 use crate::note;
 
 const MOST: usize = 256; // bytes of a message, by the protocol
--- a/src/bin/sandgap/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -17,6 +17,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashMap;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -24,6 +25,8 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use wharfhitch::Outcome;
 
+use crate::event::{self, Attempt, Back, Endpoint, Exchange};
+
 /// Bytes of a body, by the protocol.
 pub const BODY: usize = 64 << 10;
 /// A pooled connection is retired after this part of the span after which a backend closes it.
@@ -37,45 +40,24 @@
 
 /// A client's request in the form in which it goes on.
 pub struct Outgoing {
+    /// Its method.
     pub method: Method,
+    /// Path and query.
     pub uri: Uri,
+    /// Without those of one connection alone.
     pub headers: HeaderMap,
+    /// At most [`BODY`] bytes.
     pub body: Bytes,
 }
 
 /// A backend's whole answer.
 pub struct Reply {
+    /// Without those of one connection alone.
     pub headers: HeaderMap,
+    /// At most [`BODY`] bytes.
     pub body: Bytes,
 }
 
-/// One process of a backend at one address. A restart or a new address makes a new one.
-pub struct Endpoint {
-    pub address: SocketAddr,
-    pub born_ms: f64,
-    /// Drains, is gone or has been replaced: nothing new is written to it.
-    closed: Cell<bool>,
-    idle: RefCell<Vec<Idle>>,
-}
-
-impl Endpoint {
-    pub fn new(address: SocketAddr, born_ms: f64) -> Rc<Self> {
-        Rc::new(Endpoint { address, born_ms, closed: Cell::new(false), idle: RefCell::default() })
-    }
-
-    /// Whether something new may go there. Closing also drops the idle connections.
-    pub fn set_open(&self, open: bool) {
-        self.closed.set(!open);
-        if !open {
-            self.idle.borrow_mut().clear();
-        }
-    }
-
-    pub fn is_open(&self) -> bool {
-        !self.closed.get()
-    }
-}
-
 struct Idle {
     connection: Connection,
     since: Instant,
@@ -260,11 +242,13 @@
     idle_limit: Duration,
     sockets: Arc<Semaphore>,
     most: usize,
-    /// Asked to close an idle connection when the budget has run out.
-    endpoints: RefCell<Vec<Rc<Endpoint>>>,
+    /// Idle connections by the number of their endpoint, in the order of their last use. Each holds a permit,
+    /// so that the budget of sockets bounds them all together.
+    idle: RefCell<FxHashMap<u64, Vec<Idle>>>,
 }
 
 impl Upstreams {
+    /// Time-outs from the settings, and how many sockets all attempts may hold together.
     pub fn new(connections: &wharfhitch::settings::Connections, sockets: usize) -> Self {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
         Upstreams {
@@ -272,7 +256,7 @@
             idle_limit: span(connections.idle_close * IDLE_PART),
             sockets: Arc::new(Semaphore::new(sockets)),
             most: sockets,
-            endpoints: RefCell::default(),
+            idle: RefCell::default(),
         }
     }
 
@@ -281,34 +265,29 @@
         self.most - self.sockets.available_permits()
     }
 
-    /// Adds a backend's process to those whose idle connections are looked after.
-    pub fn add(&self, endpoint: &Rc<Endpoint>) {
-        self.endpoints.borrow_mut().push(endpoint.clone());
+    /// Closes the connection that has stood idle longest, whosever it is.
+    pub fn close_idle(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = |all: &Vec<Idle>| all.first().map(|i| i.since);
+        if let Some(all) = idle.values_mut().filter(|a| !a.is_empty()).min_by_key(|a| oldest(a)) {
+            all.remove(0);
+        }
     }
 
-    /// Closes connections that have stood idle for too long, and forgets processes that are done with.
-    pub fn sweep(&self) {
-        let now = Instant::now();
-        let fresh = |i: &Idle| now - i.since < self.idle_limit && i.connection.is_alive();
-        self.endpoints.borrow_mut().retain(|e| {
-            e.idle.borrow_mut().retain(fresh);
-            Rc::strong_count(e) > 1
-        });
+    fn park(&self, endpoint: &Endpoint, connection: Connection) {
+        if endpoint.is_open() {
+            let idle = Idle { connection, since: Instant::now() };
+            self.idle.borrow_mut().entry(endpoint.number).or_default().push(idle);
+        }
     }
 
-    /// Closes the connection that has stood idle longest, whosever it is.
-    pub fn close_idle(&self) {
-        let endpoints = self.endpoints.borrow();
-        let oldest = |e: &Rc<Endpoint>| e.idle.borrow().first().map(|i| i.since);
-        if let Some(e) = endpoints.iter().filter(|e| oldest(e).is_some()).min_by_key(|e| oldest(e)) {
-            e.idle.borrow_mut().remove(0);
-        }
+    /// The one used last: it is the least likely to have been closed.
+    fn unpark(&self, endpoint: &Endpoint) -> Option<Idle> {
+        self.idle.borrow_mut().get_mut(&endpoint.number)?.pop()
     }
 
-    async fn connection(&self, endpoint: &Rc<Endpoint>) -> io::Result<Connection> {
-        loop {
-            // The one used last is the least likely to have been closed.
-            let Some(idle) = endpoint.idle.borrow_mut().pop() else { break };
+    async fn connection(&self, endpoint: &Endpoint) -> io::Result<Connection> {
+        while let Some(idle) = self.unpark(endpoint) {
             if idle.since.elapsed() < self.idle_limit && idle.connection.is_alive() {
                 return Ok(idle.connection);
             }
@@ -336,11 +315,12 @@
         Ok(Connection { sender, meter, stream, driver })
     }
 
-    /// Makes one attempt and tells how it ended; `report` gets that before the connection is pooled.
-    pub async fn attempt(
-        &self, endpoint: Rc<Endpoint>, wanted: Rc<Cell<bool>>, message: Rc<Outgoing>, until: Instant,
-        report: impl FnOnce(Outcome, Option<Reply>),
-    ) {
+    /// Makes one attempt and tells how it ended; the report gets that before the connection is pooled.
+    async fn attempt(&self, message: &Outgoing, attempt: Attempt) {
+        let Attempt { endpoint, wanted, until, report } = attempt;
+        let report = |outcome, reply: Option<Reply>| {
+            report.tell(outcome, reply.map(|r| Box::new(r) as event::Reply));
+        };
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
         let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
             Ok(Ok(connection)) => connection,
@@ -364,8 +344,8 @@
                 report(outcome, reply);
                 meter.gate.replace(None);
                 let ready = keep && matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(())));
-                if ready && endpoint.is_open() {
-                    endpoint.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
+                if ready {
+                    self.park(&endpoint, connection);
                 }
             }
             Ok(Err(_)) if meter.denied.get() && !meter.begun.get() => report(Outcome::Moot, None),
@@ -376,6 +356,37 @@
     }
 }
 
+impl Back for Upstreams {
+    fn retire(&self, endpoint: &Endpoint) {
+        self.idle.borrow_mut().remove(&endpoint.number);
+    }
+
+    fn sweep(&self) {
+        let now = Instant::now();
+        let fresh = |i: &Idle| now - i.since < self.idle_limit && i.connection.is_alive();
+        self.idle.borrow_mut().retain(|_, all| {
+            all.retain(fresh);
+            !all.is_empty()
+        });
+    }
+}
+
+/// A client's request and the connections by which it goes on. `T` is what is held until it is done with.
+pub struct Forwarded<T> {
+    /// The request.
+    pub message: Outgoing,
+    /// How it reaches backends.
+    pub upstreams: Rc<Upstreams>,
+    /// Held as long as the request.
+    pub hold: T,
+}
+
+impl<T: 'static> Exchange for Forwarded<T> {
+    fn attempt(self: Rc<Self>, attempt: Attempt) {
+        tokio::task::spawn_local(async move { self.upstreams.attempt(&self.message, attempt).await });
+    }
+}
+
 /// Sends a request and reads the whole answer; the flag says whether the connection may be kept.
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>,
@@ -452,7 +463,7 @@
     use super::*;
 
     fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<bool>>) {
-        let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
+        let endpoint = Endpoint::new(1, "127.0.0.1:1".parse().expect("an address"), 0.0);
         let wanted = Rc::new(Cell::new(true));
         let meter = Meter::default();
         meter.start(Gate { endpoint: endpoint.clone(), wanted: wanted.clone() }, body);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -511,7 +511,7 @@
         for i in (0..self.running.len()).rev() {
             self.watch(now, self.running[i], out);
         }
-        if self.ticks % REVIEW == 0 {
+        if self.ticks.is_multiple_of(REVIEW) {
             self.review(now);
         }
         if self.cfg.discovery == Discovery::OnRequest && !self.subscribed && now >= self.ask_at {
