Add serve, check and demo with sandgap's own settings file; fewer system calls a request

Change: clap; deploy/sandgap.toml checked against one schema (all errors at once, line, nearest key, exit 2); a fixed list of backends, read again at SIGHUP; `demo` with stand-ins, a hang, a drain and the ledger's verdict. socket.rs reads through tokio's own poll_read; the driver keeps one timer; the front is a task of its own.

--- a/crates/sandgap-rig/src/discovery.rs
+++ b/crates/sandgap-rig/src/discovery.rs
@@ -117,6 +117,12 @@
         (count(Health::Up), count(Health::Draining))
     }
 
+    /// Whether a backend is up on the list.
+    pub fn is_up(&self, backend: &Backend) -> bool {
+        let entries = self.entries.borrow();
+        entries.iter().any(|e| e.backend.number == backend.number && e.health == Health::Up)
+    }
+
     /// Says nothing to anybody, or goes on.
     pub fn set_silent(&self, silent: bool) {
         self.silent.set(silent);
--- a/crates/sandgap-rig/src/lib.rs
+++ b/crates/sandgap-rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bench;
 pub mod client;
 pub mod clock;
+pub mod demo;
 pub mod discovery;
 pub mod http;
 pub mod ledger;
--- a/crates/sandgap-rig/src/schedule.rs
+++ b/crates/sandgap-rig/src/schedule.rs
@@ -206,6 +206,7 @@
     Scenario { name: "datagrams", about: "words between proxies lost, late and doubled", draw: datagrams },
     Scenario { name: "restarts", about: "proxies told to stop, killed and started anew", draw: restarts },
     Scenario { name: "pauses", about: "proxies that stand still for a while", draw: pauses },
+    Scenario { name: "demo", about: "one backend hangs for a while, one drains and is replaced", draw: demo },
     Scenario { name: "mixed", about: "all of these at once", draw: mixed },
 ];
 
@@ -453,6 +454,13 @@
     }
 }
 
+fn demo(d: &mut Draw) {
+    let n = d.plan.requests.len();
+    d.step(n / 4, Fault::Mode(1, Mode::Hang));
+    d.step(n / 2, Fault::Mode(1, Mode::Normal));
+    d.replace(2, n / 2, true);
+}
+
 fn mixed(d: &mut Draw) {
     for mode in d.modes() {
         let backend = d.backend();
--- a/crates/sandgap/src/config.rs
+++ b/crates/sandgap/src/config.rs
@@ -6,8 +6,11 @@
 use serde::Deserialize;
 use serde_json::Value;
 use wharfhitch::Settings;
+
 use wharfhitch::settings::{self, Connections, Names, number_of};
 
+use crate::event::Host;
+
 /// Part of the descriptors that requests may hold. Clients use a third at most; what the module gives up a
 /// little before that leaves room to hear of better requests.
 const HELD: (usize, usize) = (5, 16);
@@ -45,14 +48,23 @@
     pub all: SocketAddr,
 }
 
+/// Where the list of backends comes from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Source {
+    /// A discovery service at this address.
+    Discovery(SocketAddr),
+    /// The settings file itself.
+    Fixed(Vec<Host>),
+}
+
 /// All that the parts of the proxy need to know.
 pub struct Config {
     /// Its name, the same after a restart.
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery answers.
-    pub discovery: SocketAddr,
+    /// Where the list of backends comes from.
+    pub source: Source,
     /// The source of all chance.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -69,8 +81,16 @@
     pub connections: Connections,
 }
 
-/// Reads the file; the message of an error names what is wrong with it.
+/// Reads the file: sandgap's own settings where its name ends in `.toml`, the platform's JSON elsewhere.
+///
+/// # Errors
+/// A text that names what is wrong with it.
 pub fn read(path: &Path) -> Result<Config, String> {
+    if path.extension().is_some_and(|e| e == "toml") {
+        let told = |p: &crate::settings::Problem| format!("{}: {p}", path.display());
+        return crate::settings::read(path)
+            .map_err(|all| all.iter().map(told).collect::<Vec<_>>().join("\n"));
+    }
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     parse(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
@@ -95,11 +115,11 @@
         _ => None,
     };
     let sockets = file.limits.sockets.unwrap_or(1024).max(64);
-    settings.limits.most_held = sockets * HELD.0 / HELD.1;
+    settings.limits.most_held = held(sockets);
     Ok(Config {
         name: file.name,
         listen: file.listen,
-        discovery: file.discovery,
+        source: Source::Discovery(file.discovery),
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
         sockets,
         peers,
@@ -110,6 +130,11 @@
     })
 }
 
+/// Requests that may be held unanswered with so many descriptors.
+pub fn held(sockets: usize) -> usize {
+    sockets * HELD.0 / HELD.1
+}
+
 /// Hexadecimal as a rule; other text still gives the same number each time.
 fn seed(value: &Value) -> Option<u64> {
     match value {
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -11,7 +11,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use wharfhitch::{Balancer, Scope};
 
-use crate::config::{self, Config};
+use crate::config::{self, Config, Source};
 use crate::driver::{Driver, Parts};
 use crate::event::{Inbox, Input};
 use crate::{discovery, front, note, peers, upstream};
@@ -21,14 +21,22 @@
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-/// At each SIGHUP reads the configuration's file again. Discovery may have moved; all else needs a new start.
-async fn reload(mut hup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>) {
+/// At each SIGHUP reads the configuration's file again. Discovery may have moved, or the fixed list changed; all
+/// else needs a new start.
+async fn reload(mut hup: Signal, path: PathBuf, discovery: Option<watch::Sender<SocketAddr>>, inbox: Inbox) {
     while hup.recv().await.is_some() {
         match config::read(&path) {
-            Ok(Config { discovery: address, .. }) => {
-                note!("the configuration names discovery at {address}");
-                discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
-            }
+            Ok(Config { source, .. }) => match (source, &discovery) {
+                (Source::Discovery(address), Some(discovery)) => {
+                    note!("the configuration names discovery at {address}");
+                    discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+                }
+                (Source::Fixed(hosts), None) => {
+                    note!("the configuration names {} backends", hosts.len());
+                    inbox.put(Input::List(Scope::Full, hosts));
+                }
+                _ => note!("a change between discovery and a fixed list needs a new start"),
+            },
             Err(e) => note!("the configuration stays as it was: {e}"),
         }
     }
@@ -42,10 +50,13 @@
     let mut term = signal(SignalKind::terminate()).map_err(at("SIGTERM"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
     let hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
-    let (discovery, addresses) = watch::channel(config.discovery);
-    spawn_local(reload(hup, path, discovery));
     let listener = front::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
     let (inbox, inputs) = Inbox::new();
+    let (discovery, addresses) = match &config.source {
+        Source::Discovery(address) => Some(watch::channel(*address)).unzip(),
+        Source::Fixed(_) => (None, None),
+    };
+    spawn_local(reload(hup, path, discovery, inbox.clone()));
     let peers = match config.peers {
         Some(addresses) => {
             let on = format!("peers on {}", addresses.listen);
@@ -76,7 +87,12 @@
     let balancer = Balancer::new(config.settings, config.seed);
     let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
     inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
-    spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
+    if let Source::Fixed(hosts) = config.source {
+        inbox.put(Input::List(Scope::Full, hosts));
+    }
+    if let Some(addresses) = addresses {
+        spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
+    }
     let up = ready.clone();
     spawn_local(async move {
         tokio::time::sleep(PATIENCE).await;
@@ -92,8 +108,10 @@
         }
     };
     // Without its module a proxy could only fail everything: then it is better dead and started anew.
+    // A task of its own: what is polled right here is polled whenever any task has run.
+    let serving = spawn_local(front.serve(listener, stop));
     tokio::select! {
-        () = front.serve(listener, stop) => Ok(()),
+        end = serving => end.map_err(|e| format!("the front has ended: {e}")),
         end = driver => Err(format!("the driver has ended: {end:?}")),
     }
 }
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -23,6 +23,8 @@
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
+/// Inputs taken between two looks at the timers; a few microseconds each.
+const BATCH: usize = 32;
 const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
 /// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
 const NAMES: usize = 250;
@@ -78,8 +80,8 @@
     pub backs: Vec<Rc<dyn Back>>,
     /// The other proxies, if they may be told anything.
     pub peers: Option<Rc<Peers>>,
-    /// Where discovery is at present.
-    pub discovery: watch::Receiver<SocketAddr>,
+    /// Where discovery is at present, if there is one.
+    pub discovery: Option<watch::Receiver<SocketAddr>>,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
     /// Set once discovery has told the list.
@@ -121,16 +123,28 @@
     /// Takes inputs and timers for as long as the process runs.
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sweep = Instant::now() + SWEEP;
+        // One timer for all that is due, set anew only when it must fire sooner or has fired: each setting may
+        // cost a system call to wake the runtime that is awake.
+        let timer = sleep_until(sweep);
+        tokio::pin!(timer);
         loop {
             let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
+            if next < timer.deadline() || timer.is_elapsed() {
+                timer.as_mut().reset(next);
+            }
             tokio::select! {
                 biased;
-                () = sleep_until(next) => {}
+                () = &mut timer => {}
                 input = inputs.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
                 },
             }
+            // What else has come in meanwhile, but no more than leaves timers on time.
+            for _ in 0..BATCH {
+                let Ok(input) = inputs.try_recv() else { break };
+                self.take(input);
+            }
             let now = Instant::now();
             while self.due.peek().is_some_and(|Reverse((at, _))| *at <= now) {
                 let Some(Reverse((_, due))) = self.due.pop() else { break };
@@ -314,8 +328,10 @@
             }
             Action::Subscribe => self.parts.watch.notify_one(),
             Action::FetchList => {
-                let address = *self.parts.discovery.borrow();
-                tokio::task::spawn_local(discovery::fetch(address, self.parts.inbox.clone()));
+                if let Some(discovery) = &self.parts.discovery {
+                    let address = *discovery.borrow();
+                    tokio::task::spawn_local(discovery::fetch(address, self.parts.inbox.clone()));
+                }
             }
         }
     }
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -12,17 +12,16 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::Frontend;
 use super::admission::{Client, Stage};
 use super::answer::plain;
 use super::limits::{BUSY, CUT, GRACE, HEAD_SIZE, LINGER, WHOLE};
-use crate::upstream::{end_sending, poll_read, poll_write};
+use crate::socket::Socket;
 
 impl Frontend {
-    pub(super) async fn connection(self: &Rc<Self>, stream: Rc<TcpStream>, client: &Rc<Client>) {
+    pub(super) async fn connection(self: &Rc<Self>, stream: Socket, client: &Rc<Client>) {
         let service = service_fn(|request| {
             let (front, client) = (self.clone(), client.clone());
             async move {
@@ -81,7 +80,7 @@
         if !client.ended.get() {
             self.turn(client, Stage::Refused);
             tokio::select! {
-                _ = timeout(LINGER.0, drain(&stream)) => {}
+                _ = timeout(LINGER.0, linger(&stream)) => {}
                 () = client.close.notified() => {}
             }
         }
@@ -90,7 +89,7 @@
 
 /// A client's socket. It notes when a request begins, and when the client has ended its sending.
 struct Heard {
-    stream: Rc<TcpStream>,
+    stream: Socket,
     client: Rc<Client>,
     front: Rc<Frontend>,
 }
@@ -98,7 +97,7 @@
 impl AsyncRead for Heard {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        std::task::ready!(poll_read(&self.stream, cx, buf))?;
+        std::task::ready!(self.stream.poll_read(cx, buf))?;
         if buf.filled().len() == before {
             self.client.ended.set(true);
         }
@@ -115,7 +114,7 @@
 
 impl AsyncWrite for Heard {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        poll_write(&self.stream, cx, bytes)
+        self.stream.poll_write(cx, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
@@ -123,23 +122,13 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(end_sending(&self.stream))
+        Poll::Ready(self.stream.end_sending())
     }
 }
 
 /// Ends the sending and reads on until the client ends its own, within bounds.
-async fn drain(stream: &TcpStream) {
-    if end_sending(stream).is_err() {
-        return;
-    }
-    let mut buffer = vec![0; HEAD_SIZE];
-    let mut left = LINGER.1;
-    while left > 0 && stream.readable().await.is_ok() {
-        match stream.try_read(&mut buffer) {
-            Ok(0) => return,
-            Ok(n) => left = left.saturating_sub(n),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
-        }
+async fn linger(stream: &Socket) {
+    if stream.end_sending().is_ok() {
+        stream.drain(LINGER.1).await;
     }
 }
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::event::Inbox;
 use crate::note;
+use crate::socket::Socket;
 use crate::upstream::Upstreams;
 use admission::{Client, Stage};
 use head::OpenIds;
@@ -137,7 +138,6 @@
         };
         match next {
             Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true); // slower without, no worse
                 if self.open.get() >= most * 7 / 8 {
                     self.make_room(false);
                 }
@@ -156,7 +156,7 @@
                 self.busy.set(self.busy.get() + 1);
                 self.turn(&client, Stage::Silent);
                 tokio::task::spawn_local(async move {
-                    self.connection(Rc::new(stream), &client).await;
+                    self.connection(Socket::new(stream), &client).await;
                     self.turn(&client, Stage::Busy);
                     self.busy.set(self.busy.get() - 1);
                     self.open.set(self.open.get() - 1);
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod front;
 pub mod log;
 pub mod peers;
+pub mod settings;
+pub mod socket;
 pub mod upstream;
--- a/crates/sandgap/src/main.rs
+++ b/crates/sandgap/src/main.rs
@@ -3,16 +3,164 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use clap::{Parser, Subcommand};
+use sandgap::config::Source;
+use sandgap::settings::schema::{Default, Kind, TABLES};
+use sandgap::{config, daemon, settings};
+
+/// A reverse proxy that keeps its promises when things break.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// Without one: serve, by the file that NODE_CONFIG names.
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs the proxy until SIGTERM.
+    Serve {
+        /// Settings: a .toml file of sandgap's own, or the platform's JSON.
+        #[arg(env = "NODE_CONFIG")]
+        file: PathBuf,
+    },
+    /// Tells all that is wrong with a settings file; exits 2 if anything is.
+    Check {
+        /// The file.
+        #[arg(required_unless_present = "keys")]
+        file: Option<PathBuf>,
+        /// Lists every key with its unit, default and bounds instead.
+        #[arg(long)]
+        keys: bool,
+    },
+    /// Shows the proxy at work: stand-in backends, a steady load, a hang, a drain, and the ledger's verdict.
+    #[cfg(feature = "demo")]
+    Demo {
+        /// Requests a second.
+        #[arg(long, default_value_t = 150.0)]
+        rate: f64,
+        /// How long, in seconds.
+        #[arg(long, default_value_t = 20.0)]
+        seconds: f64,
+        /// Seed of the load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+}
+
+/// What is wrong with the file or the command line, apart from a run that failed.
+const WRONG: u8 = 2;
+
 fn main() -> ExitCode {
-    let Some(path) = std::env::var_os("NODE_CONFIG") else {
-        sandgap::note!("NODE_CONFIG is not set");
-        return ExitCode::FAILURE;
-    };
-    match sandgap::daemon::serve(PathBuf::from(path)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(text) => {
-            sandgap::note!("{text}");
+    let command = Arguments::parse().command;
+    match command.or_else(|| Some(Command::Serve { file: std::env::var_os("NODE_CONFIG")?.into() })) {
+        None => {
+            sandgap::note!(
+                "NODE_CONFIG is not set; 'sandgap serve FILE' takes a file, 'sandgap --help' tells more"
+            );
             ExitCode::FAILURE
         }
+        Some(Command::Serve { file }) => match daemon::serve(file) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(text) => {
+                sandgap::note!("{text}");
+                ExitCode::FAILURE
+            }
+        },
+        Some(Command::Check { keys: true, .. }) => {
+            list_keys();
+            ExitCode::SUCCESS
+        }
+        Some(Command::Check { file, .. }) => check(&file.unwrap_or_default()),
+        #[cfg(feature = "demo")]
+        Some(Command::Demo { rate, seconds, seed }) => demo(rate, seconds, seed),
+    }
+}
+
+fn check(file: &std::path::Path) -> ExitCode {
+    if file.extension().is_some_and(|e| e == "toml") {
+        return match settings::read(file) {
+            Ok(config) => {
+                println!("{}", summary(&config));
+                ExitCode::SUCCESS
+            }
+            Err(problems) => {
+                problems.iter().for_each(|p| eprintln!("{}: {p}", file.display()));
+                eprintln!("{}: {} wrong", file.display(), problems.len());
+                ExitCode::from(WRONG)
+            }
+        };
+    }
+    match config::read(file) {
+        Ok(config) => {
+            println!("{}", summary(&config));
+            ExitCode::SUCCESS
+        }
+        Err(text) => {
+            eprintln!("{text}");
+            ExitCode::from(WRONG)
+        }
+    }
+}
+
+fn summary(config: &config::Config) -> String {
+    let backends = match &config.source {
+        Source::Discovery(address) => format!("backends from discovery at {address}"),
+        Source::Fixed(hosts) => format!("{} backends", hosts.len()),
+    };
+    let classes = config.names.classes.join(", ");
+    format!("good: {} listens on {}, {backends}, classes {classes}", config.name, config.listen)
+}
+
+fn list_keys() {
+    for table in TABLES {
+        let (open, close) = if table.most > 0 { ("[[", "]]") } else { ("[", "]") };
+        println!("{open}{}{close}  # {}", table.name, table.about);
+        for key in table.keys {
+            let kind = match key.kind {
+                Kind::Text => "text".to_owned(),
+                Kind::Address => "address:port".to_owned(),
+                Kind::Number(least, most) => format!("{least} to {most}"),
+                Kind::Whole(least, most) => format!("whole, {least} to {most}"),
+                Kind::Word(words) => words.join(" | "),
+            };
+            let default = match key.default {
+                Default::Required => "required".to_owned(),
+                Default::None => "not set".to_owned(),
+                Default::Text(text) => format!("{text:?}"),
+                Default::Number(x) => format!("{x}"),
+                Default::Whole(n) => format!("{n}"),
+            };
+            println!("  {:<18} {kind:<28} default {default:<12} {}", key.name, key.about);
+        }
+        println!();
+    }
+}
+
+#[cfg(feature = "demo")]
+fn demo(rate: f64, seconds: f64, seed: u64) -> ExitCode {
+    use sandgap_rig::proxy::Program;
+    if !(rate > 0.0 && rate <= 10_000.0 && seconds >= 4.0 && seconds <= 3600.0) {
+        eprintln!("sandgap: a demo takes a rate up to 10000 a second and 4 to 3600 seconds");
+        return ExitCode::from(WRONG);
+    }
+    let path = match std::env::current_exe() {
+        Ok(path) => path,
+        Err(e) => {
+            eprintln!("sandgap: where this program lies can't be told: {e}");
+            return ExitCode::from(WRONG);
+        }
+    };
+    let program = Program { path, args: vec!["serve".into()], cpu: None };
+    match sandgap_rig::demo::play(&program, rate, seconds, seed) {
+        Ok(verdict) => {
+            println!("{verdict}");
+            if verdict.passes() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(e) => {
+            eprintln!("sandgap: {e}");
+            ExitCode::from(WRONG)
+        }
     }
 }
--- /dev/null
+++ b/crates/sandgap/src/settings/check.rs
@@ -0,0 +1,189 @@
+//! Reads a settings file against the schema and finds all that is wrong with it at once.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use toml::de::{DeTable, DeValue};
+use toml::{Spanned, Table as Values, Value};
+
+use super::schema::{Default, Key, Kind, TABLES, Table};
+
+/// One thing that is wrong: where, and how to mend it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Line of the file, from 1; 0 where something is missing as a whole.
+    pub line: usize,
+    /// What is wrong and what would be right.
+    pub text: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}", self.text),
+            line => write!(f, "line {line}: {}", self.text),
+        }
+    }
+}
+
+/// A file on its way through the checks.
+pub struct Reader<'a> {
+    text: &'a str,
+    /// What is wrong so far.
+    pub problems: Vec<Problem>,
+}
+
+impl<'a> Reader<'a> {
+    /// Reads a text: the values with all defaults filled in, and what is wrong with them.
+    pub fn read(text: &'a str) -> (Values, Self) {
+        let mut reader = Reader { text, problems: Vec::new() };
+        let (spanned, errors) = DeTable::parse_recoverable(text);
+        for e in &errors {
+            let line = e.span().map_or(0, |s| reader.line(s.start));
+            reader.problems.push(Problem { line, text: e.message().to_owned() });
+        }
+        let mut values = Values::new();
+        if errors.is_empty() {
+            reader.tables(spanned.get_ref(), &mut values);
+        }
+        (values, reader)
+    }
+
+    /// The line of a byte of the text.
+    fn line(&self, at: usize) -> usize {
+        let before = self.text.as_bytes().iter().take(at).filter(|b| **b == b'\n').count();
+        before + 1
+    }
+
+    /// Notes a problem at a byte of the text.
+    pub fn wrong(&mut self, at: usize, text: String) {
+        let line = self.line(at);
+        self.problems.push(Problem { line, text });
+    }
+
+    /// Notes that something is missing.
+    pub fn missing(&mut self, text: String) {
+        self.problems.push(Problem { line: 0, text });
+    }
+
+    fn tables(&mut self, file: &DeTable, values: &mut Values) {
+        for (name, value) in file.iter() {
+            if !TABLES.iter().any(|t| t.name == name.get_ref()) {
+                let names = TABLES.iter().map(|t| t.name);
+                let nearest = nearest(name.get_ref(), names);
+                self.wrong(name.span().start, format!("there is no table '{}'{nearest}", name.get_ref()));
+                continue;
+            }
+            let table = TABLES.iter().find(|t| t.name == name.get_ref()).expect("just found");
+            self.entries(table, value, values);
+        }
+        for table in TABLES.iter().filter(|t| !file.keys().any(|k| k.get_ref() == t.name)) {
+            let empty = if table.most == 0 { self.table(table, None) } else { Value::Array(Vec::new()) };
+            values.insert(table.name.into(), empty);
+        }
+    }
+
+    fn entries(&mut self, table: &Table, value: &Spanned<DeValue>, values: &mut Values) {
+        let at = value.span().start;
+        let filled = match (value.get_ref(), table.most) {
+            (DeValue::Table(one), 0) => self.table(table, Some((one, at))),
+            (DeValue::Array(many), most) if most > 0 => {
+                if many.len() > most {
+                    self.wrong(at, format!("{} [[{}]] are too many; {most} at most", many.len(), table.name));
+                }
+                let mut all = Vec::new();
+                for entry in many.iter().take(most) {
+                    match entry.get_ref() {
+                        DeValue::Table(one) => all.push(self.table(table, Some((one, entry.span().start)))),
+                        _ => self.wrong(entry.span().start, format!("[[{}]] holds tables only", table.name)),
+                    }
+                }
+                Value::Array(all)
+            }
+            (_, 0) => return self.wrong(at, format!("'{0}' is a table: write [{0}]", table.name)),
+            _ => return self.wrong(at, format!("'{0}' may stand several times: write [[{0}]]", table.name)),
+        };
+        values.insert(table.name.into(), filled);
+    }
+
+    /// One table with its defaults.
+    fn table(&mut self, table: &Table, given: Option<(&DeTable, usize)>) -> Value {
+        let mut filled = Values::new();
+        if let Some((given, _)) = given {
+            for (name, value) in given.iter() {
+                match table.keys.iter().find(|k| k.name == name.get_ref()) {
+                    Some(key) => {
+                        if let Some(value) = self.value(key, value) {
+                            filled.insert(key.name.into(), value);
+                        }
+                    }
+                    None => {
+                        let nearest = nearest(name.get_ref(), table.keys.iter().map(|k| k.name));
+                        let text = format!("[{}] has no key '{}'{nearest}", table.name, name.get_ref());
+                        self.wrong(name.span().start, text);
+                    }
+                }
+            }
+        }
+        for key in table.keys {
+            if given.is_some_and(|(g, _)| g.keys().any(|k| k.get_ref() == key.name)) {
+                continue;
+            }
+            match key.default {
+                Default::None => {}
+                Default::Text(text) => drop(filled.insert(key.name.into(), Value::String(text.into()))),
+                Default::Number(x) => drop(filled.insert(key.name.into(), Value::Float(x))),
+                Default::Whole(n) => drop(filled.insert(key.name.into(), Value::Integer(n))),
+                Default::Required => {
+                    let text = format!("[{}] needs '{}': {}", table.name, key.name, key.about);
+                    match given {
+                        Some((_, at)) => self.wrong(at, text),
+                        None => self.missing(text),
+                    }
+                }
+            }
+        }
+        Value::Table(filled)
+    }
+
+    fn value(&mut self, key: &Key, value: &Spanned<DeValue>) -> Option<Value> {
+        let number = match value.get_ref() {
+            DeValue::Integer(i) => {
+                i64::from_str_radix(i.as_str(), i.radix()).ok().map(|n| (n as f64, Some(n)))
+            }
+            DeValue::Float(f) => f.as_str().parse::<f64>().ok().map(|x| (x, None)),
+            _ => None,
+        };
+        let text = if let DeValue::String(s) = value.get_ref() { Some(s.as_ref()) } else { None };
+        let good = match (key.kind, text, number) {
+            (Kind::Text, Some(t), _) if !t.trim().is_empty() => Some(Value::String(t.into())),
+            (Kind::Address, Some(t), _) if t.parse::<SocketAddr>().is_ok() => Some(Value::String(t.into())),
+            (Kind::Word(words), Some(t), _) if words.contains(&t) => Some(Value::String(t.into())),
+            (Kind::Number(least, most), _, Some((x, _))) if x >= least && x <= most => Some(Value::Float(x)),
+            (Kind::Whole(least, most), _, Some((_, Some(n)))) if n >= least && n <= most => {
+                Some(Value::Integer(n))
+            }
+            _ => None,
+        };
+        if good.is_none() {
+            let wanted = match key.kind {
+                Kind::Text => "a text that is not empty".to_owned(),
+                Kind::Address => "an IP address and a port, such as \"127.0.0.1:9000\"".to_owned(),
+                Kind::Word(words) => format!("one of \"{}\"", words.join("\", \"")),
+                Kind::Number(least, most) => format!("a number from {least} to {most}"),
+                Kind::Whole(least, most) => format!("a whole number from {least} to {most}"),
+            };
+            self.wrong(value.span().start, format!("'{}' must be {wanted} ({})", key.name, key.about));
+        }
+        good
+    }
+}
+
+/// `; did you mean 'X'?` for the name that is most like one.
+fn nearest(name: &str, names: impl Iterator<Item = &'static str>) -> String {
+    let like = names.map(|n| (strsim::jaro_winkler(name, n), n));
+    match like.max_by(|a, b| a.0.total_cmp(&b.0)) {
+        Some((likeness, nearest)) if likeness > 0.6 => format!("; did you mean '{nearest}'?"),
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/crates/sandgap/src/settings/mod.rs
@@ -0,0 +1,258 @@
+//! sandgap's own settings file, for installations without the platform: `deploy/sandgap.toml` is one.
+
+mod check;
+pub mod schema;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use serde_json::Value as Json;
+use wharfhitch::settings::{Connections, Names, index_of, number_of};
+use wharfhitch::{Class, Discovery, Effect, Group, Limits, Prices, Rating, Settings, Tenant, ZoneId};
+
+use crate::config::{Config, Source, held};
+use crate::event::Host;
+pub use check::Problem;
+use check::Reader;
+
+#[derive(Deserialize)]
+struct File {
+    proxy: Proxy,
+    discovery: Service,
+    backend: Vec<Backend>,
+    class: Vec<ClassTable>,
+    tenant: Vec<TenantTable>,
+    limits: LimitsTable,
+    cold: Cold,
+}
+
+#[derive(Deserialize)]
+struct Proxy {
+    name: String,
+    listen: SocketAddr,
+    sockets: usize,
+    zone: Option<String>,
+    seed: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Service {
+    address: Option<SocketAddr>,
+    mode: String,
+}
+
+#[derive(Deserialize)]
+struct Backend {
+    name: String,
+    address: SocketAddr,
+    zone: Option<String>,
+    kind: Option<String>,
+    cell: Option<u64>,
+    share: f64,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct ClassTable {
+    name: String,
+    effect: String,
+    aim_ms: Option<f64>,
+    deadline_ms: f64,
+    worth: f64,
+    group: String,
+    window_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct TenantTable {
+    name: String,
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct LimitsTable {
+    max_attempts: u32,
+    dial_timeout_ms: f64,
+    idle_close_ms: f64,
+    over_share_worth: f64,
+}
+
+#[derive(Deserialize)]
+struct Cold {
+    start_capacity: f64,
+    warm_ms: f64,
+    fall_multiple: f64,
+    fall_ms: f64,
+}
+
+/// Reads a file.
+///
+/// # Errors
+/// All that is wrong with it, each with its line and what would be right.
+pub fn read(path: &Path) -> Result<Config, Vec<Problem>> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| vec![Problem { line: 0, text: format!("the file can't be read: {e}") }])?;
+    parse(&text)
+}
+
+/// Reads a text; see [`read`].
+///
+/// # Errors
+/// All that is wrong with it.
+pub fn parse(text: &str) -> Result<Config, Vec<Problem>> {
+    let (values, mut reader) = Reader::read(text);
+    // What the tables are about together can be told only where each is right.
+    if reader.problems.is_empty() {
+        match values.try_into::<File>() {
+            Ok(file) => {
+                relations(&file, &mut reader);
+                if reader.problems.is_empty() {
+                    return Ok(config(file));
+                }
+            }
+            Err(e) => reader.missing(e.message().to_owned()),
+        }
+    }
+    let mut problems = reader.problems;
+    problems.sort_by_key(|p| p.line);
+    Err(problems)
+}
+
+/// What no key alone can tell.
+fn relations(file: &File, reader: &mut Reader) {
+    match (file.discovery.address, file.backend.is_empty()) {
+        (None, true) => {
+            reader.missing("name the backends: [discovery] with 'address', or [[backend]]".into())
+        }
+        (Some(_), false) => {
+            reader.missing("backends come from [discovery] or from [[backend]], not both".into())
+        }
+        _ => {}
+    }
+    if file.class.is_empty() {
+        reader.missing("name at least one [[class]]".into());
+    }
+    for class in &file.class {
+        if class.name.contains(['/', '?', '#']) || class.name == "up" {
+            reader.missing(format!("class '{}' can't be the first part of a path", class.name));
+        }
+        if class.aim_ms.is_some_and(|aim| aim > class.deadline_ms) {
+            reader.missing(format!("class '{}': aim_ms is beyond deadline_ms", class.name));
+        }
+        if (class.effect == "keyed") != (class.window_ms > 0.0) {
+            let text = "window_ms goes with effect = \"keyed\", and a keyed class needs one";
+            reader.missing(format!("class '{}': {text}", class.name));
+        }
+    }
+    unique("class", file.class.iter().map(|c| c.name.as_str()), reader);
+    unique("tenant", file.tenant.iter().map(|t| t.name.as_str()), reader);
+    unique("backend", file.backend.iter().map(|b| b.name.as_str()), reader);
+    let addresses: Vec<String> = file.backend.iter().map(|b| b.address.to_string()).collect();
+    unique("backend's address", addresses.iter().map(String::as_str), reader);
+}
+
+fn unique<'a>(what: &str, names: impl Iterator<Item = &'a str>, reader: &mut Reader) {
+    let mut seen = BTreeSet::new();
+    for name in names {
+        if !seen.insert(name) {
+            reader.missing(format!("{what} '{name}' stands twice"));
+        }
+    }
+}
+
+fn class(c: &ClassTable) -> Class {
+    let group = match c.group.as_str() {
+        "all" => Group::All,
+        "zone" => Group::Zone,
+        _ => Group::Cell,
+    };
+    Class {
+        aim: c.aim_ms.unwrap_or(c.deadline_ms),
+        deadline: c.deadline_ms,
+        aim_stretch: 0.0,
+        worth: c.worth,
+        late_worth: 0.0,
+        effect: match c.effect.as_str() {
+            "safe" => Effect::Safe,
+            "keyed" => Effect::Keyed { group, window: c.window_ms },
+            _ => Effect::Unsafe,
+        },
+    }
+}
+
+fn host(b: Backend) -> Host {
+    Host {
+        host: b.name,
+        dial: Some(b.address),
+        site: b.zone,
+        class: b.kind,
+        block: b.cell,
+        health: b.state,
+        share: Some(b.share),
+        born_ms: 0.0,
+    }
+}
+
+fn config(file: File) -> Config {
+    let mut names = Names {
+        classes: file.class.iter().map(|c| c.name.clone()).collect(),
+        tenants: file.tenant.iter().map(|t| t.name.clone()).collect(),
+        ..Names::default()
+    };
+    let zone = file.proxy.zone.map(|z| ZoneId(index_of(&mut names.zones, &z) as u32));
+    let settings = Settings {
+        me: 0,
+        proxies: 1,
+        zone,
+        classes: file.class.iter().map(class).collect(),
+        tenants: file.tenant.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
+        over_share_worth: file.limits.over_share_worth,
+        worth_by_work: false,
+        discovery: if file.discovery.mode == "asked" { Discovery::OnRequest } else { Discovery::Pushed },
+        rating: Rating::Size,
+        warm_keys: false,
+        may_tell: false,
+        prices: Prices::default(),
+        limits: Limits {
+            start_capacity: file.cold.start_capacity,
+            cold: file.cold.warm_ms,
+            fall_multiple: file.cold.fall_multiple,
+            fall: file.cold.fall_ms,
+            most_held: held(file.proxy.sockets),
+            max_attempts: file.limits.max_attempts,
+        },
+    };
+    let seed = file
+        .proxy
+        .seed
+        .map_or_else(fresh_seed, |s| u64::from_str_radix(&s, 16).unwrap_or_else(|_| number_of(&s)));
+    Config {
+        name: file.proxy.name,
+        listen: file.proxy.listen,
+        source: match file.discovery.address {
+            Some(address) => Source::Discovery(address),
+            None => Source::Fixed(file.backend.into_iter().map(host).collect()),
+        },
+        seed,
+        sockets: file.proxy.sockets,
+        peers: None,
+        known: Json::Null,
+        connections: Connections {
+            dial_timeout: file.limits.dial_timeout_ms,
+            idle_close: file.limits.idle_close_ms,
+        },
+        settings,
+        names,
+    }
+}
+
+/// New with each start, as the platform gives it.
+fn fresh_seed() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    now.as_nanos() as u64 ^ u64::from(std::process::id()) << 32
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sandgap/src/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -26,6 +25,7 @@
 use wharfhitch::Outcome;
 
 use crate::event::{self, Attempt, Back, Endpoint, Exchange};
+use crate::socket::Socket;
 
 /// Bytes of a body, by the protocol.
 pub const BODY: usize = 64 << 10;
@@ -67,7 +67,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     meter: Rc<Meter>,
-    stream: Rc<TcpStream>,
+    stream: Socket,
     driver: JoinHandle<()>,
 }
 
@@ -79,14 +79,8 @@
 
 impl Connection {
     /// Whether a request may be written to it: the backend has neither closed it nor said anything unasked.
-    /// The runtime may not have seen its end yet, so the socket itself is asked.
     fn is_alive(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let quiet = match socket2::SockRef::from(&*self.stream).peek(&mut byte) {
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        };
-        quiet && self.sender.is_ready()
+        self.sender.is_ready() && self.stream.is_quiet()
     }
 }
 
@@ -172,46 +166,15 @@
 
 /// The socket under a connection, with its meter. It holds its part of the budget of sockets.
 struct Metered {
-    stream: Rc<TcpStream>,
+    stream: Socket,
     meter: Rc<Meter>,
     _permit: OwnedSemaphorePermit,
 }
 
-/// Reads from a socket that others hold too.
-pub fn poll_read(stream: &TcpStream, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-    loop {
-        std::task::ready!(stream.poll_read_ready(cx))?;
-        match stream.try_read(buf.initialize_unfilled()) {
-            Ok(n) => {
-                buf.advance(n);
-                return Poll::Ready(Ok(()));
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Poll::Ready(Err(e)),
-        }
-    }
-}
-
-/// Writes to a socket that others hold too.
-pub fn poll_write(stream: &TcpStream, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-    loop {
-        std::task::ready!(stream.poll_write_ready(cx))?;
-        match stream.try_write(bytes) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            done => return Poll::Ready(done),
-        }
-    }
-}
-
-/// Tells the other side that nothing more comes.
-pub fn end_sending(stream: &TcpStream) -> io::Result<()> {
-    socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
-}
-
 impl AsyncRead for Metered {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        std::task::ready!(poll_read(&self.stream, cx, buf))?;
+        std::task::ready!(self.stream.poll_read(cx, buf))?;
         self.meter.got(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
@@ -222,7 +185,7 @@
         if !self.meter.admit() {
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
-        let n = std::task::ready!(poll_write(&self.stream, cx, bytes))?;
+        let n = std::task::ready!(self.stream.poll_write(cx, bytes))?;
         self.meter.wrote(&bytes[..n]);
         Poll::Ready(Ok(n))
     }
@@ -232,7 +195,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(end_sending(&self.stream))
+        Poll::Ready(self.stream.end_sending())
     }
 }
 
@@ -300,8 +263,7 @@
             self.close_idle();
         }
         let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
-        let stream = Rc::new(TcpStream::connect(address).await?);
-        stream.set_nodelay(true)?;
+        let stream = Socket::new(TcpStream::connect(address).await?);
         let meter = Rc::new(Meter::default());
         let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
         let (sender, connection) = http1::Builder::new()
@@ -419,14 +381,7 @@
 
 /// Takes out the headers that concern one connection alone, and the length, which is set anew.
 pub fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let fixed = [
+    const FIXED: [HeaderName; 9] = [
         header::CONNECTION,
         header::CONTENT_LENGTH,
         header::EXPECT,
@@ -436,10 +391,19 @@
         header::TRAILER,
         header::TRANSFER_ENCODING,
         header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
     ];
-    for name in named.iter().chain(&fixed) {
+    const NAMED: [&str; 2] = ["keep-alive", "proxy-connection"];
+    let mut out: Vec<HeaderName> = Vec::new(); // allocates nothing where nothing goes
+    for name in headers.keys() {
+        if FIXED.contains(name) || NAMED.contains(&name.as_str()) {
+            out.push(name.clone());
+        }
+    }
+    if out.contains(&header::CONNECTION) {
+        let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
+        out.extend(named.flat_map(|v| v.split(',')).filter_map(|name| name.trim().parse().ok()));
+    }
+    for name in &out {
         headers.remove(name);
     }
 }
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -345,8 +345,17 @@
 
 /// Writes a configuration where the process finds it.
 pub fn config_file(text: &str) -> std::path::PathBuf {
+    file(text, "json")
+}
+
+/// The same for sandgap's own settings.
+pub fn toml_file(text: &str) -> std::path::PathBuf {
+    file(text, "toml")
+}
+
+fn file(text: &str, ending: &str) -> std::path::PathBuf {
     let number = COUNT.fetch_add(1, Ordering::SeqCst);
-    let file = std::env::temp_dir().join(format!("sandgap-{}-{number}.json", std::process::id()));
+    let file = std::env::temp_dir().join(format!("sandgap-{}-{number}.{ending}", std::process::id()));
     std::fs::write(&file, text).expect("a file");
     file
 }
@@ -363,8 +372,20 @@
             }
             None => Command::new(program),
         };
-        let mut child =
-            command.env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the proxy starts");
+        command.env("NODE_CONFIG", &file);
+        Proxy::watched(command, file)
+    }
+
+    /// Starts one by a file of sandgap's own settings.
+    pub fn serve(settings: &str) -> Self {
+        let file = toml_file(settings);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
+        command.arg("serve").arg(&file);
+        Proxy::watched(command, file)
+    }
+
+    fn watched(mut command: Command, file: std::path::PathBuf) -> Self {
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the proxy starts");
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
