--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -128,7 +128,7 @@
         let timer = sleep_until(sweep);
         tokio::pin!(timer);
         loop {
-            let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
+            let next = self.next_due().map_or(sweep, |at| at.min(sweep));
             if next < timer.deadline() || timer.is_elapsed() {
                 timer.as_mut().reset(next);
             }
@@ -160,6 +160,20 @@
         }
     }
 
+    /// When something is due next. Last resorts of requests that have their answer by now are dropped here:
+    /// nearly all do, and each would wake the process for nothing.
+    fn next_due(&mut self) -> Option<Instant> {
+        loop {
+            let Reverse((at, due)) = self.due.peek()?;
+            match due {
+                Due::LastResort(id) if self.live.get(id).is_none_or(|l| l.answer.is_none()) => {
+                    self.due.pop();
+                }
+                _ => return Some(*at),
+            }
+        }
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Request(arrival) => self.request(*arrival),
--- a/crates/sandgap/src/front/head.rs
+++ b/crates/sandgap/src/front/head.rs
@@ -57,13 +57,14 @@
         if *method != wanted {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
         }
+        let known = Known::read(headers)?;
         let keyed = matches!(self.classes[class].effect, Effect::Keyed { .. });
-        if keyed != one(headers, "idempotency-key")?.is_some() && *method == Method::POST {
+        if keyed != known.key.is_some() && *method == Method::POST {
             return Err(bad("Idempotency-Key does not fit the class"));
         }
-        let id = one(headers, "x-request-id")?.filter(|id| !id.is_empty());
+        let id = known.id.filter(|id| !id.is_empty());
         let id = id.ok_or(bad("X-Request-ID is missing"))?.to_owned();
-        let tenant = match one(headers, "x-tenant-id")? {
+        let tenant = match known.tenant {
             _ if self.names.tenants.is_empty() => None,
             Some(name) => {
                 let tenant = self.names.tenants.iter().position(|t| t == name);
@@ -71,30 +72,55 @@
             }
             None => return Err(bad("X-Tenant-Id is missing")),
         };
-        let number = |name: &'static str| -> Result<Option<f64>, _> {
-            let Some(text) = one(headers, name)? else { return Ok(None) };
-            let number = text.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0);
-            number.map(Some).ok_or(bad("a header is no number"))
-        };
-        let patience = number("x-timeout")?.ok_or(bad("X-Timeout is missing"))?;
+        let patience = number(known.timeout)?.ok_or(bad("X-Timeout is missing"))?;
         let patience = Duration::from_secs_f64(patience.min(self.classes[class].deadline / 1000.0));
         let query = uri.query().unwrap_or_default();
         let sid = query.split('&').find_map(|p| p.strip_prefix("sid="));
-        let hint = number("x-cost")?.map(|us| us / 1000.0);
+        let hint = number(known.cost)?.map(|us| us / 1000.0);
         Ok(Asked { id, class: ClassId(class), tenant, key: sid.map(|s| Key(number_of(s))), hint, patience })
     }
 }
 
-/// A header that may stand once.
-fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, (StatusCode, &'static str)> {
-    let mut values = headers.get_all(name).iter();
-    let value = values.next().map(|v| v.to_str()).transpose();
-    match (value, values.next()) {
-        (Ok(value), None) => Ok(value),
-        _ => Err((StatusCode::BAD_REQUEST, "a header is malformed or stands twice")),
+/// The headers that the protocol gives a meaning, each of which may stand once.
+#[derive(Default)]
+struct Known<'a> {
+    id: Option<&'a str>,
+    key: Option<&'a str>,
+    tenant: Option<&'a str>,
+    timeout: Option<&'a str>,
+    cost: Option<&'a str>,
+}
+
+impl<'a> Known<'a> {
+    /// Finds them in one pass, without hashing a name for each.
+    fn read(headers: &'a HeaderMap) -> Result<Self, (StatusCode, &'static str)> {
+        let bad = (StatusCode::BAD_REQUEST, "a header is malformed or stands twice");
+        let mut known = Known::default();
+        for (name, value) in headers {
+            let place = match name.as_str() {
+                "x-request-id" => &mut known.id,
+                "idempotency-key" => &mut known.key,
+                "x-tenant-id" => &mut known.tenant,
+                "x-timeout" => &mut known.timeout,
+                "x-cost" => &mut known.cost,
+                _ => continue,
+            };
+            let value = value.to_str().map_err(|_| bad)?;
+            if place.replace(value).is_some() {
+                return Err(bad);
+            }
+        }
+        Ok(known)
     }
 }
 
+/// A header's number, which can be neither negative nor without end.
+fn number(text: Option<&str>) -> Result<Option<f64>, (StatusCode, &'static str)> {
+    let Some(text) = text else { return Ok(None) };
+    let number = text.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0);
+    number.map(Some).ok_or((StatusCode::BAD_REQUEST, "a header is no number"))
+}
+
 /// Path and query alone, as they came, also of a request in absolute form.
 pub(super) fn target(uri: &Uri) -> Uri {
     uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()))
--- a/crates/sandgap/src/main.rs
+++ b/crates/sandgap/src/main.rs
@@ -141,7 +141,7 @@
 #[cfg(feature = "demo")]
 fn demo(rate: f64, seconds: f64, seed: u64) -> ExitCode {
     use sandgap_rig::proxy::Program;
-    if !(rate > 0.0 && rate <= 10_000.0 && seconds >= 4.0 && seconds <= 3600.0) {
+    if !(rate > 0.0 && rate <= 10_000.0 && (4.0..=3600.0).contains(&seconds)) {
         eprintln!("sandgap: a demo takes a rate up to 10000 a second and 4 to 3600 seconds");
         return ExitCode::from(WRONG);
     }
--- a/crates/sandgap/src/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -31,6 +31,7 @@
 pub const BODY: usize = 64 << 10;
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
+const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
 /// Longest wait until a connection is ready for its next request.
 const READY: Duration = Duration::from_secs(1);
 
@@ -255,7 +256,8 @@
                 return Ok(idle.connection);
             }
         }
-        timeout(self.dial_timeout, self.open(endpoint.address)).await?
+        // Boxed, so that the many attempts that need no new connection don't carry the room for one.
+        Box::pin(timeout(self.dial_timeout, self.open(endpoint.address))).await?
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
@@ -318,6 +320,12 @@
     }
 }
 
+/// Whether an answer says, once and plainly, that its request was not processed.
+fn is_unseen(headers: &HeaderMap) -> bool {
+    let mut words = headers.get_all("x-not-processed").iter();
+    words.next().is_some_and(|v| v.as_bytes().trim_ascii() == b"1") && words.next().is_none()
+}
+
 impl Back for Upstreams {
     fn retire(&self, endpoint: &Endpoint) {
         self.idle.borrow_mut().remove(&endpoint.number);
@@ -364,15 +372,13 @@
     }
     let body = timeout(STALL, Limited::new(body, BODY).collect()).await.map_err(|e| e.to_string())?;
     let body = body.map_err(|e| e.to_string())?.to_bytes();
-    let mut unseen = head.headers.get_all("x-not-processed").iter();
-    let unseen = unseen.next().is_some_and(|v| v.as_bytes().trim_ascii() == b"1") && unseen.next().is_none();
     Ok(match head.status {
         StatusCode::OK => {
             let mut headers = head.headers;
             strip(&mut headers);
             (Outcome::Served, Some(Reply { headers, body }), true)
         }
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_unseen(&head.headers) => {
             (Outcome::Full, None, true)
         }
         status => (Outcome::Error, None, status != StatusCode::SWITCHING_PROTOCOLS),
@@ -415,9 +421,10 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
-        let left = HeaderValue::from_str(&format!("{left:.3}")).ok()?;
-        request.headers_mut().insert("x-timeout", left);
+        // Whole milliseconds: what an integer costs to write is a part of what a float does.
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        let left = HeaderValue::from_str(&format!("{}.{:03}", left / 1000, left % 1000)).ok()?;
+        request.headers_mut().insert(TIMEOUT, left);
         Some(request)
     }
 }
