--- a/crates/sandgap-rig/src/peers.rs
+++ b/crates/sandgap-rig/src/peers.rs
@@ -1,7 +1,7 @@
 //! The network between proxies: datagrams that may be lost, late or doubled.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use tokio::net::UdpSocket;
@@ -33,16 +33,17 @@
 }
 
 impl Network {
-    /// Starts the network among proxies that listen at `listen`.
-    pub async fn start(listen: &[SocketAddr], seed: u64) -> std::io::Result<Rc<Self>> {
-        let bind = |of: SocketAddr| UdpSocket::bind((of.ip(), 0));
+    /// Starts the network among proxies that will listen at `listen`. Its own sockets stand at `own`, an address
+    /// of which nobody else uses a port: on a proxy's it could take the port that was drawn for the proxy.
+    pub async fn start(listen: &[SocketAddr], own: IpAddr, seed: u64) -> std::io::Result<Rc<Self>> {
+        let bind = || UdpSocket::bind((own, 0));
         let mut entrances = Vec::new();
         let mut exits: Vec<Vec<Rc<UdpSocket>>> = Vec::new(); // exits[from][to]
-        for from in listen {
-            entrances.push(bind(*from).await?);
+        for _ in listen {
+            entrances.push(bind().await?);
             let mut row = Vec::new();
             for _ in listen {
-                row.push(Rc::new(bind(*from).await?));
+                row.push(Rc::new(bind().await?));
             }
             exits.push(row);
         }
@@ -123,7 +124,7 @@
             sockets.push(UdpSocket::bind("127.0.0.1:0").await.expect("a port"));
         }
         let listen: Vec<_> = sockets.iter().map(|s| s.local_addr().expect("an address")).collect();
-        let network = Network::start(&listen, 1).await.expect("a network");
+        let network = Network::start(&listen, listen[0].ip(), 1).await.expect("a network");
         sockets[0].send_to(b"word", network.all[0]).await.expect("sent");
         for n in [1, 2] {
             let mut buffer = [0; 16];
--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -125,7 +125,7 @@
         let discovery = Discovery::start(&world, draw(proxies)?)?;
         let listen = draw(proxies)?;
         let peer_listen = draw(proxies)?;
-        let network = Network::start(&peer_listen, world.plan.seed).await?;
+        let network = Network::start(&peer_listen, addresses.network(), world.plan.seed).await?;
         let place = |n: usize| Place {
             listen: listen[n],
             peers: peers.then(|| (peer_listen[n], network.seen[n].clone(), network.all[n])),
--- a/crates/sandgap-rig/src/world.rs
+++ b/crates/sandgap-rig/src/world.rs
@@ -113,6 +113,11 @@
 }
 
 impl Addresses {
+    /// The address of the network between proxies; [`Addresses::draw`] never gives it.
+    pub fn network(&self) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::from(self.base + 253))
+    }
+
     /// An address with a port that was free a moment ago. Nobody else binds this IP.
     ///
     /// # Errors
