--- a/crates/sandgap-rig/src/schedule.rs
+++ b/crates/sandgap-rig/src/schedule.rs
@@ -350,6 +350,17 @@
         self.step(joins, Fault::Join(new));
     }
 
+    /// Backends drain and take work again after at most so many requests.
+    fn flap(&mut self, times: usize, most: usize) {
+        let n = self.plan.requests.len();
+        for _ in 0..times {
+            let (backend, at) = (self.backend(), self.rng.usize(n / 20..n * 9 / 10));
+            self.step(at, Fault::Drain(backend));
+            let back = at + self.rng.usize(1..=most);
+            self.step(back, Fault::Undrain(backend));
+        }
+    }
+
     /// A proxy is killed and started again; the front notices a while after its end.
     fn kill(&mut self, proxy: usize, at: usize) {
         let n = self.plan.requests.len();
@@ -380,12 +391,7 @@
 
 fn drains(d: &mut Draw) {
     let n = d.plan.requests.len();
-    for _ in 0..24 {
-        let (backend, at) = (d.backend(), d.rng.usize(n / 20..n * 9 / 10));
-        d.step(at, Fault::Drain(backend));
-        let back = at + d.rng.usize(1..=n / 3);
-        d.step(back, Fault::Undrain(backend));
-    }
+    d.flap(24, n / 3);
     let last = d.plan.initial - 1;
     d.replace(last, n / 3, true);
     d.replace(0, n / 2, false);
@@ -416,12 +422,7 @@
         }
     }
     let n = d.plan.requests.len();
-    for _ in 0..8 {
-        let (backend, at) = (d.backend(), d.rng.usize(n / 20..n * 9 / 10));
-        d.step(at, Fault::Drain(backend));
-        let back = at + d.rng.usize(1..=n / 8);
-        d.step(back, Fault::Undrain(backend));
-    }
+    d.flap(8, n / 8);
 }
 
 fn discovery_asked(d: &mut Draw) {
@@ -467,12 +468,7 @@
         d.mode(backend, mode, (4, 12));
     }
     let n = d.plan.requests.len();
-    for _ in 0..6 {
-        let (backend, at) = (d.backend(), d.rng.usize(n / 20..n * 9 / 10));
-        d.step(at, Fault::Drain(backend));
-        let back = at + d.rng.usize(1..=n / 3);
-        d.step(back, Fault::Undrain(backend));
-    }
+    d.flap(6, n / 3);
     let first = d.backend();
     for (i, drain) in [true, false, true].into_iter().enumerate() {
         let at = d.rng.usize(n / 20..n * 5 / 10);
