Use one quantile, one fresh connection and one folder maker in the rig; drop dead code

Cause: read anew, the rig worked out quantiles in three places, opened connections in two, wrapped a constructor in a function, and kept a count, a getter and a query that nobody asked. Change: clock::quantile_ms, Front::fresh, Folder::new serve all; the idle parts go. Behaviour and all assertions as before.

--- a/crates/sandgap-rig/src/bench.rs
+++ b/crates/sandgap-rig/src/bench.rs
@@ -9,10 +9,11 @@
 use tokio::time::sleep_until;
 
 use crate::client::ask;
+use crate::clock::quantile_ms;
 use crate::ledger::Ledger;
 use crate::machine::Build;
 use crate::proxy::Program;
-use crate::run::{Folder, RunError, Stage, folder};
+use crate::run::{Folder, RunError, Stage};
 use crate::schedule::{Plan, Size, scenario};
 
 /// Part of the load that warms up and is not counted.
@@ -81,7 +82,7 @@
 
 fn one(setup: &Setup, program: &Program, name: &str) -> Result<Cost, RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let logs: Folder = folder(&format!("bench-{name}-{}", std::process::id()))?;
+    let logs = Folder::new(&format!("bench-{name}-{}", std::process::id()))?;
     let program = Program { cpu: Some(setup.cpu), ..program.clone() };
     LocalSet::new().block_on(&runtime, async {
         let stage = Stage::set(plan(setup), Ledger::default(), &program, &logs, false).await?;
@@ -104,10 +105,7 @@
         let served = f64::from(front.ends.get()[0] - ends[0]);
         let mut latencies = front.latencies.borrow_mut();
         latencies.sort_unstable();
-        let at = |q: f64| {
-            let i = (latencies.len() as f64 * q) as usize;
-            latencies.get(i.min(latencies.len().saturating_sub(1))).map_or(f64::NAN, |l| *l as f64 / 1000.0)
-        };
+        let at = |q| quantile_ms(&latencies, q).unwrap_or(f64::NAN);
         Ok(Cost {
             served: (served / counted).min(1.0),
             p50_ms: at(0.5),
@@ -154,9 +152,8 @@
             "median", "proxy", "relay", "ratio", "least", "most"
         )?;
         for (name, figure) in figures {
-            let of = |all: Vec<f64>| median(all);
-            let proxy = of(self.pairs.iter().map(|p| figure(&p.0)).collect());
-            let relay = of(self.pairs.iter().map(|p| figure(&p.1)).collect());
+            let proxy = median(self.pairs.iter().map(|p| figure(&p.0)).collect());
+            let relay = median(self.pairs.iter().map(|p| figure(&p.1)).collect());
             let mut ratios: Vec<f64> = self.pairs.iter().map(|p| figure(&p.0) / figure(&p.1)).collect();
             ratios.sort_by(f64::total_cmp);
             let (least, most) = (ratios[0], ratios[ratios.len() - 1]);
--- a/crates/sandgap-rig/src/client.rs
+++ b/crates/sandgap-rig/src/client.rs
@@ -56,11 +56,6 @@
         self.believed.borrow_mut()[proxy] = up;
     }
 
-    /// Whether it deals to a proxy.
-    pub fn believes(&self, proxy: usize) -> bool {
-        self.believed.borrow()[proxy]
-    }
-
     /// The proxy for a draw; each further try goes to the next one.
     fn deal(&self, draw: u32) -> Option<usize> {
         let believed = self.believed.borrow();
@@ -73,6 +68,11 @@
         if let Some(conn) = self.idle[proxy].borrow_mut().pop() {
             return Some((conn, true));
         }
+        self.fresh(proxy).await
+    }
+
+    /// A connection that is surely new.
+    async fn fresh(&self, proxy: usize) -> Option<(Conn, bool)> {
         let stream = timeout(CONNECT, TcpStream::connect(self.addresses[proxy])).await.ok()?.ok()?;
         Some((Conn::new(stream), false))
     }
@@ -138,7 +138,7 @@
             break;
         }
         // After a crossing the client takes a connection that is surely new.
-        let conn = if reused_again { fresh(&front, proxy).await } else { front.connect(proxy).await };
+        let conn = if reused_again { front.fresh(proxy).await } else { front.connect(proxy).await };
         let Some((mut conn, used)) = conn else { continue };
         let request = text(&world, number, left);
         let asked = Record::Asked { request: number as u32, proxy: proxy as u16, at: world.now(), deadline };
@@ -163,11 +163,6 @@
     front.open.set(front.open.get() - 1);
 }
 
-async fn fresh(front: &Front, proxy: usize) -> Option<(Conn, bool)> {
-    let stream = timeout(CONNECT, TcpStream::connect(front.addresses[proxy])).await.ok()?.ok()?;
-    Some((Conn::new(stream), false))
-}
-
 /// Waits for the end of what was asked; the flag says whether the connection may be used again.
 async fn wait(world: &World, number: usize, conn: &mut Conn, used: bool, deadline: Micros) -> (End, bool) {
     let r = &world.plan.requests[number];
--- a/crates/sandgap-rig/src/demo.rs
+++ b/crates/sandgap-rig/src/demo.rs
@@ -7,9 +7,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::clock::quantile_ms;
 use crate::ledger::{Ledger, Verdict};
 use crate::proxy::Program;
-use crate::run::{RunError, Stage, folder};
+use crate::run::{Folder, RunError, Stage};
 use crate::schedule::{Size, scenario};
 
 /// Backends of the demonstration.
@@ -23,7 +24,7 @@
     let size = Size { requests: (rate * seconds) as usize, rate, proxies: 1, backends: BACKENDS };
     let plan = scenario("demo").expect("it is on the list").plan(seed, size);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let mut logs = folder(&format!("demo-{}", std::process::id()))?;
+    let mut logs = Folder::new(&format!("demo-{}", std::process::id()))?;
     let played = LocalSet::new().block_on(&runtime, async {
         let stage = Stage::set(plan, Ledger::default(), program, &logs, false).await?;
         stage.start().await?;
@@ -55,10 +56,7 @@
         ends = now;
         let mut latencies = std::mem::take(&mut *stage.front.latencies.borrow_mut());
         latencies.sort_unstable();
-        let at = |q: f64| {
-            let i = ((latencies.len() as f64 * q) as usize).min(latencies.len().saturating_sub(1));
-            latencies.get(i).map_or(0.0, |l| *l as f64 / 1000.0)
-        };
+        let at = |q| quantile_ms(&latencies, q).unwrap_or(0.0);
         let (up, draining) = stage.discovery.census();
         let backends = stage.backends.borrow();
         handled.resize(backends.len(), 0);
--- a/crates/sandgap-rig/src/ledger.rs
+++ b/crates/sandgap-rig/src/ledger.rs
@@ -10,7 +10,7 @@
 use rustc_hash::FxHashMap;
 use serde::Serialize;
 
-use crate::clock::Micros;
+use crate::clock::{Micros, quantile_ms};
 use crate::limits::{RECORDS, SPELLED};
 
 /// Whether a class may run again.
@@ -262,7 +262,6 @@
 pub struct Ledger {
     records: Vec<Record>,
     kept: BTreeMap<Writer, u64>,
-    dropped: u64,
     lose_every: Option<u64>,
     offered: u64,
 }
@@ -277,18 +276,12 @@
     pub fn put(&mut self, writer: Writer, record: Record) {
         self.offered += 1;
         if self.records.len() >= RECORDS || self.lose_every.is_some_and(|n| self.offered.is_multiple_of(n)) {
-            self.dropped += 1;
             return;
         }
         *self.kept.entry(writer).or_default() += 1;
         self.records.push(record);
     }
 
-    /// Lines kept so far.
-    pub fn records(&self) -> &[Record] {
-        &self.records
-    }
-
     /// Checks the rules. `written` is what each writer says it wrote, counted apart from this ledger.
     pub fn check(&self, terms: &Terms, written: &BTreeMap<Writer, u64>) -> Verdict {
         let mut check = Check::new(terms);
@@ -583,12 +576,7 @@
 
     fn end(mut self) -> Verdict {
         self.latencies.sort_unstable();
-        let at = |q: f64| {
-            let i = (self.latencies.len() as f64 * q) as usize;
-            self.latencies
-                .get(i.min(self.latencies.len().saturating_sub(1)))
-                .map_or(0.0, |l| *l as f64 / 1000.0)
-        };
+        let at = |q| quantile_ms(&self.latencies, q).unwrap_or(0.0);
         (self.verdict.figures.p50_ms, self.verdict.figures.p99_ms) = (at(0.5), at(0.99));
         self.verdict
     }
--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -63,7 +63,11 @@
 }
 
 impl Folder {
-    fn new(tag: &str) -> std::io::Result<Self> {
+    /// A folder named after `tag`.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn new(tag: &str) -> std::io::Result<Self> {
         let path = std::env::temp_dir().join(format!("sandgap-rig-{tag}"));
         std::fs::create_dir_all(&path)?;
         Ok(Folder { path, keep: false })
@@ -75,14 +79,6 @@
     }
 }
 
-/// A folder for one run's files.
-///
-/// # Errors
-/// The system's.
-pub fn folder(tag: &str) -> std::io::Result<Folder> {
-    Folder::new(tag)
-}
-
 impl Drop for Folder {
     fn drop(&mut self) {
         if !self.keep {
