Cut the driver's sans-IO core and the four rules into crates of their own

Need: the laboratory must run the daemon's own driver (one answer, last resort, endpoints, drains) in virtual time and check the rig's own rules; both were bound to tokio, sockets and a whole-run ledger.

--- /dev/null
+++ b/crates/sandgap-driver/src/core.rs
@@ -0,0 +1,386 @@
+//! The core: sole owner of the module, feeds it what was seen and has done what it says, in order.
+
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rustc_hash::{FxHashMap, FxHashSet};
+use wharfhitch::settings::{Names, index_of, number_of};
+use wharfhitch::{
+    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Millis, Outcome, RequestId,
+    Scope, State, TenantId, ZoneId,
+};
+
+use crate::endpoint::{Endpoint, Host};
+
+/// Time since this process began, on a clock that never runs backwards.
+pub type Time = Duration;
+
+/// What the client is told has to be on its way this long before the client gives up, whatever happens.
+const LAST_RESORT: Duration = Duration::from_millis(4);
+/// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
+const NAMES: usize = 250;
+
+/// Decides server, retry and refusal: the module, or in the laboratory a rival on the same model.
+pub trait Decide {
+    /// Takes in an event and appends what is to be done, in order; see [`Balancer::handle`].
+    fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decide for Balancer {
+    fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, out);
+    }
+}
+
+/// Does what the core says. Calls come in the order in which things are to happen; none may call back.
+pub trait Outside {
+    /// What is kept with a request until its answer is given and its last attempt has ended.
+    type Held;
+    /// A backend's whole answer.
+    type Reply;
+
+    /// Begins an attempt. Its end must be told exactly once with [`Core::ended`], whatever happens.
+    fn attempt(&mut self, held: &Self::Held, attempt: Attempt);
+    /// Gives a request its one final answer.
+    fn answer(&mut self, held: &mut Self::Held, request: RequestId, answer: Answer<Self::Reply>);
+    /// Nothing new goes to an endpoint any more: what is kept for it may go.
+    fn retire(&mut self, endpoint: &Endpoint);
+    /// Sends bytes to every other proxy.
+    fn broadcast(&mut self, bytes: Vec<u8>);
+    /// Asks for a watch of the list.
+    fn subscribe(&mut self);
+    /// Asks for the list once.
+    fn fetch_list(&mut self);
+    /// A list of this scope is in force; `some` if it names any backend.
+    fn listed(&mut self, scope: Scope, some: bool);
+    /// Something that should not happen has been passed over.
+    fn odd(&mut self, what: &'static str);
+}
+
+/// The one final answer.
+#[derive(Debug)]
+pub enum Answer<R> {
+    /// A backend's answer.
+    Served(R),
+    /// Trying again is harmless, after a while if one is named.
+    Refused(Option<Millis>),
+    /// No word on what was done.
+    Failed,
+}
+
+/// A request as it comes in.
+pub struct Arrival<H> {
+    /// Its number, never used twice.
+    pub id: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where requests have one.
+    pub tenant: Option<TenantId>,
+    /// What it concerns.
+    pub key: Option<Key>,
+    /// Its expected work.
+    pub hint: Option<Millis>,
+    /// When the client gives up.
+    pub deadline: Time,
+    /// What is kept with it.
+    pub held: H,
+}
+
+/// One attempt: of what, where to and until when.
+pub struct Attempt {
+    /// The request.
+    pub request: RequestId,
+    /// Counted from 0.
+    pub number: u32,
+    /// Where it goes; nothing may be written once it is no longer open.
+    pub endpoint: Rc<Endpoint>,
+    /// Cleared once the request has its answer; nothing may be written from then on.
+    pub wanted: Rc<Cell<bool>>,
+    /// When it is given up.
+    pub until: Time,
+}
+
+/// A request that lacks its answer or has attempts out.
+struct Live<H> {
+    /// Whether it lacks its answer.
+    open: bool,
+    /// The same, for attempts on their way.
+    wanted: Rc<Cell<bool>>,
+    held: H,
+    deadline: Time,
+    attempts: u32,
+    out: u32,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    LastResort(RequestId),
+}
+
+/// Runs a module on what comes in. Its maps are bounded by the requests that whoever feeds it lets in.
+pub struct Core<D, O: Outside> {
+    decider: D,
+    /// Does what is to be done.
+    pub outside: O,
+    names: Names,
+    /// Unix time of the clock's zero: an offset taken once, so that one start always gives one time.
+    unix_zero: Millis,
+    endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
+    /// Endpoints numbered so far.
+    numbered: u64,
+    live: FxHashMap<RequestId, Live<O::Held>>,
+    due: BinaryHeap<Reverse<(Time, Due)>>,
+    actions: Vec<Action>,
+    /// The time of the input in hand.
+    now: Time,
+    /// Attempts that were never begun, to be told after the actions in hand.
+    moot: VecDeque<(RequestId, u32)>,
+}
+
+impl<D: Decide, O: Outside> Core<D, O> {
+    /// A core with nothing in it yet; `unix_zero` is the Unix time in ms at which [`Time`] is zero.
+    pub fn new(decider: D, outside: O, names: Names, unix_zero: Millis) -> Self {
+        Core {
+            decider,
+            outside,
+            names,
+            unix_zero,
+            endpoints: FxHashMap::default(),
+            numbered: 0,
+            live: FxHashMap::default(),
+            due: BinaryHeap::new(),
+            actions: Vec::new(),
+            now: Time::ZERO,
+            moot: VecDeque::new(),
+        }
+    }
+
+    /// Requests that lack their answer or have attempts out.
+    pub fn held(&self) -> usize {
+        self.live.len()
+    }
+
+    /// What is kept with the requests that lack their answer, in no order that means anything.
+    pub fn unanswered(&mut self) -> impl Iterator<Item = (RequestId, &mut O::Held)> {
+        self.live.iter_mut().filter(|(_, l)| l.open).map(|(id, l)| (*id, &mut l.held))
+    }
+
+    /// When something is due next. Last resorts of requests that have their answer by now are dropped here:
+    /// nearly all do, and each would wake the process for nothing.
+    pub fn next_due(&mut self) -> Option<Time> {
+        loop {
+            let Reverse((at, due)) = self.due.peek()?;
+            match due {
+                Due::LastResort(id) if self.live.get(id).is_none_or(|l| !l.open) => {
+                    self.due.pop();
+                }
+                _ => return Some(*at),
+            }
+        }
+    }
+
+    /// Does what is due by now.
+    pub fn fire(&mut self, now: Time) {
+        while self.due.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            let Some(Reverse((_, due))) = self.due.pop() else { break };
+            match due {
+                Due::Module(token) => self.handle(now, Event::Timer(token)),
+                Due::LastResort(id) => self.last_resort(now, id),
+            }
+        }
+    }
+
+    /// A whole request has come in.
+    pub fn request(&mut self, now: Time, arrival: Arrival<O::Held>) {
+        let Arrival { id, class, tenant, key, hint, deadline, held } = arrival;
+        let last = deadline.saturating_sub(LAST_RESORT);
+        let budget = ms(last.saturating_sub(now));
+        let wanted = Rc::new(Cell::new(true));
+        self.live.insert(id, Live { open: true, wanted, held, deadline, attempts: 0, out: 0 });
+        self.due.push(Reverse((last, Due::LastResort(id))));
+        self.handle(now, Event::Request { id, class, tenant, key, budget, hint });
+    }
+
+    /// A request's client has left.
+    pub fn gone(&mut self, now: Time, id: RequestId) {
+        if self.close(id, |_, _| {}) {
+            self.handle(now, Event::Abandoned(id));
+        }
+    }
+
+    /// An attempt has ended: one that [`Outside::attempt`] began, once.
+    pub fn ended(
+        &mut self, now: Time, request: RequestId, attempt: u32, latency: Millis, outcome: Outcome,
+        reply: Option<O::Reply>,
+    ) {
+        let Some(live) = self.live.get_mut(&request) else { return };
+        live.out -= 1;
+        let was_open = live.open;
+        if let (Outcome::Served, Some(reply)) = (outcome, reply) {
+            self.close(request, |outside, held| outside.answer(held, request, Answer::Served(reply)));
+        }
+        let closed = !was_open || outcome == Outcome::Served;
+        self.forget(request);
+        self.handle(now, Event::Ended { request, attempt, latency, outcome, closed });
+    }
+
+    /// Another proxy's message.
+    pub fn message(&mut self, now: Time, from: u32, bytes: Vec<u8>) {
+        self.handle(now, Event::Message { from, bytes });
+    }
+
+    /// News of the list.
+    pub fn list(&mut self, now: Time, scope: Scope, hosts: Vec<Host>) {
+        let whole = matches!(scope, Scope::Full | Scope::Cached);
+        let entries: Vec<Backend> = hosts.into_iter().map(|host| self.backend(host)).collect();
+        if whole {
+            let listed: FxHashSet<BackendId> = entries.iter().map(|e| e.id).collect();
+            let outside = &mut self.outside;
+            // Attempts that are out keep what they need of a backend that has left.
+            self.endpoints.retain(|id, endpoint| {
+                let stays = listed.contains(id);
+                if !stays {
+                    shut(endpoint, outside);
+                }
+                stays
+            });
+        }
+        let some = !entries.is_empty();
+        self.handle(now, Event::List { scope, entries });
+        self.outside.listed(scope, some);
+    }
+
+    /// Answers a request that nobody else has answered in time. It may have run, so it has failed.
+    fn last_resort(&mut self, now: Time, id: RequestId) {
+        if self.close(id, |outside, held| outside.answer(held, id, Answer::Failed)) {
+            self.handle(now, Event::Abandoned(id));
+        }
+    }
+
+    /// Uses the right to answer a request, if it is still there; from here on nothing more begins for it.
+    fn close(&mut self, id: RequestId, answer: impl FnOnce(&mut O, &mut O::Held)) -> bool {
+        let Some(live) = self.live.get_mut(&id).filter(|l| l.open) else { return false };
+        live.open = false;
+        live.wanted.set(false);
+        answer(&mut self.outside, &mut live.held);
+        self.forget(id);
+        true
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self.live.get(&id).is_some_and(|l| !l.open && l.out == 0) {
+            self.live.remove(&id);
+        }
+    }
+
+    /// Notes where a backend is, and whether something new may go there.
+    fn backend(&mut self, host: Host) -> Backend {
+        let id = BackendId(number_of(&host.host));
+        let state = match host.health.as_str() {
+            "up" if host.dial.is_some() => State::Up,
+            "removed" => State::Gone,
+            _ => State::Draining, // draining, unknown or nowhere: nothing new goes there
+        };
+        if let Some(address) = host.dial {
+            let same = |e: &Rc<Endpoint>| e.address == address && e.born_ms == host.born_ms;
+            if !self.endpoints.get(&id).is_some_and(same) {
+                self.numbered += 1;
+                let endpoint = Endpoint::new(self.numbered, address, host.born_ms);
+                if let Some(old) = self.endpoints.insert(id, endpoint) {
+                    shut(&old, &mut self.outside);
+                }
+            }
+        }
+        if let Some(endpoint) = self.endpoints.get(&id) {
+            match state {
+                State::Up => endpoint.set_open(true),
+                State::Draining | State::Gone => shut(endpoint, &mut self.outside),
+            }
+        }
+        if state == State::Gone {
+            self.endpoints.remove(&id);
+        }
+        let born = (host.born_ms.is_finite() && host.born_ms > 0.0).then_some(host.born_ms - self.unix_zero);
+        Backend {
+            id,
+            zone: host.site.and_then(|z| Some(ZoneId(known(&mut self.names.zones, &z)?))),
+            kind: host.class.and_then(|k| Some(KindId(known(&mut self.names.kinds, &k)?))),
+            cell: host.block.map(CellId),
+            state,
+            rating: host.share.unwrap_or(1.0),
+            since: born,
+        }
+    }
+
+    fn handle(&mut self, now: Time, event: Event) {
+        self.now = now;
+        let mut actions = std::mem::take(&mut self.actions);
+        self.decider.handle(ms(now), event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+        while let Some((request, attempt)) = self.moot.pop_front() {
+            self.ended(now, request, attempt, 0.0, Outcome::Moot, None);
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
+            Action::Refuse { request, retry_after } => {
+                self.close(request, |outside, held| {
+                    outside.answer(held, request, Answer::Refused(retry_after));
+                });
+            }
+            Action::Fail(request) => {
+                self.close(request, |outside, held| outside.answer(held, request, Answer::Failed));
+            }
+            Action::Timer { token, at } => self.due.push(Reverse((time(at), Due::Module(token)))),
+            Action::Broadcast(bytes) => self.outside.broadcast(bytes),
+            Action::Subscribe => self.outside.subscribe(),
+            Action::FetchList => self.outside.fetch_list(),
+        }
+    }
+
+    fn send(&mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>) {
+        let Some(live) = self.live.get_mut(&request) else {
+            return self.outside.odd("a send for a request that is not held");
+        };
+        let number = live.attempts;
+        live.attempts += 1;
+        live.out += 1;
+        let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.open && e.is_open()) else {
+            return self.moot.push_back((request, number));
+        };
+        let until = timeout.map_or(live.deadline, |t| live.deadline.min(self.now + time(t)));
+        let (endpoint, wanted) = (endpoint.clone(), live.wanted.clone());
+        self.outside.attempt(&live.held, Attempt { request, number, endpoint, wanted, until });
+    }
+}
+
+fn ms(time: Time) -> Millis {
+    time.as_secs_f64() * 1000.0
+}
+
+fn time(at: Millis) -> Time {
+    Duration::from_secs_f64(at.clamp(0.0, 1e12) / 1000.0)
+}
+
+/// Nothing new goes there any more, and nothing is kept for it.
+fn shut<O: Outside>(endpoint: &Endpoint, outside: &mut O) {
+    endpoint.set_open(false);
+    outside.retire(endpoint);
+}
+
+/// The number of a zone or kind; past `NAMES` of them, what is new has none.
+fn known(names: &mut Vec<String>, name: &str) -> Option<u32> {
+    (names.len() < NAMES || names.iter().any(|n| n == name)).then(|| index_of(names, name) as u32)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -0,0 +1,222 @@
+use super::*;
+
+const fn at(ms: u64) -> Time {
+    Duration::from_millis(ms)
+}
+
+/// Says whatever it is told to say, and keeps what it hears.
+#[derive(Default)]
+struct Script {
+    says: VecDeque<Vec<Action>>,
+    heard: Vec<Event>,
+}
+
+impl Decide for Script {
+    fn handle(&mut self, _: Millis, event: Event, out: &mut Vec<Action>) {
+        self.heard.push(event);
+        out.extend(self.says.pop_front().unwrap_or_default());
+    }
+}
+
+#[derive(Default)]
+struct Seen {
+    attempts: Vec<Attempt>,
+    answers: Vec<(RequestId, String)>,
+    retired: Vec<u64>,
+    odd: usize,
+}
+
+impl Outside for Seen {
+    type Held = ();
+    type Reply = &'static str;
+
+    fn attempt(&mut self, (): &(), attempt: Attempt) {
+        self.attempts.push(attempt);
+    }
+
+    fn answer(&mut self, (): &mut (), request: RequestId, answer: Answer<&'static str>) {
+        self.answers.push((request, format!("{answer:?}")));
+    }
+
+    fn retire(&mut self, endpoint: &Endpoint) {
+        self.retired.push(endpoint.number);
+    }
+
+    fn broadcast(&mut self, _: Vec<u8>) {}
+    fn subscribe(&mut self) {}
+    fn fetch_list(&mut self) {}
+    fn listed(&mut self, _: Scope, _: bool) {}
+
+    fn odd(&mut self, _: &'static str) {
+        self.odd += 1;
+    }
+}
+
+fn core() -> Core<Script, Seen> {
+    let mut core = Core::new(Script::default(), Seen::default(), Names::default(), 1e12);
+    core.list(at(0), Scope::Full, vec![host("a", 1, "up"), host("b", 2, "up")]);
+    core
+}
+
+fn host(name: &str, port: u16, health: &str) -> Host {
+    Host {
+        host: name.to_owned(),
+        dial: Some(([127, 0, 0, 1], port).into()),
+        site: None,
+        class: None,
+        block: None,
+        health: health.to_owned(),
+        share: None,
+        born_ms: 0.0,
+    }
+}
+
+fn arrival(id: u64, deadline: Time) -> Arrival<()> {
+    let (class, id) = (ClassId(0), RequestId(id));
+    Arrival { id, class, tenant: None, key: None, hint: None, deadline, held: () }
+}
+
+fn send(id: u64, name: &str) -> Action {
+    Action::Send { request: RequestId(id), backend: BackendId(number_of(name)), timeout: None }
+}
+
+fn ask(core: &mut Core<Script, Seen>, id: u64, says: Vec<Action>) {
+    core.decider.says.push_back(says);
+    core.request(at(0), arrival(id, at(1000)));
+}
+
+#[test]
+fn a_request_that_the_module_forgets_is_answered_just_before_its_deadline() {
+    let mut core = core();
+    ask(&mut core, 1, vec![]);
+    assert_eq!(core.next_due(), Some(at(996)));
+    core.fire(at(995));
+    assert!(core.outside.answers.is_empty());
+    core.fire(at(996));
+    assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
+    assert!(matches!(core.decider.heard.last(), Some(Event::Abandoned(RequestId(1)))));
+    assert_eq!((core.held(), core.next_due()), (0, None));
+}
+
+#[test]
+fn a_second_answer_is_never_given() {
+    let mut core = core();
+    ask(&mut core, 1, vec![send(1, "a"), Action::Fail(RequestId(1)), Action::Fail(RequestId(1))]);
+    core.ended(at(5), RequestId(1), 0, 5.0, Outcome::Served, Some("late"));
+    core.fire(at(2000));
+    assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
+    assert_eq!(core.held(), 0);
+}
+
+#[test]
+fn nothing_begins_after_the_answer_or_at_a_closed_endpoint_and_the_module_hears_it() {
+    let mut core = core();
+    let refuse = Action::Refuse { request: RequestId(1), retry_after: None };
+    ask(&mut core, 1, vec![send(1, "a"), refuse, send(1, "b")]);
+    assert_eq!(core.outside.odd, 0);
+    assert_eq!(core.outside.attempts.len(), 1);
+    assert!(!core.outside.attempts[0].wanted.get());
+    let moot = |e: &&Event| matches!(e, Event::Ended { attempt: 1, outcome: Outcome::Moot, .. });
+    assert_eq!(core.decider.heard.iter().filter(moot).count(), 1);
+    core.list(at(1), Scope::Delta, vec![host("b", 2, "draining")]);
+    ask(&mut core, 2, vec![send(2, "b")]);
+    assert_eq!(core.outside.attempts.len(), 1);
+    assert_eq!(core.outside.retired, [2]);
+}
+
+#[test]
+fn a_new_address_or_process_is_a_new_endpoint_and_the_old_one_is_shut() {
+    let mut core = core();
+    ask(&mut core, 1, vec![send(1, "a")]);
+    let old = core.outside.attempts[0].endpoint.clone();
+    core.list(at(1), Scope::Delta, vec![host("a", 9, "up")]);
+    assert!(!old.is_open() && core.outside.retired == [old.number]);
+    ask(&mut core, 2, vec![send(2, "a")]);
+    assert_eq!(core.outside.attempts[1].endpoint.address.port(), 9);
+    // A whole list shuts what it lacks.
+    core.list(at(2), Scope::Full, vec![host("b", 2, "up")]);
+    assert!(!core.outside.attempts[1].endpoint.is_open());
+}
+
+#[test]
+fn a_time_out_counts_from_the_send_and_ends_with_the_deadline() {
+    let mut core = core();
+    core.decider.says.push_back(vec![]);
+    core.request(at(100), arrival(1, at(1000)));
+    for (timeout, until) in [(Some(200.0), at(500)), (Some(9000.0), at(1000)), (None, at(1000))] {
+        let send = Action::Send { request: RequestId(1), backend: BackendId(number_of("a")), timeout };
+        core.decider.says.push_back(vec![send]);
+        core.message(at(300), 0, Vec::new());
+        assert_eq!(core.outside.attempts.last().expect("sent").until, until);
+    }
+}
+
+/// Says anything at all, by chance.
+struct Chaos(fastrand::Rng);
+
+impl Decide for Chaos {
+    fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        // At most one attempt for each that ends, or it would never come to rest.
+        let budget = if matches!(event, Event::Ended { .. }) { 2 } else { 3 };
+        for _ in 0..self.0.usize(0..budget) {
+            let request = RequestId(self.0.u64(0..60));
+            out.push(match self.0.u32(0..10) {
+                0..5 => send(request.0, ["a", "b", "c"][self.0.usize(0..3)]),
+                5 => Action::Refuse { request, retry_after: None },
+                6 => Action::Fail(request),
+                7 => Action::Timer { token: 1, at: now + 50.0 * self.0.f64() },
+                _ => continue,
+            });
+        }
+    }
+}
+
+#[test]
+fn whatever_the_module_says_each_request_gets_one_answer_in_time_and_nothing_is_kept() {
+    for seed in 0..300 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let chaos = Chaos(fastrand::Rng::with_seed(seed + 1000));
+        let mut core = Core::new(chaos, Seen::default(), Names::default(), 0.0);
+        let (mut now, mut asked, mut told) = (at(0), 0, 0);
+        for _ in 0..400 {
+            now += Duration::from_micros(rng.u64(0..8000));
+            match rng.u32(0..4) {
+                0 if asked < 60 => {
+                    core.request(now, arrival(asked, now + at(rng.u64(0..400))));
+                    asked += 1;
+                }
+                1 => {
+                    let health = ["up", "draining", "removed"][rng.usize(0..3)];
+                    let name = ["a", "b", "c"][rng.usize(0..3)];
+                    core.list(now, Scope::Delta, vec![host(name, rng.u16(1..3), health)]);
+                }
+                2 => core.gone(now, RequestId(rng.u64(0..60))),
+                _ => {}
+            }
+            core.fire(now);
+            // Attempts end in any order.
+            while told < core.outside.attempts.len() && rng.bool() {
+                let (request, number) = {
+                    let a = &core.outside.attempts[told];
+                    assert!(a.until <= now + at(400));
+                    (a.request, a.number)
+                };
+                told += 1;
+                let outcome = [Outcome::Served, Outcome::Reset, Outcome::Full][rng.usize(0..3)];
+                core.ended(now, request, number, 1.0, outcome, Some("x"));
+            }
+        }
+        core.fire(now + at(1000));
+        while told < core.outside.attempts.len() && told < 100_000 {
+            let (request, number) = (core.outside.attempts[told].request, core.outside.attempts[told].number);
+            told += 1;
+            core.ended(now + at(1000), request, number, 1.0, Outcome::Reset, None);
+        }
+        let mut answered: Vec<RequestId> = core.outside.answers.iter().map(|a| a.0).collect();
+        let count = answered.len();
+        answered.sort_unstable();
+        answered.dedup();
+        assert_eq!(answered.len(), count, "seed {seed}: a second answer");
+        assert_eq!(core.held(), 0, "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/sandgap-driver/src/endpoint.rs
@@ -0,0 +1,54 @@
+//! Where requests go: a line of the list of backends, and one process of a backend.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// One line of the list of backends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    /// Its name, the same at every proxy.
+    pub host: String,
+    /// Where it is reached; `None` if that can't be read.
+    pub dial: Option<SocketAddr>,
+    /// Its zone.
+    pub site: Option<String>,
+    /// Its kind of machine.
+    pub class: Option<String>,
+    /// Its cell.
+    pub block: Option<u64>,
+    /// `up`, `draining` or `removed`.
+    pub health: String,
+    /// Its rating.
+    pub share: Option<f64>,
+    /// Unix time of its start in milliseconds; 0 for long ago.
+    pub born_ms: f64,
+}
+
+/// One process of a backend at one address. A restart or a new address makes a new one.
+pub struct Endpoint {
+    /// Never used twice in a process: what backs keep for an endpoint they file under it.
+    pub number: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When it started, see [`Host::born_ms`].
+    pub born_ms: f64,
+    open: Cell<bool>,
+}
+
+impl Endpoint {
+    /// An endpoint that takes work.
+    pub fn new(number: u64, address: SocketAddr, born_ms: f64) -> Rc<Self> {
+        Rc::new(Endpoint { number, address, born_ms, open: Cell::new(true) })
+    }
+
+    /// Whether something new may go there: it neither drains, nor is it gone or replaced.
+    pub fn is_open(&self) -> bool {
+        self.open.get()
+    }
+
+    /// Opens or closes it; whoever keeps something for it is told apart, see [`crate::Outside::retire`].
+    pub fn set_open(&self, open: bool) {
+        self.open.set(open);
+    }
+}
--- a/crates/sandgap-rig/src/backend.rs
+++ b/crates/sandgap-rig/src/backend.rs
@@ -12,10 +12,10 @@
 
 use crate::clock::Micros;
 use crate::http::{Conn, Message};
-use crate::ledger::{Ran, Record, Writer};
 use crate::machine::{Machine, Taken};
 use crate::schedule::{CELL, Mode};
 use crate::world::World;
+use sandgap_rules::{Ran, Record, Writer};
 
 /// Connections that fill the accept queue of a black hole.
 const FILL: usize = 4;
--- a/crates/sandgap-rig/src/bench.rs
+++ b/crates/sandgap-rig/src/bench.rs
@@ -9,8 +9,8 @@
 use tokio::time::sleep_until;
 
 use crate::client::ask;
-use crate::clock::quantile_ms;
-use crate::ledger::Ledger;
+use sandgap_rules::Ledger;
+
 use crate::machine::Build;
 use crate::proxy::Program;
 use crate::run::{Folder, RunError, Stage};
@@ -95,7 +95,7 @@
             sleep_until(world.clock.instant(begin + request.at)).await;
             if n == warm {
                 (cpu, ends) = (proxy.cpu_ms(), front.ends.get());
-                front.latencies.borrow_mut().clear();
+                front.latencies.take();
             }
             spawn_local(ask(world.clone(), front.clone(), n));
         }
@@ -103,9 +103,8 @@
         let counted = (world.plan.requests.len() - warm) as f64;
         let cpu_us = (proxy.cpu_ms() - cpu) * 1000.0 / counted;
         let served = f64::from(front.ends.get()[0] - ends[0]);
-        let mut latencies = front.latencies.borrow_mut();
-        latencies.sort_unstable();
-        let at = |q| quantile_ms(&latencies, q).unwrap_or(f64::NAN);
+        let latencies = front.latencies.borrow();
+        let at = |q| latencies.quantile_ms(q).unwrap_or(f64::NAN);
         Ok(Cost {
             served: (served / counted).min(1.0),
             p50_ms: at(0.5),
--- a/crates/sandgap-rig/src/client.rs
+++ b/crates/sandgap-rig/src/client.rs
@@ -11,10 +11,10 @@
 use crate::backend::stamp;
 use crate::clock::Micros;
 use crate::http::{Conn, ReadError};
-use crate::ledger::{Effect, End, Record, Writer};
 use crate::limits::{IDLE, TRIES};
 use crate::schedule::TENANTS;
 use crate::world::World;
+use sandgap_rules::{Effect, End, Latencies, Record, Writer};
 
 /// A connection that is not up by then counts as refused.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -34,7 +34,7 @@
     /// Ends of requests: served, refused, failed.
     pub ends: Cell<[u32; 3]>,
     /// Times of served answers, µs, until somebody takes them; bounded by the requests of the plan.
-    pub latencies: RefCell<Vec<Micros>>,
+    pub latencies: RefCell<Latencies>,
 }
 
 impl Front {
@@ -94,7 +94,7 @@
         match end {
             End::Served(_) => {
                 ends[0] += 1;
-                self.latencies.borrow_mut().push(took);
+                self.latencies.borrow_mut().add(took);
             }
             End::Refused => ends[1] += 1,
             _ => ends[2] += 1,
--- a/crates/sandgap-rig/src/clock.rs
+++ b/crates/sandgap-rig/src/clock.rs
@@ -4,19 +4,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Microseconds since the run began.
-pub type Micros = u64;
+pub use sandgap_rules::Micros;
 
 /// A beat that comes this much late shows that the machine stood still meanwhile.
 const LATE: Duration = Duration::from_millis(8);
 const BEAT: Duration = Duration::from_millis(4);
 
-/// A quantile of sorted times, in milliseconds; `None` of none.
-pub fn quantile_ms(sorted: &[Micros], q: f64) -> Option<f64> {
-    let i = (sorted.len() as f64 * q) as usize;
-    sorted.get(i.min(sorted.len().saturating_sub(1))).map(|l| *l as f64 / 1000.0)
-}
-
 /// The run's clock.
 #[derive(Clone)]
 pub struct Clock {
--- a/crates/sandgap-rig/src/demo.rs
+++ b/crates/sandgap-rig/src/demo.rs
@@ -7,8 +7,8 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::clock::quantile_ms;
-use crate::ledger::{Ledger, Verdict};
+use sandgap_rules::{Ledger, Verdict};
+
 use crate::proxy::Program;
 use crate::run::{Folder, RunError, Stage};
 use crate::schedule::{Size, scenario};
@@ -54,9 +54,8 @@
         let now = stage.front.ends.get();
         let [served, refused, failed] = std::array::from_fn(|i| now[i] - ends[i]);
         ends = now;
-        let mut latencies = std::mem::take(&mut *stage.front.latencies.borrow_mut());
-        latencies.sort_unstable();
-        let at = |q| quantile_ms(&latencies, q).unwrap_or(0.0);
+        let latencies = stage.front.latencies.take();
+        let at = |q| latencies.quantile_ms(q).unwrap_or(0.0);
         let (up, draining) = stage.discovery.census();
         let backends = stage.backends.borrow();
         handled.resize(backends.len(), 0);
--- a/crates/sandgap-rig/src/discovery.rs
+++ b/crates/sandgap-rig/src/discovery.rs
@@ -13,8 +13,8 @@
 
 use crate::backend::Backend;
 use crate::http::Conn;
-use crate::ledger::{Record, Writer};
 use crate::world::World;
+use sandgap_rules::{Record, Writer};
 
 /// An empty line comes this often while nothing changes.
 const BEAT: Duration = Duration::from_secs(2);
--- a/crates/sandgap-rig/src/lib.rs
+++ b/crates/sandgap-rig/src/lib.rs
@@ -1,7 +1,7 @@
 //! Everything that stands round a proxy under test: backends, discovery, a front layer, clients and the network
-//! between proxies, all on loopback; faults drawn from a seed; and the [`ledger`] that checks the four rules.
+//! between proxies, all on loopback; faults drawn from a seed; and the ledger of [`sandgap_rules`] that checks the four rules.
 //!
-//! `schedule`, `machine` and `ledger` do no I/O. The rig knows the wire formats and nothing of the daemon.
+//! `schedule` and `machine` do no I/O. The rig knows the wire formats and nothing of the daemon.
 
 pub mod backend;
 pub mod bench;
@@ -10,7 +10,6 @@
 pub mod demo;
 pub mod discovery;
 pub mod http;
-pub mod ledger;
 pub mod limits;
 pub mod machine;
 pub mod peers;
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -5,11 +5,11 @@
 
 use clap::{Parser, Subcommand};
 use sandgap_rig::bench::{Setup, compare};
-use sandgap_rig::ledger::Ledger;
 use sandgap_rig::proxy::Program;
 use sandgap_rig::relay::{self, Kind};
 use sandgap_rig::run;
 use sandgap_rig::schedule::{SCENARIOS, Size, scenario};
+use sandgap_rules::Ledger;
 
 /// Faults, load and the ledger of the four rules, on loopback.
 #[derive(Parser)]
--- a/crates/sandgap-rig/src/proxy.rs
+++ b/crates/sandgap-rig/src/proxy.rs
@@ -14,10 +14,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::http::Conn;
-use crate::ledger::Effect;
 use crate::limits::PATIENCE;
 use crate::schedule::{GRACE_MS, Plan, TENANTS};
 use crate::world::World;
+use sandgap_rules::Effect;
 
 /// How a proxy is started: a program and its arguments. It finds its configuration by NODE_CONFIG.
 #[derive(Clone, Debug)]
--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -13,12 +13,12 @@
 use crate::client::{Front, ask};
 use crate::clock::Micros;
 use crate::discovery::{Discovery, Health};
-use crate::ledger::{Ledger, Record, Terms, Verdict, Writer};
 use crate::limits::PATIENCE;
 use crate::peers::{Network, Weather};
 use crate::proxy::{Place, Program, Proxy, ProxyError};
 use crate::schedule::{Fault, GRACE_MS, Plan};
 use crate::world::{Addresses, World};
+use sandgap_rules::{Effect, Ledger, Record, Terms, Verdict, Writer};
 
 /// What sockets and schedulers may cost, on each of the rules' time limits.
 pub const SLACK: Micros = 50_000;
@@ -344,13 +344,9 @@
     /// The verdict on what has been written.
     pub fn verdict(&self) -> Verdict {
         let plan = &self.world.plan;
-        let terms = Terms {
-            effects: plan.requests.iter().map(|r| plan.classes[r.class].effect).collect(),
-            grace: GRACE_MS * 1000,
-            slack: SLACK,
-            stalls: self.world.clock.stalls(),
-        };
-        self.world.ledger().check(&terms, &self.world.written())
+        let effects: Vec<Effect> = plan.requests.iter().map(|r| plan.classes[r.class].effect).collect();
+        let terms = Terms { grace: GRACE_MS * 1000, slack: SLACK, stalls: self.world.clock.stalls() };
+        self.world.ledger().check(&effects, &terms, &self.world.written())
     }
 }
 
--- a/crates/sandgap-rig/src/schedule.rs
+++ b/crates/sandgap-rig/src/schedule.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 
 use crate::clock::Micros;
-use crate::ledger::Effect;
 use crate::machine::{Build, ColdRule};
+use sandgap_rules::Effect;
 
 /// A class of requests.
 #[derive(Clone, Debug)]
--- a/crates/sandgap-rig/src/world.rs
+++ b/crates/sandgap-rig/src/world.rs
@@ -8,8 +8,8 @@
 use tokio::sync::Notify;
 
 use crate::clock::{Clock, Micros};
-use crate::ledger::{Ledger, Record, Writer};
 use crate::schedule::Plan;
+use sandgap_rules::{Ledger, Record, Writer};
 
 /// A run's clock, plan and ledger.
 pub struct World {
--- a/crates/sandgap-rig/tests/defects.rs
+++ b/crates/sandgap-rig/tests/defects.rs
@@ -2,11 +2,11 @@
 use std::path::PathBuf;
 use std::sync::Mutex;
 
-use sandgap_rig::ledger::{Ledger, Rule, Verdict};
 use sandgap_rig::proxy::Program;
 use sandgap_rig::relay::Kind;
 use sandgap_rig::run::run;
 use sandgap_rig::schedule::{Size, scenario};
+use sandgap_rules::{Ledger, Rule, Verdict};
 
 /// One run at a time: a loaded machine would only make them slower.
 static TURN: Mutex<()> = Mutex::new(());
--- a/crates/sandgap-rig/src/ledger/tests.rs
+++ b/crates/sandgap-rules/src/ledger/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::Micros;
+use crate::record::{End, Ran};
 
 const MS: Micros = 1000;
 
@@ -46,9 +48,8 @@
     }
 
     fn check(&self) -> Verdict {
-        let terms =
-            Terms { effects: self.effects.clone(), grace: 500 * MS, slack: 50 * MS, stalls: Vec::new() };
-        self.ledger.check(&terms, &self.written)
+        let terms = Terms { grace: 500 * MS, slack: 50 * MS, stalls: Vec::new() };
+        self.ledger.check(&self.effects, &terms, &self.written)
     }
 
     /// The rules that are broken, where the ledger is whole.
--- a/crates/sandgap/tests/rig.rs
+++ b/crates/sandgap/tests/rig.rs
@@ -3,10 +3,10 @@
 use std::path::PathBuf;
 use std::sync::Mutex;
 
-use sandgap_rig::ledger::Ledger;
 use sandgap_rig::proxy::Program;
 use sandgap_rig::run::run;
 use sandgap_rig::schedule::{SCENARIOS, Size, scenario};
+use sandgap_rules::Ledger;
 
 /// One run at a time: a loaded machine would only make them slower.
 static TURN: Mutex<()> = Mutex::new(());
