--- /dev/null
+++ b/crates/sandgap-lab/src/lib.rs
@@ -0,0 +1,20 @@
+//! The laboratory: whole fleets in virtual time, with the real decision module and the daemon's own driver core
+//! inside, rivals on the same model, the four rules on every run, experiments and reports.
+//!
+//! The same file and seed give the same output, bit for bit: no clock, thread or hash order is part of a result.
+//! Runs of several seeds go side by side; one run is one thread.
+
+pub mod calendar;
+pub mod defects;
+pub mod file;
+pub mod fleet;
+pub mod limits;
+pub mod measure;
+pub mod model;
+pub mod proxy;
+pub mod rivals;
+pub mod streams;
+pub mod window;
+pub mod paper;
+pub mod stats;
+pub mod theory;
--- /dev/null
+++ b/crates/sandgap-lab/src/model/arrivals.rs
@@ -0,0 +1,245 @@
+//! When requests come. Open loads don't wait for answers, as a public service meets them; a closed loop does
+//! (Schroeder, Wierman and Harchol-Balter, "Open versus closed: a cautionary tale", NSDI 2006).
+
+use std::path::Path;
+
+use rand::RngExt;
+use rand_distr::{Distribution, Exp1};
+use serde::{Deserialize, Serialize};
+
+use crate::calendar::{Nanos, SECOND, nanos};
+use crate::file::Checks;
+use crate::limits::RATE;
+use crate::model::laws::Law;
+use crate::streams::Stream;
+
+/// A load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Load {
+    /// Independent of each other, at one rate.
+    Poisson {
+        /// Requests a second over all proxies.
+        rate: f64,
+    },
+    /// A day: a rate that swings like a sine.
+    Diurnal {
+        /// Mean rate.
+        rate: f64,
+        /// Part of the mean by which it swings to either side.
+        swing: f64,
+        /// Length of the day, s.
+        period_s: f64,
+    },
+    /// An exam week's evening: a burst within an even load.
+    Burst {
+        /// Rate outside the burst.
+        rate: f64,
+        /// By how much the burst is higher.
+        times: f64,
+        /// When it begins, s.
+        at_s: f64,
+        /// How long it lasts, s.
+        for_s: f64,
+    },
+    /// A Markov-modulated Poisson process: two rates, each for a span without memory.
+    Mmpp {
+        /// The lower rate.
+        rate: f64,
+        /// The higher one over it.
+        times: f64,
+        /// Mean span at the lower one, s.
+        calm_s: f64,
+        /// Mean span at the higher one, s.
+        burst_s: f64,
+    },
+    /// So many users, each of whom thinks, asks and waits for the answer.
+    Closed {
+        /// Users.
+        users: u32,
+        /// Time between an answer and the next request.
+        think: Law,
+    },
+    /// Times from a file: a CSV with a column `at_ms` and perhaps `class` and `tenant`, both by name.
+    Replay {
+        /// The file, from the experiment file's folder.
+        file: String,
+        /// Times are divided by this.
+        #[serde(default = "one")]
+        speed: f64,
+    },
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Load {
+    /// Notes what is out of bounds.
+    pub fn check(&self, checks: &mut Checks) {
+        match self {
+            Load::Poisson { rate } => checks.within("load.rate", *rate, 1e-6, RATE),
+            Load::Diurnal { rate, swing, period_s } => {
+                checks.within("load.rate", *rate, 1e-6, RATE);
+                checks.within("load.swing", *swing, 0.0, 1.0);
+                checks.within("load.period_s", *period_s, 1e-3, 1e8);
+            }
+            Load::Burst { rate, times, at_s, for_s } => {
+                checks.within("load.rate", *rate, 1e-6, RATE);
+                checks.within("load.times", *times, 0.0, 1000.0);
+                checks.within("load.at_s", *at_s, 0.0, 1e8);
+                checks.within("load.for_s", *for_s, 0.0, 1e8);
+            }
+            Load::Mmpp { rate, times, calm_s, burst_s } => {
+                checks.within("load.rate", *rate, 1e-6, RATE);
+                checks.within("load.times", *times, 1.0, 1000.0);
+                checks.within("load.calm_s", *calm_s, 1e-3, 1e8);
+                checks.within("load.burst_s", *burst_s, 1e-3, 1e8);
+            }
+            Load::Closed { users, think } => {
+                checks.within("load.users", f64::from(*users), 1.0, 1e6);
+                think.check("load.think", checks);
+            }
+            Load::Replay { speed, .. } => checks.within("load.speed", *speed, 1e-6, 1e6),
+        }
+    }
+}
+
+/// One line of a recorded load.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Recorded {
+    /// When, from the record's beginning, ms.
+    pub at_ms: f64,
+    /// Its class.
+    pub class: Option<String>,
+    /// Its tenant.
+    pub tenant: Option<String>,
+}
+
+/// Reads a recorded load.
+///
+/// # Errors
+/// What is wrong with the file, with its line.
+pub fn recorded(path: &Path) -> Result<Vec<Recorded>, String> {
+    let named = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let size = std::fs::metadata(path).map_err(|e| named(&e))?.len();
+    if size > crate::limits::FILE {
+        return Err(named(&format!("{size} bytes are more than {}", crate::limits::FILE)));
+    }
+    let mut reader = csv::Reader::from_path(path).map_err(|e| named(&e))?;
+    let mut all: Vec<Recorded> = Vec::new();
+    for (i, line) in reader.deserialize().enumerate() {
+        let line: Recorded = line.map_err(|e| named(&e))?;
+        let last = all.last().map_or(0.0, |l| l.at_ms);
+        if !(line.at_ms.is_finite() && line.at_ms >= last) {
+            return Err(named(&format!("line {}: at_ms goes back or is no time", i + 2)));
+        }
+        all.push(line);
+    }
+    Ok(all)
+}
+
+/// When the next open request comes.
+pub struct Source {
+    load: Load,
+    rng: Stream,
+    at: f64, // seconds
+    /// For an MMPP: whether the higher rate holds, and until when.
+    high: bool,
+    until: f64,
+}
+
+impl Source {
+    /// The source of an open load.
+    pub fn new(load: &Load, rng: Stream) -> Self {
+        Source { load: load.clone(), rng, at: 0.0, high: true, until: 0.0 }
+    }
+
+    /// The time of the next request; `None` for a load that is not of this kind.
+    pub fn next(&mut self) -> Option<Nanos> {
+        match self.load {
+            Load::Poisson { rate } => self.step(rate),
+            Load::Diurnal { rate, swing, period_s } => self.thin(rate * (1.0 + swing), |t| {
+                rate * (1.0 + swing * (std::f64::consts::TAU * t / period_s).sin())
+            }),
+            Load::Burst { rate, times, at_s, for_s } => self.thin(rate * times.max(1.0), |t| {
+                if t >= at_s && t < at_s + for_s { rate * times } else { rate }
+            }),
+            Load::Mmpp { rate, times, calm_s, burst_s } => return self.modulated(rate, times, calm_s, burst_s),
+            Load::Closed { .. } | Load::Replay { .. } => return None,
+        }
+        Some((self.at * SECOND as f64) as Nanos)
+    }
+
+    fn step(&mut self, rate: f64) {
+        let x: f64 = Exp1.sample(&mut self.rng);
+        self.at += x / rate;
+    }
+
+    /// Lewis and Shedler's thinning: candidates at the highest rate, each kept by the rate of its time.
+    fn thin(&mut self, most: f64, rate: impl Fn(f64) -> f64) {
+        loop {
+            self.step(most);
+            if self.rng.random::<f64>() * most <= rate(self.at) {
+                return;
+            }
+        }
+    }
+
+    fn modulated(&mut self, rate: f64, times: f64, calm_s: f64, burst_s: f64) -> Option<Nanos> {
+        loop {
+            if self.at >= self.until {
+                self.high = !self.high;
+                let x: f64 = Exp1.sample(&mut self.rng);
+                self.until = self.at + x * if self.high { burst_s } else { calm_s };
+            }
+            let before = self.at;
+            self.step(if self.high { rate * times } else { rate });
+            if self.at < self.until {
+                return Some(nanos(self.at * 1000.0));
+            }
+            // Nothing came before the change; without memory the wait begins anew there.
+            self.at = self.until.max(before);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::streams::stream;
+
+    fn count(load: &Load, seconds: u64) -> f64 {
+        let mut source = Source::new(load, stream(3, "arrivals", 0));
+        let (mut n, mut last) = (0.0, 0);
+        while let Some(at) = source.next().filter(|at| *at < seconds * SECOND) {
+            assert!(at >= last);
+            (n, last) = (n + 1.0, at);
+        }
+        n / seconds as f64
+    }
+
+    #[test]
+    fn rates_are_what_they_say() {
+        for (load, rate) in [
+            (Load::Poisson { rate: 200.0 }, 200.0),
+            (Load::Diurnal { rate: 200.0, swing: 0.8, period_s: 50.0 }, 200.0),
+            (Load::Burst { rate: 100.0, times: 5.0, at_s: 100.0, for_s: 250.0 }, 200.0),
+            (Load::Mmpp { rate: 100.0, times: 4.0, calm_s: 2.0, burst_s: 1.0 }, 200.0),
+        ] {
+            let seen = count(&load, 1000);
+            assert!((seen / rate - 1.0).abs() < 0.05, "{load:?}: {seen}");
+        }
+    }
+
+    #[test]
+    fn a_record_that_goes_back_is_refused_with_its_line() {
+        let path = std::env::temp_dir().join(format!("sandgap-lab-replay-{}.csv", std::process::id()));
+        std::fs::write(&path, "at_ms,class\n1,page\n0.5,page\n").expect("a temporary file");
+        let said = recorded(&path).expect_err("it goes back");
+        assert!(said.contains("line 3"), "{said}");
+        std::fs::write(&path, "at_ms,tenant\n1,a\n5,b\n").expect("a temporary file");
+        assert_eq!(recorded(&path).expect("a good one").len(), 2);
+        let _ = std::fs::remove_file(&path);
+    }
+}
--- /dev/null
+++ b/crates/sandgap-lab/src/theory.rs
@@ -0,0 +1,356 @@
+//! What is known exactly: Erlang's formulas, the two-speed model of Shenker and Weinrib ("The optimal control of
+//! heterogeneous queueing systems", IEEE ToC 1989; formula numbers are theirs) and, for any number of speeds, the
+//! exact optimum as a Markov decision process.
+
+use serde::Serialize;
+
+/// Erlang's B: the part of arrivals that find all `m` servers busy where nothing waits; `load` is arrivals over
+/// the rate of one server.
+pub fn erlang_b(m: u32, load: f64) -> f64 {
+    (1..=m).fold(1.0, |b, k| load * b / (f64::from(k) + load * b))
+}
+
+/// Erlang's C: the part of arrivals that wait where all may; `rho` is the load of each server, below 1.
+pub fn erlang_c(m: u32, rho: f64) -> f64 {
+    let b = erlang_b(m, f64::from(m) * rho);
+    b / (1.0 - rho * (1.0 - b))
+}
+
+/// Mean time in an M/M/m system, in mean service times.
+pub fn mmm_delay(m: u32, rho: f64) -> f64 {
+    1.0 + erlang_c(m, rho) / (f64::from(m) * (1.0 - rho))
+}
+
+/// The two-speed model: `m` fast servers of rate 1 and any number of slow ones of rate 1/`ratio`.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct TwoSpeed {
+    /// Fast servers.
+    pub m: u32,
+    /// Arrivals over what the fast servers can do.
+    pub rho: f64,
+    /// Fast rate over slow rate.
+    pub ratio: f64,
+}
+
+impl TwoSpeed {
+    /// The stationary law of the M/M/m/K system that a threshold makes of the fast servers, K = m + tau.
+    fn states(&self, tau: u32) -> Vec<f64> {
+        let load = f64::from(self.m) * self.rho;
+        let mut p = vec![1.0f64];
+        for x in 1..=self.m + tau {
+            let last = p[p.len() - 1];
+            p.push(last * load / f64::from(x.min(self.m)));
+            if p[p.len() - 1] > 1e200 {
+                p.iter_mut().for_each(|q| *q *= 1e-200);
+            }
+        }
+        let sum: f64 = p.iter().sum();
+        p.iter().map(|q| q / sum).collect()
+    }
+
+    /// Mean number in the fast system, by (3.2a). `None` at rho = 1, where the formula divides by nothing.
+    pub fn n_formula(&self, tau: u32) -> Option<f64> {
+        let (m, r) = (f64::from(self.m), self.rho);
+        if (r - 1.0).abs() < 1e-9 {
+            return None;
+        }
+        let (t, b) = (f64::from(tau), erlang_b(self.m, m * r));
+        let g = (1.0 - r.powf(t)) / (1.0 - r);
+        let tail = (1.0 - (1.0 + t) * r.powf(t) + t * r.powf(t + 1.0)) / (1.0 - r).powi(2);
+        Some((m * r + b * m * r * (g - 1.0) + b * r * tail) / (1.0 + b * r * g))
+    }
+
+    /// Part of the jobs that go to slow servers, by (3.2b).
+    pub fn z_formula(&self, tau: u32) -> Option<f64> {
+        let r = self.rho;
+        if (r - 1.0).abs() < 1e-9 {
+            return None;
+        }
+        let b = erlang_b(self.m, f64::from(self.m) * r);
+        Some(b * r.powi(tau as i32) / (1.0 + b * r * (1.0 - r.powi(tau as i32)) / (1.0 - r)))
+    }
+
+    /// N by the stationary law.
+    pub fn n(&self, tau: u32) -> f64 {
+        self.states(tau).iter().enumerate().map(|(x, p)| x as f64 * p).sum()
+    }
+
+    /// Z by the stationary law.
+    pub fn z(&self, tau: u32) -> f64 {
+        self.states(tau)[(self.m + tau) as usize]
+    }
+
+    /// Mean delay by (3.1).
+    pub fn d(&self, tau: u32) -> f64 {
+        self.n(tau) / (f64::from(self.m) * self.rho) + self.z(tau) * self.ratio
+    }
+
+    /// The threshold with the least delay, by trying all that may be it.
+    pub fn best_tau(&self) -> u32 {
+        let top = (f64::from(self.m) * (self.ratio - 1.0)).floor() as u32;
+        (0..=top).fold((0, f64::INFINITY), |best, tau| {
+            let d = self.d(tau);
+            if d < best.1 - 1e-12 { (tau, d) } else { best }
+        }).0
+    }
+
+    /// Of shortest expected delay, by (2.1).
+    pub fn tau_sed(&self) -> u32 {
+        (f64::from(self.m) * (self.ratio - 1.0) + 1e-9).floor() as u32
+    }
+
+    /// Of greedy throughput, by (3.4).
+    pub fn tau_gt(&self) -> u32 {
+        let load = f64::from(self.m) * self.rho;
+        (((1.0 + self.ratio * load) / (1.0 + load)).ln() / (1.0 + self.rho).ln() + 1e-9).floor() as u32
+    }
+
+    /// The least delay that any policy reaches, by policy iteration (Howard): a policy's relative values follow
+    /// from (4.1) and (4.2) going down, and a job is let in where that costs no more than a slow server.
+    pub fn optimum(&self) -> (u32, f64) {
+        let (m, lambda) = (f64::from(self.m), f64::from(self.m) * self.rho);
+        let mut tau = 0u32;
+        loop {
+            let g = self.d(tau) * lambda;
+            // What one more job costs at each length, from the threshold down and one beyond it.
+            let beyond = |x: f64| (x + lambda * self.ratio - g) / m;
+            let mut next = 0;
+            let mut cost = beyond(f64::from(self.m + tau));
+            for x in (1..=tau).rev() {
+                if cost <= self.ratio + 1e-12 {
+                    next = next.max(x);
+                }
+                cost = (f64::from(self.m + x - 1) + lambda * cost - g) / m;
+            }
+            let mut x = tau + 1;
+            while next + 1 == x && beyond(f64::from(self.m + x)) <= self.ratio + 1e-12 {
+                next = x;
+                x += 1;
+            }
+            if next == tau {
+                return (tau, self.d(tau));
+            }
+            tau = next;
+        }
+    }
+}
+
+/// A system with one queue, a few speeds of finite number, and any number of slow servers: what the paper's
+/// simulations are about. Rates in jobs per unit of time, the fastest first.
+#[derive(Clone, Debug, Serialize)]
+pub struct ManySpeed {
+    /// Rate and number of the finite classes, the fastest first.
+    pub classes: Vec<(f64, u32)>,
+    /// Rate of the slow servers, of which there are enough.
+    pub slow: f64,
+    /// Arrivals.
+    pub lambda: f64,
+}
+
+/// How it is decided whether a job goes to the fastest open server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Heuristic {
+    /// Shortest expected delay.
+    Sed,
+    /// Never queue.
+    Nq,
+    /// Greedy throughput.
+    Gt,
+    /// The paper's D, with the threshold that the decision module uses.
+    D,
+}
+
+impl ManySpeed {
+    /// The threshold of a heuristic for each class of open server, the slow ones last: a job in position x goes
+    /// there if x is more.
+    pub fn thresholds(&self, heuristic: Heuristic) -> Vec<u32> {
+        let mut all = Vec::new();
+        for open in 0..=self.classes.len() {
+            let faster = &self.classes[..open];
+            let mu = self.classes.get(open).map_or(self.slow, |c| c.0);
+            let m: f64 = faster.iter().map(|c| f64::from(c.1)).sum();
+            let sum: f64 = faster.iter().map(|c| c.0 * f64::from(c.1)).sum();
+            if m < 0.5 {
+                all.push(0);
+                continue;
+            }
+            let (rho, ratio) = (self.lambda / sum, sum / m / mu);
+            all.push(match heuristic {
+                Heuristic::Nq => 0,
+                Heuristic::Sed => (m * (ratio - 1.0) + 1e-9).floor() as u32,
+                Heuristic::Gt => TwoSpeed { m: m as u32, rho, ratio }.tau_gt(),
+                Heuristic::D => wharfhitch::threshold(m, rho, ratio),
+            });
+        }
+        all
+    }
+
+    /// The mean delay under thresholds, or with `None` the least that any policy reaches (an exact value
+    /// iteration, relative, with the queue cut at `longest`). The second figure bounds its error.
+    pub fn delay(&self, thresholds: Option<&[u32]>, longest: usize) -> (f64, f64) {
+        let mdp = Mdp::new(self, longest);
+        mdp.solve(thresholds)
+    }
+}
+
+/// States are the busy servers of each class and the queue's length.
+struct Mdp<'a> {
+    system: &'a ManySpeed,
+    longest: usize,
+    /// By how much a state's number grows with one more busy server of a class.
+    stride: Vec<usize>,
+    states: usize,
+    uniform: f64,
+}
+
+/// Iterations after which what was reached is told with its bound.
+const ITERATIONS: usize = 400_000;
+/// Relative width of the bound at which it is enough.
+const ENOUGH: f64 = 1e-5;
+
+impl<'a> Mdp<'a> {
+    fn new(system: &'a ManySpeed, longest: usize) -> Self {
+        let mut stride = Vec::new();
+        let mut states = longest + 1;
+        for c in &system.classes {
+            stride.push(states);
+            states *= c.1 as usize + 1;
+        }
+        let uniform = system.lambda + system.classes.iter().map(|c| c.0 * f64::from(c.1)).sum::<f64>();
+        Mdp { system, longest, stride, states, uniform }
+    }
+
+    fn busy(&self, state: usize, class: usize) -> u32 {
+        (state / self.stride[class]) as u32 % (self.system.classes[class].1 + 1)
+    }
+
+    /// The value after a state's decisions: `x` wait.
+    fn decided(&self, values: &[f64], mut state: usize, thresholds: Option<&[u32]>) -> f64 {
+        let mut paid = 0.0;
+        let mut best = f64::INFINITY;
+        loop {
+            let x = state % (self.longest + 1);
+            if x == 0 {
+                return best.min(paid + values[state]);
+            }
+            let open = (0..self.stride.len()).find(|c| self.busy(state, *c) < self.system.classes[*c].1);
+            let forced = open == Some(0) || x >= self.longest;
+            let sends = match thresholds {
+                _ if forced => true,
+                Some(t) => x as u32 > t[open.unwrap_or(self.stride.len())],
+                None => {
+                    best = best.min(paid + values[state]);
+                    true
+                }
+            };
+            if !sends {
+                return best.min(paid + values[state]);
+            }
+            match open {
+                Some(c) => state += self.stride[c] - 1,
+                None => {
+                    paid += 1.0 / self.system.slow;
+                    state -= 1;
+                }
+            }
+        }
+    }
+
+    fn solve(&self, thresholds: Option<&[u32]>) -> (f64, f64) {
+        let (mut values, mut next) = (vec![0.0; self.states], vec![0.0; self.states]);
+        // States that no policy reaches (a queue beside an open fastest server) carry no weight and are skipped.
+        let fast = self.system.classes.first().map_or(0, |c| c.1);
+        let reached: Vec<usize> = (0..self.states)
+            .filter(|s| s % (self.longest + 1) == 0 || self.stride.is_empty() || self.busy(*s, 0) == fast)
+            .collect();
+        let lambda = self.system.lambda;
+        for n in 1..=ITERATIONS {
+            let (mut least, mut most) = (f64::INFINITY, f64::NEG_INFINITY);
+            for &s in &reached {
+                let x = s % (self.longest + 1);
+                let mut rest = self.uniform - lambda;
+                let mut sum = x as f64;
+                sum += lambda
+                    * if x < self.longest {
+                        self.decided(&values, s + 1, thresholds)
+                    } else {
+                        values[s] + 1.0 / self.system.slow // the cut: it goes to a slow server
+                    };
+                for (c, (mu, _)) in self.system.classes.iter().enumerate() {
+                    let busy = f64::from(self.busy(s, c));
+                    sum += busy;
+                    if busy > 0.0 {
+                        sum += busy * mu * self.decided(&values, s - self.stride[c], thresholds);
+                        rest -= busy * mu;
+                    }
+                }
+                next[s] = (sum + rest * values[s]) / self.uniform;
+                let step = next[s] - values[s];
+                (least, most) = (least.min(step), most.max(step));
+            }
+            let base = next[0];
+            reached.iter().for_each(|&s| values[s] = next[s] - base);
+            let done = most - least <= ENOUGH * least.max(1e-12);
+            if done || n == ITERATIONS {
+                let delay = |g: f64| g * self.uniform / lambda;
+                return (delay((least + most) / 2.0), delay((most - least) / 2.0));
+            }
+        }
+        unreachable!("the last iteration returns")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn erlang_is_what_the_tables_say() {
+        assert!((erlang_b(1, 1.0) - 0.5).abs() < 1e-12);
+        assert!((erlang_b(10, 5.0) - 0.018_385).abs() < 1e-6);
+        assert!((mmm_delay(1, 0.8) - 5.0).abs() < 1e-9); // 1 / (1 - rho)
+        assert!((erlang_c(2, 0.5) - 1.0 / 3.0).abs() < 1e-12);
+    }
+
+    #[test]
+    fn the_papers_formulas_agree_with_the_chain_that_they_solve() {
+        for m in [1, 2, 5, 10] {
+            for rho in [0.5, 0.8, 0.95, 1.2] {
+                for tau in [0, 1, 5, 20] {
+                    let s = TwoSpeed { m, rho, ratio: 4.0 };
+                    let (n, z) = (s.n_formula(tau).expect("rho is not 1"), s.z_formula(tau).expect("as well"));
+                    assert!((n / s.n(tau) - 1.0).abs() < 1e-9, "{s:?} {tau}: {n} {}", s.n(tau));
+                    assert!((z / s.z(tau) - 1.0).abs() < 1e-9, "{s:?} {tau}: {z} {}", s.z(tau));
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn the_threshold_of_3_3_is_the_best_and_the_optimum() {
+        for m in [1, 2, 5, 10, 20] {
+            for rho in [0.3, 0.5, 0.8, 0.95, 1.0, 1.2, 2.0] {
+                for ratio in [1.5, 2.0, 4.0, 16.0, 64.0] {
+                    let s = TwoSpeed { m, rho, ratio };
+                    let tau = wharfhitch::threshold(f64::from(m), rho, ratio);
+                    let (best, optimum) = (s.d(s.best_tau()), s.optimum().1);
+                    // Two thresholds may be as good as each other: delays are compared.
+                    assert!((s.d(tau) / best - 1.0).abs() < 1e-9, "{s:?}: {tau} for {}", s.best_tau());
+                    assert!((optimum / best - 1.0).abs() < 1e-9, "{s:?}: {:?}", s.optimum());
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn the_decision_process_agrees_with_the_two_speed_model() {
+        let s = TwoSpeed { m: 3, rho: 0.9, ratio: 6.0 };
+        let system = ManySpeed { classes: vec![(1.0, 3)], slow: 1.0 / 6.0, lambda: 2.7 };
+        let d = system.thresholds(Heuristic::D);
+        let (seen, bound) = system.delay(Some(&d), 60);
+        assert!((seen - s.d(d[1])).abs() <= bound + 1e-3, "{seen} +- {bound} for {}", s.d(d[1]));
+        let (best, bound) = system.delay(None, 60);
+        assert!((best - s.optimum().1).abs() <= bound + 1e-3, "{best} +- {bound} for {:?}", s.optimum());
+    }
+}
