--- /dev/null
+++ b/crates/sandgap-lab/src/checks.rs
@@ -0,0 +1,215 @@
+//! The model against what is known exactly, and the laboratory's own speed: what `sandgap-lab theory` and
+//! `sandgap-lab speed` print.
+
+use std::fmt::Write as _;
+use std::path::Path;
+use std::time::Instant;
+
+use rayon::prelude::*;
+
+use crate::file::{Experiment, parse};
+use crate::fleet::{self, Plan, RunError};
+use crate::paper;
+use crate::rivals::PolicyKind;
+use crate::stats::{Estimate, independent};
+use crate::streams::stream;
+use crate::theory::{Heuristic, ManySpeed, TwoSpeed, mmm_delay};
+
+/// One server with `m` cores and all the room there is, at load `rho`.
+fn mmm(m: u32, rho: f64, requests: u64) -> Experiment {
+    let rate = f64::from(m) * rho * 100.0;
+    let text = format!(
+        "name = \"M/M/{m}\"\nseconds = {}\nwarm_seconds = {}\n[[server]]\ncount = 1\n\
+         build = {{ cores = {m}, queue = 4000000000 }}\n[[class]]\nname = \"job\"\neffect = \"safe\"\naim_ms = 1e8\n\
+         deadline_ms = 1e8\nwork = {{ law = \"exponential\", mean_ms = 10 }}\n[load]\nkind = \"poisson\"\nrate = {rate}\n",
+        requests as f64 / rate,
+        (requests as f64 / rate * 0.05).max(30.0),
+    );
+    parse(&text).expect("a text of ours").remove(0).experiment
+}
+
+/// Runs of the M/M/m check, side by side.
+const RUNS: u64 = 16;
+
+/// Everything that is known exactly.
+///
+/// # Errors
+/// A run that can't be played.
+pub fn theory(requests: u64) -> Result<String, RunError> {
+    let mut out = String::new();
+    let _ = writeln!(out, "M/M/m through the fleet model, mean delay in service times, {requests} requests a point:");
+    let _ = writeln!(out, "{:>3} {:>5} {:>20} {:>10} {:>8}", "m", "rho", "simulated", "Erlang C", "off");
+    for m in [1, 2, 10] {
+        for rho in [0.5, 0.8, 0.95] {
+            // Near saturation neighbours resemble each other over very long spans.
+            let more = if rho > 0.9 { 6 } else { 1 };
+            let e = mmm(m, rho, requests * more / RUNS);
+            let one = |seed| {
+                let plan = Plan::draw(&e, PolicyKind::Random, seed, Path::new("."))?;
+                fleet::run(&plan, false, None).map(|o| o.measures.mean_ms() / 10.0)
+            };
+            let all = (0..RUNS).into_par_iter().map(one).collect::<Result<Vec<f64>, RunError>>()?;
+            let (got, want) = (independent(&all), mmm_delay(m, rho));
+            let off = (got.mean / want - 1.0) * 100.0;
+            let _ = writeln!(out, "{m:>3} {rho:>5} {:>20} {want:>10.4} {off:>+7.2}%", shown(&got));
+        }
+    }
+    two_speed(&mut out);
+    many_speed(&mut out);
+    Ok(out)
+}
+
+fn shown(e: &Estimate) -> String {
+    format!("{:.4} ± {:.4}", e.mean, e.half)
+}
+
+fn two_speed(out: &mut String) {
+    let _ = writeln!(out, "\ntwo speeds: simulated N, Z, D against (3.2a), (3.2b), (3.1), and the threshold of (3.3):");
+    let _ = writeln!(
+        out,
+        "{:>3} {:>5} {:>4} {:>4} {:>5} {:>9} {:>9} {:>9} {:>10} {:>8} {:>8} {:>8}",
+        "m", "rho", "R", "tau", "best", "N off", "Z off", "D off", "D/optimum", "SED", "NQ", "GT"
+    );
+    let (mut worst, mut widest) = (0.0f64, 0.0f64);
+    let mut grid = Vec::new();
+    for m in [1, 2, 5, 10, 20] {
+        for rho in [0.5, 0.8, 0.95, 1.05, 1.5] {
+            grid.extend([2.0, 4.0, 16.0].map(|ratio| TwoSpeed { m, rho, ratio }));
+        }
+    }
+    let play = |s: &TwoSpeed| {
+        let tau = wharfhitch::threshold(f64::from(s.m), s.rho, s.ratio);
+        let system = ManySpeed { classes: vec![(1.0, s.m)], slow: 1.0 / s.ratio, lambda: f64::from(s.m) * s.rho };
+        let mut rng = stream(u64::from(s.m), "two-speed", (s.rho * 100.0 + s.ratio * 1e4) as u64);
+        (tau, paper::play(&system, &[0, tau], 2_000_000, &mut rng))
+    };
+    let seen: Vec<_> = grid.par_iter().map(play).collect();
+    for (s, (tau, seen)) in grid.iter().zip(seen) {
+        let n = s.n_formula(tau).unwrap_or_else(|| s.n(tau));
+        let z = s.z_formula(tau).unwrap_or_else(|| s.z(tau));
+        let optimum = s.optimum().1;
+        let part = |tau| s.d(tau) / optimum;
+        let off = |got: f64, want: f64| (got / want - 1.0) * 100.0;
+        worst = worst.max(part(tau) - 1.0);
+        widest = widest.max(off(seen.delay.mean, s.d(tau)).abs());
+        let z_off = if z > 1e-5 { format!("{:+.2}%", off(seen.z.mean, z)) } else { "none".into() };
+        let _ = writeln!(
+            out,
+            "{:>3} {:>5} {:>4} {tau:>4} {:>5} {:>+8.2}% {z_off:>9} {:>+8.2}% {:>10.6} {:>8.4} {:>8.4} {:>8.4}",
+            s.m,
+            s.rho,
+            s.ratio,
+            s.best_tau(),
+            off(seen.n.mean, n),
+            off(seen.delay.mean, s.d(tau)),
+            part(tau),
+            part(s.tau_sed()),
+            part(0),
+            part(s.tau_gt()),
+        );
+    }
+    let _ = writeln!(
+        out,
+        "D is above the optimum by {:.6}% at most; simulated D is off by {widest:.2}% at most",
+        worst * 100.0
+    );
+}
+
+/// The paper's first system, and how far the queue is followed.
+fn first(lambda: f64) -> (ManySpeed, usize) {
+    (ManySpeed { classes: vec![(16.0, 5), (4.0, 20)], slow: 1.0, lambda }, 110)
+}
+
+fn many_speed(out: &mut String) {
+    let _ = writeln!(out, "\n5 servers of speed 16, 20 of 4, any number of 1: exact mean delay over the exact optimum's:");
+    let _ = writeln!(
+        out,
+        "{:>6} {:>10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>14} {:>14}",
+        "lambda", "optimum", "SED", "NQ", "GT", "D", "best tau", "taus of D", "best taus"
+    );
+    let lambdas = [20.0, 40.0, 60.0, 70.0, 80.0, 100.0, 130.0, 150.0, 160.0, 180.0, 220.0];
+    let solve = |lambda: &f64| {
+        let (system, longest) = first(*lambda);
+        let (optimum, bound) = system.delay(None, longest);
+        let of = |h| system.delay(Some(&system.thresholds(h)), longest).0 / optimum;
+        let d = system.thresholds(Heuristic::D);
+        let (best, found) = search(&system, longest, &d);
+        let all = [Heuristic::Sed, Heuristic::Nq, Heuristic::Gt, Heuristic::D].map(of);
+        (optimum, bound, all, d, best / optimum, found)
+    };
+    let solved: Vec<_> = lambdas.par_iter().map(solve).collect();
+    let mut worst = 0.0f64;
+    for (lambda, (optimum, _, all, d, best, found)) in lambdas.iter().zip(solved) {
+        worst = worst.max(all[3] / best - 1.0);
+        let _ = writeln!(
+            out,
+            "{lambda:>6} {optimum:>10.5} {:>9.4} {:>9.4} {:>9.4} {:>9.4} {best:>9.4} {:>14} {:>14}",
+            all[0],
+            all[1],
+            all[2],
+            all[3],
+            format!("{:?}", &d[1..]),
+            format!("{:?}", &found[1..])
+        );
+    }
+    let _ = writeln!(out, "D is above the best thresholds by {:.3}% at most", worst * 100.0);
+}
+
+/// The best thresholds, one after another until none of the steps tried gains anything.
+fn search(system: &ManySpeed, longest: usize, from: &[u32]) -> (f64, Vec<u32>) {
+    let (mut best, mut at) = (system.delay(Some(from), longest).0, from.to_vec());
+    for step in [4i64, 1] {
+        let mut gained = true;
+        while gained {
+            gained = false;
+            for i in 1..at.len() {
+                for by in [step, -step] {
+                    let mut tried = at.clone();
+                    tried[i] = (i64::from(at[i]) + by).clamp(0, longest as i64 - 1) as u32;
+                    let delay = system.delay(Some(&tried), longest).0;
+                    if delay < best * (1.0 - 2e-5) {
+                        (best, at, gained) = (delay, tried, true);
+                    }
+                }
+            }
+        }
+    }
+    (best, at)
+}
+
+/// Requests a second of wall time, by the size of the fleet.
+///
+/// # Errors
+/// A run that can't be played.
+pub fn speed() -> Result<String, RunError> {
+    let mut out = String::new();
+    let _ = writeln!(out, "{:>7} {:>8} {:>9} {:>10} {:>12} {:>9}", "proxies", "servers", "policy", "requests", "requests/s", "events/s");
+    for (proxies, servers, rate, seconds) in [(1u32, 12u32, 1500.0, 400.0), (1, 12, 1500.0, 400.0), (100, 1000, 120_000.0, 4.0)] {
+        for policy in [PolicyKind::Random, PolicyKind::Sandgap] {
+            let text = format!(
+                "name = \"speed\"\nseconds = {seconds}\nwarm_seconds = 0\n[fleet]\nproxies = {proxies}\n[[server]]\n\
+                 count = {}\nkind = \"large\"\nbuild = {{ cores = 4, speed = 1.6 }}\n[[server]]\ncount = {}\nkind = \"small\"\n\
+                 build = {{ cores = 3, speed = 0.9 }}\n[[class]]\nname = \"page\"\neffect = \"safe\"\naim_ms = 500\n\
+                 deadline_ms = 1250\nwork = {{ law = \"uniform\", least_ms = 12, most_ms = 28 }}\n[load]\nkind = \"poisson\"\n\
+                 rate = {rate}\n[network]\nproxies = {{ law = \"exponential\", mean_ms = 5 }}\n",
+                servers / 3,
+                servers - servers / 3
+            );
+            let e = parse(&text).expect("a text of ours").remove(0).experiment;
+            let plan = Plan::draw(&e, policy, 1, Path::new("."))?;
+            let start = Instant::now();
+            let end = fleet::run(&plan, false, None)?;
+            let wall = start.elapsed().as_secs_f64();
+            let m = &end.measures;
+            let _ = writeln!(
+                out,
+                "{proxies:>7} {servers:>8} {:>9} {:>10} {:>12.0} {:>9.0}",
+                policy.name(),
+                m.requests,
+                m.requests as f64 / wall,
+                m.events as f64 / wall
+            );
+        }
+    }
+    Ok(out)
+}
--- a/crates/sandgap-lab/src/file.rs
+++ b/crates/sandgap-lab/src/file.rs
@@ -493,8 +493,16 @@
                     Some(name) if path.rsplit('.').next() != Some(name) => format!("{path}.{name}"),
                     _ => path.clone(),
                 };
-                let key = key.trim_start_matches("..").trim_start_matches('.').to_owned();
-                found.push((key.clone(), helped(&message)));
+                let key = key.trim_start_matches('.').to_owned();
+                let missing = message.strip_prefix("missing field `").and_then(|m| m.split('`').next());
+                // What lacks a key that was itself wrong and taken out needs no second word.
+                let known = missing.is_some_and(|m| {
+                    let full = if key.is_empty() { m.to_owned() } else { format!("{key}.{m}") };
+                    found.iter().any(|(k, _)| *k == full || k.starts_with(&format!("{full}.")))
+                });
+                if !known {
+                    found.push((key.clone(), helped(&message)));
+                }
                 if found.len() >= PROBLEMS || !take_out(&mut at, &key) {
                     return Err(found);
                 }
@@ -536,8 +544,22 @@
             None => return false,
         }
     }
-    let Value::Table(table) = here else { return false };
-    table.remove(last).is_some()
+    match here {
+        Value::Table(table) => table.remove(last).is_some(),
+        Value::Array(all) => match last.parse::<usize>() {
+            Ok(i) if i < all.len() => {
+                // A like entry holds its place, so that the numbers after it stay right.
+                let like = (0..all.len()).find(|k| *k != i).map(|k| all[k].clone());
+                match like {
+                    Some(like) if like != all[i] => all[i] = like,
+                    _ => return false,
+                }
+                true
+            }
+            _ => false,
+        },
+        _ => false,
+    }
 }
 
 /// Sets a key; `*` stands for all entries of a list.
--- a/crates/sandgap-lab/src/fleet/play.rs
+++ b/crates/sandgap-lab/src/fleet/play.rs
@@ -15,7 +15,12 @@
                 break;
             }
             self.measures.events += 1;
+            let swept = matches!(event, Event::Sweep);
             self.event(now, event)?;
+            // Past the load's end the last answer ends the run; nothing that still runs can change it.
+            if swept && now >= self.measures.end() && self.requests.held() + self.again.held() == 0 {
+                break;
+            }
         }
         let waiting: Vec<u32> = self.requests.iter().map(|(n, _)| n).collect();
         for n in waiting {
--- a/crates/sandgap-lab/src/fleet/sends.rs
+++ b/crates/sandgap-lab/src/fleet/sends.rs
@@ -70,7 +70,7 @@
         let Attempt { request, number, endpoint, wanted, until } = attempt;
         let mut server = proxy::server(endpoint.address);
         if self.e.fleet.defect == Some(Defect::PushesCold)
-            && let Some(newest) = self.newest()
+            && let Some(newest) = self.newest(p)
         {
             server = newest;
         }
@@ -98,9 +98,14 @@
         if dial > 0 { self.cal.push(now + dial, Event::FirstByte(n)) } else { self.first_byte(now, n) }
     }
 
-    fn newest(&self) -> Option<u32> {
-        let cold = self.places.iter().enumerate().filter(|(_, s)| s.lives && s.born_ms > 0.0);
-        cold.max_by(|a, b| a.1.born_ms.total_cmp(&b.1.born_ms)).map(|(i, _)| i as u32)
+    /// The newest server that a proxy knows, for a defect.
+    fn newest(&self, p: u16) -> Option<u32> {
+        let known = self.changes.iter().take(self.proxies[usize::from(p)].version as usize).map(|c| c.0);
+        let cold = known.filter(|s| {
+            let place = &self.places[*s as usize];
+            place.lives && place.born_ms > 0.0 && place.health == "up"
+        });
+        cold.max_by(|a, b| self.places[*a as usize].born_ms.total_cmp(&self.places[*b as usize].born_ms))
     }
 
     /// The first byte of an attempt is about to go.
--- a/crates/sandgap-lab/src/lib.rs
+++ b/crates/sandgap-lab/src/lib.rs
@@ -18,3 +18,8 @@
 pub mod paper;
 pub mod stats;
 pub mod theory;
+pub mod checks;
+pub mod cost;
+pub mod hunt;
+pub mod report;
+pub mod run;
--- a/crates/sandgap-lab/src/theory.rs
+++ b/crates/sandgap-lab/src/theory.rs
@@ -105,6 +105,30 @@
         (((1.0 + self.ratio * load) / (1.0 + load)).ln() / (1.0 + self.rho).ln() + 1e-9).floor() as u32
     }
 
+    /// What one more job costs at each place of the queue up to the threshold, by (4.2): upwards from an empty
+    /// system where the load is above 1 and downwards from the threshold where it is below, since the other way
+    /// errors of rounding grow with each step.
+    fn costs(&self, tau: u32, g: f64) -> Vec<f64> {
+        let (m, lambda) = (f64::from(self.m), f64::from(self.m) * self.rho);
+        let mut costs = vec![0.0; tau as usize + 1];
+        if self.rho < 1.0 {
+            let mut cost = (f64::from(self.m + tau) + lambda * self.ratio - g) / m;
+            for x in (1..=tau).rev() {
+                costs[x as usize] = cost;
+                cost = (f64::from(self.m + x - 1) + lambda * cost - g) / m;
+            }
+        } else {
+            let mut cost = 0.0; // of the job that makes x in the system
+            for x in 0..self.m + tau {
+                cost = (g - f64::from(x) + f64::from(x.min(self.m)) * cost) / lambda;
+                if x >= self.m {
+                    costs[(x + 1 - self.m) as usize] = cost;
+                }
+            }
+        }
+        costs
+    }
+
     /// The least delay that any policy reaches, by policy iteration (Howard): a policy's relative values follow
     /// from (4.1) and (4.2) going down, and a job is let in where that costs no more than a slow server.
     pub fn optimum(&self) -> (u32, f64) {
@@ -112,22 +136,16 @@
         let mut tau = 0u32;
         loop {
             let g = self.d(tau) * lambda;
-            // What one more job costs at each length, from the threshold down and one beyond it.
-            let beyond = |x: f64| (x + lambda * self.ratio - g) / m;
-            let mut next = 0;
-            let mut cost = beyond(f64::from(self.m + tau));
-            for x in (1..=tau).rev() {
-                if cost <= self.ratio + 1e-12 {
-                    next = next.max(x);
-                }
-                cost = (f64::from(self.m + x - 1) + lambda * cost - g) / m;
-            }
-            let mut x = tau + 1;
-            while next + 1 == x && beyond(f64::from(self.m + x)) <= self.ratio + 1e-12 {
-                next = x;
-                x += 1;
+            let cheap = |cost: f64| cost <= self.ratio + 1e-12;
+            // (4.1), beyond the threshold.
+            let beyond = |x: u32| (f64::from(self.m + x) + lambda * self.ratio - g) / m;
+            let within = self.costs(tau, g);
+            let mut next = (1..=tau).rev().find(|x| cheap(within[*x as usize])).unwrap_or(0);
+            while next >= tau && cheap(beyond(next + 1)) {
+                next += 1;
             }
-            if next == tau {
+            // Each step improves; where it does not, by more than rounding, the two are as good as each other.
+            if next == tau || self.d(next) > self.d(tau) * (1.0 - 1e-13) {
                 return (tau, self.d(tau));
             }
             tau = next;
