--- a/crates/sandgap-lab/src/checks.rs
+++ b/crates/sandgap-lab/src/checks.rs
@@ -37,7 +37,10 @@
 /// A run that can't be played.
 pub fn theory(requests: u64) -> Result<String, RunError> {
     let mut out = String::new();
-    let _ = writeln!(out, "M/M/m through the fleet model, mean delay in service times, {requests} requests a point:");
+    let _ = writeln!(
+        out,
+        "M/M/m through the fleet model, mean delay in service times, {requests} requests a point:"
+    );
     let _ = writeln!(out, "{:>3} {:>5} {:>20} {:>10} {:>8}", "m", "rho", "simulated", "Erlang C", "off");
     for m in [1, 2, 10] {
         for rho in [0.5, 0.8, 0.95] {
@@ -64,7 +67,10 @@
 }
 
 fn two_speed(out: &mut String) {
-    let _ = writeln!(out, "\ntwo speeds: simulated N, Z, D against (3.2a), (3.2b), (3.1), and the threshold of (3.3):");
+    let _ = writeln!(
+        out,
+        "\ntwo speeds: simulated N, Z, D against (3.2a), (3.2b), (3.1), and the threshold of (3.3):"
+    );
     let _ = writeln!(
         out,
         "{:>3} {:>5} {:>4} {:>4} {:>5} {:>9} {:>9} {:>9} {:>10} {:>8} {:>8} {:>8}",
@@ -79,7 +85,8 @@
     }
     let play = |s: &TwoSpeed| {
         let tau = wharfhitch::threshold(f64::from(s.m), s.rho, s.ratio);
-        let system = ManySpeed { classes: vec![(1.0, s.m)], slow: 1.0 / s.ratio, lambda: f64::from(s.m) * s.rho };
+        let system =
+            ManySpeed { classes: vec![(1.0, s.m)], slow: 1.0 / s.ratio, lambda: f64::from(s.m) * s.rho };
         let mut rng = stream(u64::from(s.m), "two-speed", (s.rho * 100.0 + s.ratio * 1e4) as u64);
         (tau, paper::play(&system, &[0, tau], 2_000_000, &mut rng))
     };
@@ -121,7 +128,10 @@
 }
 
 fn many_speed(out: &mut String) {
-    let _ = writeln!(out, "\n5 servers of speed 16, 20 of 4, any number of 1: exact mean delay over the exact optimum's:");
+    let _ = writeln!(
+        out,
+        "\n5 servers of speed 16, 20 of 4, any number of 1: exact mean delay over the exact optimum's:"
+    );
     let _ = writeln!(
         out,
         "{:>6} {:>10} {:>9} {:>9} {:>9} {:>9} {:>9} {:>14} {:>14}",
@@ -183,8 +193,14 @@
 /// A run that can't be played.
 pub fn speed() -> Result<String, RunError> {
     let mut out = String::new();
-    let _ = writeln!(out, "{:>7} {:>8} {:>9} {:>10} {:>12} {:>9}", "proxies", "servers", "policy", "requests", "requests/s", "events/s");
-    for (proxies, servers, rate, seconds) in [(1u32, 12u32, 1500.0, 400.0), (1, 12, 1500.0, 400.0), (100, 1000, 120_000.0, 4.0)] {
+    let _ = writeln!(
+        out,
+        "{:>7} {:>8} {:>9} {:>10} {:>12} {:>9}",
+        "proxies", "servers", "policy", "requests", "requests/s", "events/s"
+    );
+    for (proxies, servers, rate, seconds) in
+        [(1u32, 12u32, 1500.0, 400.0), (1, 12, 1500.0, 400.0), (100, 1000, 120_000.0, 4.0)]
+    {
         for policy in [PolicyKind::Random, PolicyKind::Sandgap] {
             let text = format!(
                 "name = \"speed\"\nseconds = {seconds}\nwarm_seconds = 0\n[fleet]\nproxies = {proxies}\n[[server]]\n\
--- a/crates/sandgap-lab/src/cost.rs
+++ b/crates/sandgap-lab/src/cost.rs
@@ -6,8 +6,8 @@
 use rand_distr::{Distribution, Exp1};
 use serde::Serialize;
 use wharfhitch::{
-    Action, Backend, BackendId, Balancer, CellId, Class, ClassId, Discovery, Effect, Event, KindId, Limits, Outcome,
-    Prices, Rating, RequestId, Scope, Settings, State,
+    Action, Backend, BackendId, Balancer, CellId, Class, ClassId, Discovery, Effect, Event, KindId, Limits,
+    Outcome, Prices, Rating, RequestId, Scope, Settings, State,
 };
 
 use crate::calendar::{Calendar, MS, Nanos, nanos};
@@ -29,7 +29,14 @@
 }
 
 fn settings() -> Settings {
-    let class = |aim, worth, effect| Class { aim, deadline: aim * 2.5, aim_stretch: 0.0, worth, late_worth: 0.0, effect };
+    let class = |aim, worth, effect| Class {
+        aim,
+        deadline: aim * 2.5,
+        aim_stretch: 0.0,
+        worth,
+        late_worth: 0.0,
+        effect,
+    };
     Settings {
         me: 0,
         proxies: 1,
@@ -92,7 +99,9 @@
                     let took = 20.0 * (0.5 + rng.random::<f64>());
                     cal.push(cal.now() + nanos(took), Next::End(request.0, took));
                 }
-                Action::Timer { token, at } => cal.push((nanos(at) as Nanos).max(cal.now()), Next::Timer(token)),
+                Action::Timer { token, at } => {
+                    cal.push((nanos(at) as Nanos).max(cal.now()), Next::Timer(token))
+                }
                 _ => {}
             }
         }
--- a/crates/sandgap-lab/src/file.rs
+++ b/crates/sandgap-lab/src/file.rs
@@ -422,9 +422,8 @@
         vec![Problem { line: e.span().map_or(0, |s| line(text, s.start)), text: e.message().to_owned() }]
     })?;
     let problem = |key: &str, what: String| Problem { line: find(text, spanned.get_ref(), key), text: what };
-    let base = typed(table.clone()).map_err(|found| {
-        found.into_iter().map(|(key, what)| problem(&key, what)).collect::<Vec<_>>()
-    })?;
+    let base = typed(table.clone())
+        .map_err(|found| found.into_iter().map(|(key, what)| problem(&key, what)).collect::<Vec<_>>())?;
     let mut problems = Vec::new();
     let mut points = Vec::new();
     let runs = base.sweeps.iter().map(|s| s.values().len().max(1)).product::<usize>()
--- a/crates/sandgap-lab/src/file/tests.rs
+++ b/crates/sandgap-lab/src/file/tests.rs
@@ -15,11 +15,9 @@
         .replace("patience = 0.4", "patience = \"long\"");
     let told = problems(&text);
     let line = |word: &str| 1 + text.lines().position(|l| l.contains(word)).expect("it is there");
-    for (word, hint) in [
-        ("spred", "did you mean 'spread'?"),
-        ("unsave", "did you mean 'unsafe'?"),
-        ("patience", "expected"),
-    ] {
+    for (word, hint) in
+        [("spred", "did you mean 'spread'?"), ("unsave", "did you mean 'unsafe'?"), ("patience", "expected")]
+    {
         let start = format!("line {}: ", line(word));
         assert!(told.iter().any(|p| p.starts_with(&start) && p.contains(hint)), "{word} in {told:#?}");
     }
--- a/crates/sandgap-lab/src/fleet.rs
+++ b/crates/sandgap-lab/src/fleet.rs
@@ -36,7 +36,9 @@
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub enum RunError {
     /// The load is far beyond what the fleet can do.
-    #[error("more than {IN_FLIGHT} requests in flight at {0} s: the load is far beyond the fleet; lower load.rate or clients.tries")]
+    #[error(
+        "more than {IN_FLIGHT} requests in flight at {0} s: the load is far beyond the fleet; lower load.rate or clients.tries"
+    )]
     Overrun(u64),
     /// More servers than records can number.
     #[error("more than {SERVERS} servers over the run; shorten it or lower the part that faults replace")]
--- a/crates/sandgap-lab/src/fleet/client.rs
+++ b/crates/sandgap-lab/src/fleet/client.rs
@@ -6,7 +6,10 @@
 use sandgap_rules::End;
 use wharfhitch::{ClassId, RequestId, TenantId};
 
-use super::{Asked, Event, Fleet, GIVES_UP, IN_FLIGHT, Load, MS, NOBODY, Nanos, RunError, SECOND, SWEEP, Task, nanos, pick, stream, time, us};
+use super::{
+    Asked, Event, Fleet, GIVES_UP, IN_FLIGHT, Load, MS, NOBODY, Nanos, RunError, SECOND, SWEEP, Task, nanos,
+    pick, stream, time, us,
+};
 use crate::defects::{Defect, SOME};
 use crate::file::Retry;
 use crate::measure::Ended;
@@ -62,19 +65,28 @@
         }
         let spec = &self.e.classes[class];
         let waits = self.e.clients.patience + (1.0 - self.e.clients.patience) * rng.random::<f64>();
-        let work = spec.work.draw(&mut rng);
-        let leaves = (rng.random::<f64>() < self.e.clients.leave).then(|| nanos(2.0 * work * rng.random::<f64>()));
-        self.submit(now, Task {
-            number,
-            class: class as u16,
-            tenant: tenant as u16,
-            first: now,
-            tries: 0,
-            user,
-            work,
-            patience: nanos(spec.deadline_ms * waits).max(1),
-            leaves,
-        });
+        let mut work = spec.work.draw(&mut rng);
+        let mut patience = spec.deadline_ms * waits;
+        if let Some(line) = self.plan.recorded.get(number as usize) {
+            work = line.work_ms.unwrap_or(work);
+            patience = line.timeout_ms.unwrap_or(patience);
+        }
+        let leaves =
+            (rng.random::<f64>() < self.e.clients.leave).then(|| nanos(2.0 * work * rng.random::<f64>()));
+        self.submit(
+            now,
+            Task {
+                number,
+                class: class as u16,
+                tenant: tenant as u16,
+                first: now,
+                tries: 0,
+                user,
+                work,
+                patience: nanos(patience).max(1),
+                leaves,
+            },
+        );
         Ok(())
     }
 
--- a/crates/sandgap-lab/src/fleet/lists.rs
+++ b/crates/sandgap-lab/src/fleet/lists.rs
@@ -97,8 +97,12 @@
             health[*s as usize] = Some(h);
         }
         debug_assert!(joined.len() >= version as usize);
-        let lines: Vec<(u32, &'static str)> =
-            health.iter().enumerate().filter_map(|(i, h)| Some((i as u32, (*h)?))).filter(|l| l.1 != "removed").collect();
+        let lines: Vec<(u32, &'static str)> = health
+            .iter()
+            .enumerate()
+            .filter_map(|(i, h)| Some((i as u32, (*h)?)))
+            .filter(|l| l.1 != "removed")
+            .collect();
         self.proxies[usize::from(p)].version = version;
         let hosts = lines.iter().map(|(s, health)| self.host(*s, health)).collect();
         self.tell_list(now, p, Scope::Cached, &lines, hosts);
--- a/crates/sandgap-lab/src/fleet/play.rs
+++ b/crates/sandgap-lab/src/fleet/play.rs
@@ -94,7 +94,9 @@
             }
             Happening::Vigour(s, part) => self.vigour(now, s, part),
             Happening::Drain(s) if self.places[s as usize].health == "up" => self.change(now, s, "draining"),
-            Happening::Undrain(s) if self.places[s as usize].health == "draining" => self.change(now, s, "up"),
+            Happening::Undrain(s) if self.places[s as usize].health == "draining" => {
+                self.change(now, s, "up")
+            }
             Happening::Drain(_) | Happening::Undrain(_) => {}
             Happening::Remove(s) => {
                 if self.places[s as usize].health != "removed" {
--- a/crates/sandgap-lab/src/fleet/sends.rs
+++ b/crates/sandgap-lab/src/fleet/sends.rs
@@ -339,8 +339,11 @@
 
     /// A defect's answer that was held back.
     pub(super) fn late_answer(&mut self, now: Nanos, number: u32, stamp: u32) {
-        let (end, ended) =
-            if stamp == RAW { (End::Failed, Ended::Failed) } else { (End::Served(Some(stamp)), Ended::Served) };
+        let (end, ended) = if stamp == RAW {
+            (End::Failed, Ended::Failed)
+        } else {
+            (End::Served(Some(stamp)), Ended::Served)
+        };
         self.finish(now, number, end, ended, None);
     }
 
--- a/crates/sandgap-lab/src/fleet/setup.rs
+++ b/crates/sandgap-lab/src/fleet/setup.rs
@@ -10,8 +10,8 @@
 use wharfhitch::{BackendId, Balancer, Scope};
 
 use super::{
-    Calendar, Event, Fleet, GRACE_US, Load, MS, Mode, Nanos, Place, Plan, RunError, SERVERS, SWEEP, Server, Source,
-    Trace, Truth, UNIX_ZERO, Window, nanos, parts, stream,
+    Calendar, Event, Fleet, GRACE_US, Load, MS, Mode, Nanos, Place, Plan, RunError, SERVERS, SWEEP, Server,
+    Source, Trace, Truth, UNIX_ZERO, Window, nanos, parts, stream,
 };
 use crate::measure::Measures;
 use crate::proxy::{Notes, Proxy};
@@ -62,7 +62,7 @@
         fleet.truth.borrow_mut().idle.resize_with(e.fleet.proxies as usize, Default::default);
         for (g, group) in e.servers.iter().enumerate() {
             for i in 0..group.count {
-                if i % group.cell == 0 {
+                if fleet.places.len() % group.cell as usize == 0 {
                     fleet.cells += 1;
                 }
                 fleet.add_place(g, i as usize, None)?;
@@ -90,7 +90,9 @@
     }
 
     /// A server of a group. The `i`th of them, or the successor of one in its cell.
-    pub(super) fn add_place(&mut self, group: usize, i: usize, born: Option<(Nanos, u16)>) -> Result<u32, RunError> {
+    pub(super) fn add_place(
+        &mut self, group: usize, i: usize, born: Option<(Nanos, u16)>,
+    ) -> Result<u32, RunError> {
         let number = self.places.len();
         if number >= SERVERS {
             return Err(RunError::Servers);
--- a/crates/sandgap-lab/src/hunt.rs
+++ b/crates/sandgap-lab/src/hunt.rs
@@ -56,7 +56,8 @@
         let v = &end.verdict;
         let rules: BTreeSet<Rule> = v.counts.keys().copied().collect();
         let what = v.breaches.first().map(|b| b.what.clone());
-        let what = what.or_else(|| v.incomplete.first().cloned()).or_else(|| end.odd.first().map(|o| (*o).into()));
+        let what =
+            what.or_else(|| v.incomplete.first().cloned()).or_else(|| end.odd.first().map(|o| (*o).into()));
         let found = what.map(|what| Found { seed, rules, what });
         Ok((end.measures.requests, u64::from(v.figures.served), found))
     };
@@ -208,7 +209,8 @@
             let found = caught.found.iter().find(|f| f.rules.contains(&rule));
             let found = found.unwrap_or_else(|| panic!("{defect:?} was not caught: {:?}", caught.found));
             if matches!(defect, Defect::Resends | Defect::IgnoresDrains) {
-                let plan = Plan::draw(&experiment, PolicyKind::Sandgap, found.seed, Path::new(".")).expect("drawn");
+                let plan =
+                    Plan::draw(&experiment, PolicyKind::Sandgap, found.seed, Path::new(".")).expect("drawn");
                 let (short, runs) = shrink(&plan, &BTreeSet::from([rule]));
                 let kept: u32 = short.keep.iter().flatten().map(|r| r.1 - r.0).sum();
                 assert!(kept <= 200 && short.steps.len() < plan.steps.len() / 2, "{kept} after {runs} runs");
--- a/crates/sandgap-lab/src/lib.rs
+++ b/crates/sandgap-lab/src/lib.rs
@@ -5,21 +5,21 @@
 //! Runs of several seeds go side by side; one run is one thread.
 
 pub mod calendar;
+pub mod checks;
+pub mod cost;
 pub mod defects;
 pub mod file;
 pub mod fleet;
+pub mod hunt;
 pub mod limits;
 pub mod measure;
 pub mod model;
+pub mod paper;
 pub mod proxy;
+pub mod report;
 pub mod rivals;
-pub mod streams;
-pub mod window;
-pub mod paper;
+pub mod run;
 pub mod stats;
+pub mod streams;
 pub mod theory;
-pub mod checks;
-pub mod cost;
-pub mod hunt;
-pub mod report;
-pub mod run;
+pub mod window;
--- a/crates/sandgap-lab/src/main.rs
+++ b/crates/sandgap-lab/src/main.rs
@@ -15,7 +15,11 @@
 const WRONG: u8 = 2;
 
 #[derive(Parser)]
-#[command(name = "sandgap-lab", version, about = "Whole fleets in virtual time, with the real decision module inside")]
+#[command(
+    name = "sandgap-lab",
+    version,
+    about = "Whole fleets in virtual time, with the real decision module inside"
+)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
@@ -199,7 +203,12 @@
             println!("{:>8}  {:>9}  {:>10}  {:>9}", "servers", "ns/event", "ns/request", "in ticks");
             for n in servers {
                 let c = cost::measure(n, requests, rate);
-                println!("{n:>8}  {:>9.0}  {:>10.0}  {:>8.1}%", c.event_ns, c.request_ns, c.tick_part * 100.0);
+                println!(
+                    "{n:>8}  {:>9.0}  {:>10.0}  {:>8.1}%",
+                    c.event_ns,
+                    c.request_ns,
+                    c.tick_part * 100.0
+                );
             }
             Ok(true)
         }
@@ -230,7 +239,9 @@
         broken += of;
     }
     if cost {
-        costs.iter().for_each(|c| println!("{} {}: {:.0} ns a decision", c.point, c.policy.name(), c.decision_ns));
+        costs
+            .iter()
+            .for_each(|c| println!("{} {}: {:.0} ns a decision", c.point, c.policy.name(), c.decision_ns));
     }
     if let Some(out) = out {
         report::write(&results, cost.then_some(&costs[..]), &out).map_err(|e| e.to_string())?;
--- a/crates/sandgap-lab/src/model/arrivals.rs
+++ b/crates/sandgap-lab/src/model/arrivals.rs
@@ -60,7 +60,8 @@
         /// Time between an answer and the next request.
         think: Law,
     },
-    /// Times from a file: a CSV with a column `at_ms` and perhaps `class` and `tenant`, both by name.
+    /// Times from a file: a CSV with a column `at_ms` and perhaps `class` and `tenant`, both by name,
+    /// `work_ms` and `timeout_ms`.
     Replay {
         /// The file, from the experiment file's folder.
         file: String,
@@ -114,6 +115,10 @@
     pub class: Option<String>,
     /// Its tenant.
     pub tenant: Option<String>,
+    /// Its work on a standard core, ms; drawn where it is left out.
+    pub work_ms: Option<f64>,
+    /// How long its client waits, ms; drawn where it is left out.
+    pub timeout_ms: Option<f64>,
 }
 
 /// Reads a recorded load.
@@ -131,6 +136,10 @@
     for (i, line) in reader.deserialize().enumerate() {
         let line: Recorded = line.map_err(|e| named(&e))?;
         let last = all.last().map_or(0.0, |l| l.at_ms);
+        let span = |x: Option<f64>| x.is_none_or(|x| x.is_finite() && x >= 0.0);
+        if !(span(line.work_ms) && span(line.timeout_ms)) {
+            return Err(named(&format!("line {}: work_ms or timeout_ms is no span", i + 2)));
+        }
         if !(line.at_ms.is_finite() && line.at_ms >= last) {
             return Err(named(&format!("line {}: at_ms goes back or is no time", i + 2)));
         }
@@ -165,7 +174,9 @@
             Load::Burst { rate, times, at_s, for_s } => self.thin(rate * times.max(1.0), |t| {
                 if t >= at_s && t < at_s + for_s { rate * times } else { rate }
             }),
-            Load::Mmpp { rate, times, calm_s, burst_s } => return self.modulated(rate, times, calm_s, burst_s),
+            Load::Mmpp { rate, times, calm_s, burst_s } => {
+                return self.modulated(rate, times, calm_s, burst_s);
+            }
             Load::Closed { .. } | Load::Replay { .. } => return None,
         }
         Some((self.at * SECOND as f64) as Nanos)
--- a/crates/sandgap-lab/src/model/faults.rs
+++ b/crates/sandgap-lab/src/model/faults.rs
@@ -252,9 +252,10 @@
     let seconds = span as f64 / SECOND as f64;
     let mut out = Vec::new();
     let on_servers = [Hang, Slow, Neighbour, Errors, ResetBefore, ResetAfter, Refuse, BlackHole, Partition];
-    let all = on_servers.into_iter().chain([Drain, Drain, Drain, Deploy, Deploy, Crash]).chain([
-        Silent, Split, Split, Stale, Stale, Loss, Kill, Restart, Pause,
-    ]);
+    let all = on_servers
+        .into_iter()
+        .chain([Drain, Drain, Drain, Deploy, Deploy, Crash])
+        .chain([Silent, Split, Split, Stale, Stale, Loss, Kill, Restart, Pause]);
     for kind in all {
         let mut part = |least: f64, most: f64| least + (most - least) * rng.random::<f64>();
         let spec = FaultSpec {
@@ -292,7 +293,10 @@
             let on = count(|h| matches!(h, Happening::Split(_, true)));
             assert_eq!(on, count(|h| matches!(h, Happening::Split(_, false))));
             assert!(on > 0 && count(|h| matches!(h, Happening::Kill(..))) > 0);
-            assert_eq!(count(|h| matches!(h, Happening::Remove(_))), count(|h| matches!(h, Happening::Join(_))));
+            assert_eq!(
+                count(|h| matches!(h, Happening::Remove(_))),
+                count(|h| matches!(h, Happening::Join(_)))
+            );
         }
     }
 }
--- a/crates/sandgap-lab/src/model/network.rs
+++ b/crates/sandgap-lab/src/model/network.rs
@@ -51,7 +51,8 @@
 
     /// When the copies of a datagram arrive: none, one or two.
     pub fn datagram(&self, loss: f64, rng: &mut Stream) -> impl Iterator<Item = Nanos> + use<> {
-        let copies = if rng.random::<f64>() < loss { 0 } else { 1 + usize::from(rng.random::<f64>() < self.doubled) };
+        let copies =
+            if rng.random::<f64>() < loss { 0 } else { 1 + usize::from(rng.random::<f64>() < self.doubled) };
         let delays = [self.proxies.draw(rng), self.proxies.draw(rng)];
         delays.into_iter().take(copies).map(nanos)
     }
--- a/crates/sandgap-lab/src/report.rs
+++ b/crates/sandgap-lab/src/report.rs
@@ -67,11 +67,18 @@
 
 fn runs(results: &Results) -> Result<String, ReportError> {
     let mut table = csv::Writer::from_writer(Vec::new());
-    let head = ["point", "policy", "seed", "broken", "fallen"].into_iter().chain(MEASURES.iter().map(|m| m.0));
+    let head =
+        ["point", "policy", "seed", "broken", "fallen"].into_iter().chain(MEASURES.iter().map(|m| m.0));
     table.write_record(head)?;
     for c in &results.cells {
         for r in &c.runs {
-            let plain = [words(&c.set), c.policy.name(), r.seed.to_string(), r.broken.to_string(), r.fallen.to_string()];
+            let plain = [
+                words(&c.set),
+                c.policy.name(),
+                r.seed.to_string(),
+                r.broken.to_string(),
+                r.fallen.to_string(),
+            ];
             table.write_record(plain.into_iter().chain(r.figures.iter().map(f64::to_string)))?;
         }
     }
@@ -106,8 +113,16 @@
     );
     let broken: usize = results.cells.iter().flat_map(|c| &c.runs).map(|r| r.broken).sum();
     let unsure = results.cells.iter().flat_map(|c| &c.runs).filter(|r| r.incomplete).count();
-    let _ = write!(page, "<p>The four rules: {}", if broken == 0 { "none broken" } else { "<b>BROKEN</b>, see runs.csv" });
-    let _ = write!(page, "{}.</p>", if unsure > 0 { format!("; {unsure} runs could not be checked") } else { String::new() });
+    let _ = write!(
+        page,
+        "<p>The four rules: {}",
+        if broken == 0 { "none broken" } else { "<b>BROKEN</b>, see runs.csv" }
+    );
+    let _ = write!(
+        page,
+        "{}.</p>",
+        if unsure > 0 { format!("; {unsure} runs could not be checked") } else { String::new() }
+    );
     let policies = policies(results);
     let swept: Vec<&str> =
         results.cells.first().map_or_else(Vec::new, |c| c.set.iter().map(|s| s.0.as_str()).collect());
@@ -157,7 +172,11 @@
 
 fn shown(e: &Estimate) -> String {
     let digits = if e.mean.abs() < 10.0 { 4 } else { 1 };
-    if e.half.is_finite() { format!("{:.digits$} ± {:.digits$}", e.mean, e.half) } else { format!("{:.digits$}", e.mean) }
+    if e.half.is_finite() {
+        format!("{:.digits$} ± {:.digits$}", e.mean, e.half)
+    } else {
+        format!("{:.digits$}", e.mean)
+    }
 }
 
 /// One row a point, one column a policy; each rival is held against the first one, seed by seed.
@@ -213,7 +232,9 @@
 /// Lines of one plot: a name and its points, each with half an interval.
 type Lines = Vec<(String, Vec<(f64, f64, f64)>)>;
 
-fn sweep_plot(results: &Results, policies: &[PolicyKind], measure: usize, key: &str) -> Result<String, ReportError> {
+fn sweep_plot(
+    results: &Results, policies: &[PolicyKind], measure: usize, key: &str,
+) -> Result<String, ReportError> {
     let mut lines: Lines = Vec::new();
     for p in policies {
         let cells = results.cells.iter().filter(|c| c.policy == *p);
@@ -228,8 +249,10 @@
 }
 
 fn course_plot(cells: &[&Cell]) -> Result<String, ReportError> {
-    let lines: Lines =
-        cells.iter().map(|c| (c.policy.name(), c.course.iter().map(|(x, y)| (*x, *y, 0.0)).collect())).collect();
+    let lines: Lines = cells
+        .iter()
+        .map(|c| (c.policy.name(), c.course.iter().map(|(x, y)| (*x, *y, 0.0)).collect()))
+        .collect();
     plot(&lines, "s", "goodput")
 }
 
@@ -253,7 +276,9 @@
     if points().count() < 2 {
         return Ok(String::new());
     }
-    let fold = |f: fn(f64, f64) -> f64, start: f64, of: &dyn Fn(&(f64, f64, f64)) -> f64| points().map(of).fold(start, f);
+    let fold = |f: fn(f64, f64) -> f64, start: f64, of: &dyn Fn(&(f64, f64, f64)) -> f64| {
+        points().map(of).fold(start, f)
+    };
     let x = (fold(f64::min, f64::INFINITY, &|p| p.0), fold(f64::max, f64::NEG_INFINITY, &|p| p.0));
     let y = (fold(f64::min, 0.0, &|p| p.1 - p.2), fold(f64::max, 1e-9, &|p| p.1 + p.2) * 1.05);
     let failed = |e: &dyn std::fmt::Display| ReportError::Plot(e.to_string());
@@ -280,9 +305,12 @@
             let line = LineSeries::new(all.iter().map(|p| (p.0, p.1)), colour.stroke_width(2));
             let drawn = chart.draw_series(line).map_err(|e| failed(&e))?;
             let colour = *colour;
-            drawn.label(name).legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour.stroke_width(2)));
+            drawn
+                .label(name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour.stroke_width(2)));
             let bars = all.iter().filter(|p| p.2 > 0.0);
-            let bars = bars.map(|p| PathElement::new(vec![(p.0, p.1 - p.2), (p.0, p.1 + p.2)], colour.stroke_width(1)));
+            let bars = bars
+                .map(|p| PathElement::new(vec![(p.0, p.1 - p.2), (p.0, p.1 + p.2)], colour.stroke_width(1)));
             chart.draw_series(bars).map_err(|e| failed(&e))?;
         }
         chart
@@ -311,7 +339,8 @@
             alone += 1;
             continue;
         };
-        let same = ca.runs.len() == cb.runs.len() && ca.runs.iter().zip(&cb.runs).all(|(x, y)| x.seed == y.seed);
+        let same =
+            ca.runs.len() == cb.runs.len() && ca.runs.iter().zip(&cb.runs).all(|(x, y)| x.seed == y.seed);
         for (i, (name, _)) in MEASURES.iter().enumerate() {
             let of = |c: &Cell| c.runs.iter().map(|r| r.figures[i]).collect::<Vec<f64>>();
             let d = if same {
@@ -336,7 +365,12 @@
             }
         }
     }
-    let _ = writeln!(out, "{moved} figures moved beyond noise, {still} not told apart (95%; of {} that did not move about {} would seem to)", moved + still, (moved + still) / 20);
+    let _ = writeln!(
+        out,
+        "{moved} figures moved beyond noise, {still} not told apart (95%; of {} that did not move about {} would seem to)",
+        moved + still,
+        (moved + still) / 20
+    );
     if alone > 0 {
         let _ = writeln!(out, "{alone} cells of the first have no like in the second");
     }
--- a/crates/sandgap-lab/src/rivals.rs
+++ b/crates/sandgap-lab/src/rivals.rs
@@ -220,7 +220,9 @@
             PolicyKind::JoinIdleQueue => {
                 let mut truth = self.truth.borrow_mut();
                 while let Some(id) = truth.idle.get_mut(self.me).and_then(VecDeque::pop_front) {
-                    if let Some(k) = self.index.get(&id).copied().filter(|k| self.servers[*k].up && !tried(r, *k)) {
+                    if let Some(k) =
+                        self.index.get(&id).copied().filter(|k| self.servers[*k].up && !tried(r, *k))
+                    {
                         return Some(k);
                     }
                 }
@@ -241,7 +243,10 @@
         Some(if cost(b) < cost(a) { b } else { a })
     }
 
-    fn ended(&mut self, now: Millis, id: RequestId, attempt: usize, latency: Millis, outcome: Outcome, closed: bool, out: &mut Vec<Action>) {
+    fn ended(
+        &mut self, now: Millis, id: RequestId, attempt: usize, latency: Millis, outcome: Outcome,
+        closed: bool, out: &mut Vec<Action>,
+    ) {
         let Some(r) = self.asked.get_mut(&id) else { return };
         let Some(&(k, _)) = r.tried.get(attempt) else { return };
         r.out = false;
@@ -279,7 +284,8 @@
             Event::List { scope: Scope::Failed, .. } | Event::Started { .. } | Event::Message { .. } => {}
             Event::List { scope, entries } => self.list(scope, entries),
             Event::Request { id, class, budget, .. } => {
-                let asked = Asked { class: class.0, due: now + budget, tried: Vec::new(), ran: None, out: false };
+                let asked =
+                    Asked { class: class.0, due: now + budget, tried: Vec::new(), ran: None, out: false };
                 self.asked.insert(id, asked);
                 self.go(now, id, out);
             }
--- a/crates/sandgap-lab/src/run.rs
+++ b/crates/sandgap-lab/src/run.rs
@@ -129,7 +129,9 @@
 ///
 /// # Errors
 /// The first run, in the order of the file, that could not be played.
-pub fn play(points: &[Point], folder: &Path, timed: bool, bar: bool) -> Result<(Results, Vec<Cost>), Unplayed> {
+pub fn play(
+    points: &[Point], folder: &Path, timed: bool, bar: bool,
+) -> Result<(Results, Vec<Cost>), Unplayed> {
     let mut jobs = Vec::new();
     for (i, p) in points.iter().enumerate() {
         for &policy in &p.experiment.policies {
@@ -141,7 +143,8 @@
     progress.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
     let one = |&(i, policy, seed): &(usize, PolicyKind, u64)| {
         let p = &points[i];
-        let end = Plan::draw(&p.experiment, policy, seed, folder).and_then(|plan| fleet::run(&plan, timed, None));
+        let end =
+            Plan::draw(&p.experiment, policy, seed, folder).and_then(|plan| fleet::run(&plan, timed, None));
         progress.inc(1);
         end.map_err(|why| Unplayed { policy, seed, at: format!(" at {}", words(&p.set)), why })
     };
--- a/crates/sandgap-lab/src/stats.rs
+++ b/crates/sandgap-lab/src/stats.rs
@@ -18,8 +18,8 @@
 
 /// Two-sided 95% points of Student's t by degrees of freedom from 1.
 const T: [f64; 30] = [
-    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131, 2.120,
-    2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042,
+    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
+    2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042,
 ];
 
 /// The two-sided 95% point of Student's t.
@@ -102,7 +102,14 @@
         let mut rng = stream(1, "stats", 0);
         let (mut held, mut apart, tries) = (0, 0, 4000);
         for _ in 0..tries {
-            let mut draw = || (0..8).map(|_| { let x: f64 = StandardNormal.sample(&mut rng); x }).collect::<Vec<f64>>();
+            let mut draw = || {
+                (0..8)
+                    .map(|_| {
+                        let x: f64 = StandardNormal.sample(&mut rng);
+                        x
+                    })
+                    .collect::<Vec<f64>>()
+            };
             let (a, b) = (independent(&draw()), independent(&draw()));
             held += usize::from(a.mean.abs() <= a.half);
             apart += usize::from(difference(&a, &b).is_told_apart());
--- a/crates/sandgap-lab/src/streams.rs
+++ b/crates/sandgap-lab/src/streams.rs
@@ -28,7 +28,8 @@
     fn a_stream_depends_on_seed_name_and_index_alone() {
         let first = |seed, name, index| stream(seed, name, index).next_u64();
         assert_eq!(first(1, "arrivals", 0), first(1, "arrivals", 0));
-        let all = [first(1, "arrivals", 0), first(2, "arrivals", 0), first(1, "work", 0), first(1, "arrivals", 1)];
+        let all =
+            [first(1, "arrivals", 0), first(2, "arrivals", 0), first(1, "work", 0), first(1, "arrivals", 1)];
         let distinct: std::collections::BTreeSet<u64> = all.into_iter().collect();
         assert_eq!(distinct.len(), all.len());
     }
--- a/crates/sandgap-lab/src/theory.rs
+++ b/crates/sandgap-lab/src/theory.rs
@@ -88,10 +88,12 @@
     /// The threshold with the least delay, by trying all that may be it.
     pub fn best_tau(&self) -> u32 {
         let top = (f64::from(self.m) * (self.ratio - 1.0)).floor() as u32;
-        (0..=top).fold((0, f64::INFINITY), |best, tau| {
-            let d = self.d(tau);
-            if d < best.1 - 1e-12 { (tau, d) } else { best }
-        }).0
+        (0..=top)
+            .fold((0, f64::INFINITY), |best, tau| {
+                let d = self.d(tau);
+                if d < best.1 - 1e-12 { (tau, d) } else { best }
+            })
+            .0
     }
 
     /// Of shortest expected delay, by (2.1).
@@ -337,7 +339,8 @@
             for rho in [0.5, 0.8, 0.95, 1.2] {
                 for tau in [0, 1, 5, 20] {
                     let s = TwoSpeed { m, rho, ratio: 4.0 };
-                    let (n, z) = (s.n_formula(tau).expect("rho is not 1"), s.z_formula(tau).expect("as well"));
+                    let (n, z) =
+                        (s.n_formula(tau).expect("rho is not 1"), s.z_formula(tau).expect("as well"));
                     assert!((n / s.n(tau) - 1.0).abs() < 1e-9, "{s:?} {tau}: {n} {}", s.n(tau));
                     assert!((z / s.z(tau) - 1.0).abs() < 1e-9, "{s:?} {tau}: {z} {}", s.z(tau));
                 }
--- a/crates/sandgap-rig/src/discovery.rs
+++ b/crates/sandgap-rig/src/discovery.rs
@@ -202,7 +202,7 @@
             Health::Removed => "removed",
         };
         let build = &self.world.plan.machines[b.number];
-        let kind = if build.speed > 1.2 { "large" } else { "small" };
+        let kind = crate::export::kind(build.speed);
         format!(
             r#"{{"host":"{}","dial":"{}","site":"z","class":"{kind}","block":{},"health":"{health}","share":{:?},"born_ms":{}}}"#,
             b.name(),
--- a/crates/sandgap-rig/src/lib.rs
+++ b/crates/sandgap-rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod demo;
 pub mod discovery;
+pub mod export;
 pub mod http;
 pub mod limits;
 pub mod machine;
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -8,7 +8,7 @@
 use sandgap_rig::proxy::Program;
 use sandgap_rig::relay::{self, Kind};
 use sandgap_rig::run;
-use sandgap_rig::schedule::{SCENARIOS, Size, scenario};
+use sandgap_rig::schedule::{SCENARIOS, Scenario, Size, scenario};
 use sandgap_rules::Ledger;
 
 /// Faults, load and the ledger of the four rules, on loopback.
@@ -91,6 +91,28 @@
         #[arg(long, env = "SANDGAP")]
         proxy: Option<PathBuf>,
     },
+    /// Writes a scenario's servers and requests as an experiment of the laboratory; faults are left out.
+    Export {
+        /// Its name, see `list`.
+        scenario: String,
+        /// The folder.
+        folder: PathBuf,
+        /// The seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Requests in all.
+        #[arg(long, default_value_t = Size::default().requests)]
+        requests: usize,
+        /// Requests a second.
+        #[arg(long, default_value_t = Size::default().rate)]
+        rate: f64,
+        /// Proxies.
+        #[arg(long, default_value_t = 3)]
+        proxies: usize,
+        /// Backends.
+        #[arg(long, default_value_t = 12)]
+        backends: usize,
+    },
     /// Is a relay; its configuration is named by NODE_CONFIG.
     #[command(hide = true)]
     Relay {
@@ -147,6 +169,12 @@
             }
             Ok(true)
         }
+        Command::Export { scenario: name, folder, seed, requests, rate, proxies, backends } => {
+            let plan = named(&name)?.plan(seed, Size { requests, rate, proxies, backends });
+            sandgap_rig::export::write(&plan, &folder)?;
+            println!("{name} seed {seed} is in {}", folder.display());
+            Ok(true)
+        }
         Command::Run {
             scenario: name,
             seed,
@@ -160,10 +188,7 @@
             proxy: path,
             relay,
         } => {
-            let scenario = scenario(&name).ok_or_else(|| {
-                let names: Vec<_> = SCENARIOS.iter().map(|s| s.name).collect();
-                format!("there is no scenario {name:?}; there are {}", names.join(", "))
-            })?;
+            let scenario = named(&name)?;
             let program = relay.map_or_else(|| proxy(path), relay_program)?;
             let first = seed.unwrap_or_else(fresh_seed);
             let size = Size { requests, rate, proxies: proxies.into(), backends: backends.into() };
@@ -196,6 +221,13 @@
     }
 }
 
+fn named(name: &str) -> Result<&'static Scenario, String> {
+    scenario(name).ok_or_else(|| {
+        let names: Vec<_> = SCENARIOS.iter().map(|s| s.name).collect();
+        format!("there is no scenario {name:?}; there are {}", names.join(", "))
+    })
+}
+
 /// A seed that another run will hardly have; it is printed with the result.
 fn fresh_seed() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -11,10 +11,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use wharfhitch::{Balancer, Scope};
 
-use crate::config::{self, Config, Source};
+use crate::config::{Config, Source};
 use crate::driver::{Driver, Parts};
 use crate::event::{Inbox, Input};
-use crate::{discovery, front, note, peers, upstream};
+use crate::{discovery, front, load, note, peers, upstream};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
 const RESERVE: usize = 32;
@@ -25,7 +25,7 @@
 /// else needs a new start.
 async fn reload(mut hup: Signal, path: PathBuf, discovery: Option<watch::Sender<SocketAddr>>, inbox: Inbox) {
     while hup.recv().await.is_some() {
-        match config::read(&path) {
+        match load::read(&path) {
             Ok(Config { source, .. }) => match (source, &discovery) {
                 (Source::Discovery(address), Some(discovery)) => {
                     note!("the configuration names discovery at {address}");
@@ -35,9 +35,9 @@
                     note!("the configuration names {} backends", hosts.len());
                     inbox.put(Input::List(Scope::Full, hosts));
                 }
-                _ => note!("a change between discovery and a fixed list needs a new start"),
+                _ => note!(warn: "a change between discovery and a fixed list needs a new start"),
             },
-            Err(e) => note!("the configuration stays as it was: {e}"),
+            Err(e) => note!(warn: "the configuration stays as it was: {e}"),
         }
     }
 }
@@ -122,7 +122,7 @@
 /// A configuration that can't be read, an address that can't be used, or the end of the driver, in a text that
 /// names what is wrong.
 pub fn serve(path: PathBuf) -> Result<(), String> {
-    let config = config::read(&path)?;
+    let config = load::read(&path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     let outcome = LocalSet::new().block_on(&runtime, run(path, config));
--- a/crates/sandgap/src/discovery.rs
+++ b/crates/sandgap/src/discovery.rs
@@ -32,12 +32,12 @@
 fn host(entry: &Value) -> Option<Host> {
     let text = |key: &str| entry[key].as_str().map(str::to_owned);
     let Some(host) = text("host") else {
-        note!("discovery: an entry without a name");
+        note!(warn: "discovery: an entry without a name");
         return None;
     };
     let dial = entry["dial"].as_str().and_then(|d| d.parse().ok());
     if dial.is_none() && entry["health"] != "removed" {
-        note!("discovery: {host} has no address");
+        note!(warn: "discovery: {host} has no address");
     }
     Some(Host {
         host,
@@ -73,7 +73,7 @@
     match List::deserialize(known) {
         Ok(list) => Some(list.entries()),
         Err(e) => {
-            note!("the remembered list is of no use: {e}");
+            note!(warn: "the remembered list is of no use: {e}");
             None
         }
     }
@@ -141,14 +141,14 @@
                 return; // what it would say is late
             }
             if asked.is_some() && waits {
-                note!("discovery: {error}");
+                note!(warn: "discovery: {error}");
                 self.inbox.put(Input::List(Scope::Failed, Vec::new()));
                 continue;
             }
             if self.seq != before {
                 backoff = BACKOFF.0;
             }
-            note!("discovery: {error}; again in {} ms", backoff.as_millis());
+            note!(warn: "discovery: {error}; again in {} ms", backoff.as_millis());
             sleep(backoff).await;
             backoff = (backoff * 2).min(BACKOFF.1);
         }
@@ -171,7 +171,7 @@
                 Ok(()) => {}
                 Err(Trouble::Useless(e)) => return e,
                 Err(Trouble::Broken(e)) => {
-                    note!("discovery: a broken line: {e}");
+                    note!(warn: "discovery: a broken line: {e}");
                     match self.mend(lines).await {
                         Ok(new) => lines = new,
                         Err(e) => return e,
@@ -212,7 +212,7 @@
         }
         let list: List = serde_json::from_slice(line).map_err(|e| Trouble::Broken(e.to_string()))?;
         if self.seq.is_some_and(|seq| list.seq < seq || list.seq == seq && !list.whole) {
-            note!("discovery: news of {} is stale", list.seq); // what it says is older than what is known
+            note!(warn: "discovery: news of {} is stale", list.seq); // what it says is older than what is known
             return Ok(());
         }
         if !list.whole && self.seq.is_none() {
@@ -253,7 +253,7 @@
     loop {
         match open(address, after).await {
             Ok(lines) => return lines,
-            Err(e) => note!("discovery: {e}; again in {} ms", backoff.as_millis()),
+            Err(e) => note!(warn: "discovery: {e}; again in {} ms", backoff.as_millis()),
         }
         sleep(backoff).await;
         backoff = (backoff * 2).min(BACKOFF.1);
@@ -269,7 +269,7 @@
     match list.await.unwrap_or_else(|_| Err("no answer".into())) {
         Ok(list) => inbox.put(Input::List(Scope::Full, list.entries())),
         Err(e) => {
-            note!("discovery: {e}");
+            note!(warn: "discovery: {e}");
             inbox.put(Input::List(Scope::Failed, Vec::new()));
         }
     }
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -98,7 +98,7 @@
     }
 
     fn odd(&mut self, what: &'static str) {
-        note!("{what}");
+        note!(error: "{what}");
     }
 }
 
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -105,7 +105,7 @@
         let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
         while self.busy.get() > 0 {
             if timeout_at(end, self.left.notified()).await.is_err() {
-                return note!("ended with connections open");
+                return note!(warn: "ended with connections open");
             }
         }
     }
@@ -165,7 +165,7 @@
             }
             // Out of descriptors or the like: make room, wait a moment, go on.
             Err(e) => {
-                note!("accept: {e}");
+                note!(warn: "accept: {e}");
                 self.upstreams.close_idle();
                 self.make_room(false);
                 sleep(PAUSE).await;
--- a/crates/sandgap/src/log.rs
+++ b/crates/sandgap/src/log.rs
@@ -1,42 +1,111 @@
-//! Lines on standard error, a few a second at most, so that no flood of bad input becomes a flood of log.
+//! The log: structured events, written to standard error as text or as a JSON object a line, a few a second at
+//! most, so that no flood of bad input becomes a flood of log. Nothing on the path of a request logs.
 
-use std::cell::Cell;
-use std::fmt::Arguments;
-use std::io::Write as _;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use tracing_subscriber::fmt::MakeWriter;
+
 const BURST: u32 = 20; // lines in a second; the rest are counted and left out
 
-thread_local! {
-    static WINDOW: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+/// How lines look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs.
+    Json,
 }
 
-/// Writes a line unless too many came within this second.
-pub fn line(text: Arguments) {
-    let now = Instant::now();
-    let (since, count) = WINDOW.get();
-    let (since, count) = match since {
-        Some(since) if now - since < Duration::from_secs(1) => (since, count + 1),
-        _ => {
-            if count > BURST {
-                write(format_args!("{} lines left out", count - BURST));
-            }
-            (now, 1)
-        }
+/// Begins to log; a second call changes nothing.
+pub fn start(format: Format) {
+    let writer = Limited::default();
+    let lines = tracing_subscriber::fmt().with_writer(writer).with_target(false).with_ansi(false);
+    // A log that nobody reads any more must not end the process: what can't be written is dropped.
+    let lines = lines.log_internal_errors(false);
+    let _ = match format {
+        Format::Text => lines.try_init(),
+        Format::Json => lines.json().flatten_event(true).try_init(),
     };
-    WINDOW.set((Some(since), count));
-    if count <= BURST {
-        write(text);
+}
+
+/// This second, as far as it has come.
+#[derive(Default)]
+struct Window {
+    since: Option<Instant>,
+    count: u32,
+}
+
+impl Window {
+    /// Whether a line may be written now, and how many were left out before it.
+    fn admit(&mut self, now: Instant) -> (bool, u32) {
+        let mut left_out = 0;
+        if self.since.is_none_or(|s| now - s >= Duration::from_secs(1)) {
+            left_out = self.count.saturating_sub(BURST);
+            (self.since, self.count) = (Some(now), 0);
+        }
+        self.count += 1;
+        (self.count <= BURST, left_out)
+    }
+}
+
+/// Standard error, a few lines a second.
+#[derive(Clone, Default)]
+struct Limited(Arc<Mutex<Window>>);
+
+impl<'a> MakeWriter<'a> for Limited {
+    type Writer = Line;
+
+    fn make_writer(&'a self) -> Line {
+        let (write, left_out) = self.0.lock().unwrap_or_else(PoisonError::into_inner).admit(Instant::now());
+        Line { write, left_out }
     }
 }
 
-/// Writes a line. Unlike `eprintln!` it survives a log that nobody reads any more.
-fn write(text: Arguments) {
-    let _ = writeln!(std::io::stderr(), "sandgap: {text}");
+/// One line on its way.
+struct Line {
+    write: bool,
+    left_out: u32,
+}
+
+impl Write for Line {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.write {
+            let mut out = io::stderr().lock();
+            if self.left_out > 0 {
+                let _ = writeln!(out, "sandgap: {} lines left out", self.left_out);
+                self.left_out = 0;
+            }
+            let _ = out.write_all(bytes);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
-/// Logs a formatted line, rate-limited.
+/// Logs a formatted line; with a level first, at that level.
 #[macro_export]
 macro_rules! note {
-    ($($part:tt)*) => { $crate::log::line(format_args!($($part)*)) };
+    (error: $($part:tt)*) => { tracing::error!($($part)*) };
+    (warn: $($part:tt)*) => { tracing::warn!($($part)*) };
+    ($($part:tt)*) => { tracing::info!($($part)*) };
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_flood_is_cut_and_what_was_left_out_is_counted() {
+        let (mut window, start) = (Window::default(), Instant::now());
+        let written = (0..100).filter(|_| window.admit(start).0).count();
+        assert_eq!(written, BURST as usize);
+        assert_eq!(window.admit(start + Duration::from_secs(2)), (true, 80));
+        assert_eq!(window.admit(start + Duration::from_secs(2)), (true, 0));
+    }
 }
--- a/crates/sandgap/src/main.rs
+++ b/crates/sandgap/src/main.rs
@@ -6,12 +6,15 @@
 use clap::{Parser, Subcommand};
 use sandgap::config::Source;
 use sandgap::settings::schema::{Default, Kind, TABLES};
-use sandgap::{config, daemon, settings};
+use sandgap::{config, daemon, load, log, settings};
 
 /// A reverse proxy that keeps its promises when things break.
 #[derive(Parser)]
 #[command(version)]
 struct Arguments {
+    /// How the log's lines look.
+    #[arg(long, global = true, value_enum, env = "SANDGAP_LOG", default_value = "text")]
+    log: log::Format,
     /// Without one: serve, by the file that NODE_CONFIG names.
     #[command(subcommand)]
     command: Option<Command>,
@@ -53,10 +56,11 @@
 const WRONG: u8 = 2;
 
 fn main() -> ExitCode {
-    let command = Arguments::parse().command;
+    let Arguments { log: format, command } = Arguments::parse();
+    log::start(format);
     match command.or_else(|| Some(Command::Serve { file: std::env::var_os("NODE_CONFIG")?.into() })) {
         None => {
-            sandgap::note!(
+            sandgap::note!(error:
                 "NODE_CONFIG is not set; 'sandgap serve FILE' takes a file, 'sandgap --help' tells more"
             );
             ExitCode::FAILURE
@@ -64,7 +68,7 @@
         Some(Command::Serve { file }) => match daemon::serve(file) {
             Ok(()) => ExitCode::SUCCESS,
             Err(text) => {
-                sandgap::note!("{text}");
+                sandgap::note!(error: "{text}");
                 ExitCode::FAILURE
             }
         },
@@ -79,7 +83,7 @@
 }
 
 fn check(file: &std::path::Path) -> ExitCode {
-    if file.extension().is_some_and(|e| e == "toml") {
+    if load::Kind::of(file) == load::Kind::Own {
         return match settings::read(file) {
             Ok(config) => {
                 println!("{}", summary(&config));
@@ -92,7 +96,7 @@
             }
         };
     }
-    match config::read(file) {
+    match load::read(file) {
         Ok(config) => {
             println!("{}", summary(&config));
             ExitCode::SUCCESS
--- a/crates/sandgap/src/peers.rs
+++ b/crates/sandgap/src/peers.rs
@@ -26,9 +26,9 @@
     /// Tells every other proxy. What the socket can't take at once is lost, as on the way.
     pub fn tell(&self, bytes: &[u8]) {
         if bytes.len() > MOST {
-            note!("a message of {} bytes is not sent", bytes.len());
+            note!(warn: "a message of {} bytes is not sent", bytes.len());
         } else if let Err(e) = self.socket.try_send_to(bytes, self.addresses.all) {
-            note!("peers: {e}");
+            note!(warn: "peers: {e}");
         }
     }
 
@@ -41,11 +41,11 @@
                     Some(number) if size <= MOST => {
                         inbox.put(Input::Datagram { from: number as u32, bytes: buffer[..size].to_vec() });
                     }
-                    _ => note!("a datagram of {size} bytes or more from {from} is dropped"),
+                    _ => note!(warn: "a datagram of {size} bytes or more from {from} is dropped"),
                 },
                 // An earlier send's refusal may be reported here.
                 Err(e) => {
-                    note!("peers: {e}");
+                    note!(warn: "peers: {e}");
                     tokio::time::sleep(std::time::Duration::from_millis(10)).await;
                 }
             }
--- /dev/null
+++ b/crates/sandgap/src/platform.rs
@@ -0,0 +1,119 @@
+//! The platform's configuration: the JSON file that NODE_CONFIG names, read into a [`Config`].
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::Value;
+use wharfhitch::settings::{self, number_of};
+
+use crate::config::{Config, PeerAddresses, Source, held};
+
+/// The file as it stands; unknown keys are passed over.
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: Value,
+    #[serde(default)]
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    #[serde(default)]
+    known: Value,
+    settings: Value,
+}
+
+#[derive(Deserialize, Default)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+/// Reads a text.
+///
+/// # Errors
+/// What is wrong with it.
+pub fn parse(text: &str) -> Result<Config, String> {
+    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    if !file.settings.is_object() {
+        return Err("'settings' is no object".into());
+    }
+    let (mut settings, names) = settings::parse(&file.settings);
+    if settings.classes.is_empty() || names.classes.iter().any(String::is_empty) {
+        return Err("'settings' has no named classes".into());
+    }
+    // A wrong number would make this proxy claim another's part of the servers.
+    if settings.me >= settings.proxies {
+        return Err(format!("'settings': proxy number {} of {}", settings.me, settings.proxies));
+    }
+    let peers = match (file.peer_listen, file.peers_all) {
+        (Some(listen), Some(all)) if settings.may_tell => {
+            Some(PeerAddresses { listen, peers: file.peers, all })
+        }
+        _ => None,
+    };
+    let sockets = file.limits.sockets.unwrap_or(1024).max(64);
+    settings.limits.most_held = held(sockets);
+    Ok(Config {
+        name: file.name,
+        listen: file.listen,
+        source: Source::Discovery(file.discovery),
+        seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
+        sockets,
+        peers,
+        known: file.known,
+        connections: settings::connections(&file.settings),
+        settings,
+        names,
+    })
+}
+
+/// Hexadecimal as a rule; other text still gives the same number each time.
+fn seed(value: &Value) -> Option<u64> {
+    match value {
+        Value::String(text) => Some(u64::from_str_radix(text, 16).unwrap_or_else(|_| number_of(text))),
+        other => other.as_u64(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use wharfhitch::settings::Connections;
+
+    use super::*;
+
+    const GOOD: &str = r#"{"name":"n0","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"8c1f",
+        "limits":{"sockets":512},"peer_listen":"127.0.0.1:1","peers":["127.0.0.1:1"],"peers_all":"127.0.0.1:2",
+        "known":null,"settings":{"classes":[{"name":"page","effect":"idempotent","deadline":900}],
+        "nInstances":1,"myNumber":0,"ceilings":{"mayTell":true,"dialTimeout":120,"idleClose":30000}}}"#;
+
+    #[test]
+    fn a_good_file_is_read_whole() {
+        let config = parse(GOOD).expect("good");
+        assert_eq!((config.seed, config.sockets), (0x8c1f, 512));
+        assert_eq!(config.connections, Connections { dial_timeout: 120.0, idle_close: 30_000.0 });
+        assert_eq!(config.names.classes, ["page"]);
+        assert_eq!(config.peers.expect("peers are allowed").peers.len(), 1);
+    }
+
+    #[test]
+    fn peers_are_left_alone_where_the_settings_forbid_them() {
+        assert!(parse(&GOOD.replace("\"mayTell\":true", "\"mayTell\":false")).expect("good").peers.is_none());
+    }
+
+    #[test]
+    fn what_is_wrong_is_named() {
+        for (from, to, word) in [
+            ("127.0.0.1:9000", "nowhere", "socket address"),
+            ("\"seed\":\"8c1f\",", "", "seed"),
+            ("\"name\":\"page\",", "", "classes"),
+            ("\"myNumber\":0", "\"myNumber\":3", "number 3 of 1"),
+            ("{\"name\"", "{\"name", "line"),
+        ] {
+            let error = parse(&GOOD.replace(from, to)).err().expect(to);
+            assert!(error.contains(word), "{to}: {error}");
+        }
+    }
+}
