--- a/src/choice.rs
+++ b/src/choice.rs
@@ -559,6 +559,7 @@
     /// Looks over all servers: slots, budgets of cold ones, closings that end, how many look ill.
     fn review(&mut self, now: Millis) {
         self.mean = self.mean_latency();
+        self.mean_room = self.servers.iter().map(|s| s.room).sum::<f64>() / self.servers.len().max(1) as f64;
         for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= CALM_SAMPLES) {
             // Overfilled servers are slow all alike and look as if they had more cores: against that jam
             // a kind whose latency has left its calm level gets fewer slots until it is back.
@@ -572,8 +573,8 @@
             kind.throttle = (kind.throttle * step).clamp(THROTTLE_MIN, 1.0);
         }
         self.slowest = self.kinds.iter().map(|k| k.core).filter(|c| c.is_finite()).fold(0.0, f64::max);
-        let (up, ill) = self.census(now);
         self.reclaim(now);
+        let (up, ill) = self.census(now);
         self.doubt = ill > ALL_ILL * up || ill > DISTRUST * up && self.success < DISTRUST;
         for k in 0..self.servers.len() {
             if k as u64 % 8 == self.ticks / REVIEW % 8 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -328,7 +328,6 @@
     pub(crate) allowance: Vec<f64>, // requests that each tenant may still ask for within its share
     pub(crate) retries: f64,        // further attempts that the budget allows
     pub(crate) hints: Vec<(f64, f64)>, // mean hint by class, and its weight
-    pub(crate) census: Vec<Vec<f64>>, // failure means of the listed, as a whole and for each class: room kept
     pub(crate) ambient: Vec<f64>,   // failure mean of a middling server, as a whole and for each class
     pub(crate) doubt: bool,         // so many servers look ill that health is not believed
     pub(crate) success: f64,        // running mean of attempts that were served
@@ -377,7 +376,6 @@
             allowance: vec![1.0; cfg.tenants.len()],
             retries: 2.0,
             hints: vec![(1.0, 0.0); cfg.classes.len()],
-            census: vec![Vec::new(); cfg.classes.len() + 1],
             ambient: vec![0.0; cfg.classes.len() + 1],
             doubt: false,
             success: 1.0,
@@ -504,36 +502,21 @@
         }
     }
 
-    /// Counts the listed servers and those of them that are closed as ill, and notes the mean of all slots and for
-    /// each class the part that is closed to it and how often a middling server fails. One pass: with thousands of
-    /// servers each further one is as many misses of the cache.
+    /// Counts the listed servers and those of them that are closed as ill, and notes for each class the part
+    /// that is closed to it and how often a middling server fails.
     pub(crate) fn census(&mut self, now: Millis) -> (f64, f64) {
-        let classes = self.blocked.len();
-        let (mut listed, mut ill, mut room) = (0u32, 0u32, 0.0);
-        self.census.iter_mut().for_each(Vec::clear);
-        self.blocked.fill(0.0);
-        for s in &self.servers {
-            room += s.room;
-            if s.told.is_some() {
-                continue;
-            }
-            listed += 1;
-            ill += u32::from(s.health.closed > now && !s.full);
-            self.census[0].push(s.health.fails);
-            for (class, h) in s.by_class.iter().enumerate().take(classes) {
-                self.census[class + 1].push(h.fails);
-                self.blocked[class] += f64::from(u8::from(h.closed > now));
-            }
+        let listed: Vec<&Server> = self.servers.iter().filter(|s| s.told.is_none()).collect();
+        for (i, middle) in self.ambient.iter_mut().enumerate() {
+            let health = |s: &&Server| if i == 0 { s.health.fails } else { s.by_class[i - 1].fails };
+            let mut fails: Vec<f64> = listed.iter().map(health).collect();
+            fails.sort_by(f64::total_cmp);
+            *middle = fails.get(fails.len().saturating_sub(1) / 2).copied().unwrap_or(0.0);
         }
-        self.mean_room = room / self.servers.len().max(1) as f64;
-        for (fails, middle) in self.census.iter_mut().zip(&mut self.ambient) {
-            let at = fails.len().saturating_sub(1) / 2;
-            *middle =
-                if fails.is_empty() { 0.0 } else { *fails.select_nth_unstable_by(at, f64::total_cmp).1 };
+        let up = listed.len() as f64 + 0.01;
+        for (class, part) in self.blocked.iter_mut().enumerate() {
+            *part = listed.iter().filter(|s| s.by_class[class].closed > now).count() as f64 / up;
         }
-        let up = f64::from(listed) + 0.01;
-        self.blocked.iter_mut().for_each(|part| *part /= up);
-        (up, f64::from(ill))
+        (up, listed.iter().filter(|s| s.health.closed > now && !s.full).count() as f64)
     }
 
     /// The mean latency over all classes, by their answers.
@@ -601,10 +584,6 @@
     /// Makes the places of servers that have left vacant once no request, slot or peer refers to them:
     /// servers come and go for as long as the process runs.
     pub(crate) fn reclaim(&mut self, now: Millis) {
-        let gone = self.servers.iter().filter(|s| s.info.state == State::Gone).count();
-        if gone == self.vacant.len() {
-            return; // nobody has left since: nearly always
-        }
         let left = |s: &Server| s.info.state == State::Gone && s.own == 0 && s.wanted == 0;
         let mut free: Vec<bool> = self.servers.iter().map(left).collect();
         self.vacant.iter().for_each(|&k| free[k] = false);
