--- a/crates/sandgap-lab/src/fleet.rs
+++ b/crates/sandgap-lab/src/fleet.rs
@@ -177,6 +177,26 @@
 
 const RAW: u32 = u32::MAX;
 
+impl Out {
+    /// An attempt of a proxy's process at a server, sent at a time and given up at another.
+    fn new(request: u32, from: (u16, u16), server: u32, (sent, until): (Nanos, Nanos), work: f64) -> Self {
+        Out {
+            request,
+            number: RAW,
+            proxy: from.0,
+            process: from.1,
+            server,
+            sent,
+            until,
+            work,
+            outcome: Ends::Served,
+            gate: None,
+            told: false,
+            over: false,
+        }
+    }
+}
+
 struct Place {
     server: Server,
     name: String,
