--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -164,11 +164,6 @@
         self.live.len()
     }
 
-    /// What is kept with the requests that lack their answer, in no order that means anything.
-    pub fn unanswered(&mut self) -> impl Iterator<Item = (RequestId, &mut O::Held)> {
-        self.live.iter_mut().filter(|(_, l)| l.open).map(|(id, l)| (*id, &mut l.held))
-    }
-
     /// When something is due next. Last resorts of requests that have their answer by now are dropped here:
     /// nearly all do, and each would wake the process for nothing.
     pub fn next_due(&mut self) -> Option<Time> {
--- a/crates/sandgap-lab/src/cost.rs
+++ b/crates/sandgap-lab/src/cost.rs
@@ -130,7 +130,7 @@
         (events, round_events) = (events + 1, round_events + 1);
         (in_all, round) = (in_all + spent, round + spent);
         in_ticks += if tick { spent } else { 0.0 };
-        if count > 0 && count % per_round == 0 && matches!(cal.len(), 1..) && round_events >= per_round {
+        if count % per_round == 0 && round_events >= per_round {
             rounds.push(round / round_events as f64);
             (round, round_events) = (0.0, 0);
         }
--- a/crates/sandgap-lab/src/hunt.rs
+++ b/crates/sandgap-lab/src/hunt.rs
@@ -93,8 +93,8 @@
     let mut ranges = vec![(0, most)];
     best.keep = Some(ranges.clone());
     let mut size = most;
-    while size > 1 && best.keep.is_some() {
-        size = size.div_ceil(2).min(most);
+    while size > 1 {
+        size = size.div_ceil(2);
         let mut i = 0;
         ranges = ranges.iter().flat_map(|r| split(*r, size)).collect();
         while i < ranges.len() {
@@ -107,9 +107,6 @@
                 i += 1;
             }
         }
-        if size == 1 {
-            break;
-        }
     }
     let mut size = best.steps.len().div_ceil(2).max(1);
     loop {
--- a/crates/sandgap-rules/src/latencies.rs
+++ b/crates/sandgap-rules/src/latencies.rs
@@ -28,11 +28,6 @@
         self.times.saturating_record(time);
     }
 
-    /// Adds all that another one holds.
-    pub fn merge(&mut self, other: &Latencies) {
-        self.times.add(&other.times).expect("both have the same bounds");
-    }
-
     /// How many there are.
     pub fn count(&self) -> u64 {
         self.times.len()
--- a/crates/sandgap-rules/src/stream.rs
+++ b/crates/sandgap-rules/src/stream.rs
@@ -102,11 +102,6 @@
         self.open.len()
     }
 
-    /// What was found so far; requests that are still open are not in it.
-    pub fn so_far(&self) -> &Verdict {
-        &self.judge.verdict
-    }
-
     /// Judges what is still open, in the order of the requests' numbers.
     pub fn verdict(mut self) -> Verdict {
         let mut left: Vec<(u32, History)> = self.open.drain().collect();
