--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,6 +4,8 @@
 //! Types, settings, events and actions: `src/interface.rs`. Records and plumbing: `src/state.rs`. Mechanism
 //! and extensions: `docs/design.md`; formula numbers are those of the paper named there. Times are in ms.
 use crate::interface::*;
+use crate::limit::turn;
+use crate::message::{HEAD, MESSAGE, pack, pack_limits};
 use crate::state::*;
 
 const TICK: Millis = 20.0; // how often waiting and running requests are looked over: within a rule's slack
@@ -49,6 +51,7 @@
 const COLD_PART: f64 = 0.25; // part of a cold server's budget that one request may take
 const NEWS: f64 = 0.3; // part of a request's time within which others' word must come to show idleness
 const TELL_SHARE: f64 = 0.6; // full messages a proxy may spend for each request it gets
+const TURN: Millis = 300.0; // span for which a proxy's turn to try a server's limit lasts
 pub(crate) const STALE: Millis = 500.0; // what a peer told longer ago no longer counts
 
 /// The largest τ in 0..=m(R−1) for which (3.3) is negative.
@@ -343,8 +346,9 @@
         let rating = if self.cfg.rating == Rating::Size { s.info.rating } else { 1.0 };
         let kind = &self.kinds[s.kind];
         let cores = rating * (kind.core / self.slowest).min(1.0);
-        let room = (FULLNESS * kind.throttle * cores).max(1.0);
-        let mine = if self.pools() {
+        let prior = (FULLNESS * kind.throttle * cores).max(1.0);
+        let room = s.limit.slots(prior);
+        let mine = if self.pools() && !s.limit.learned() {
             1.0 // one slot on every server
         } else {
             // Each slot belongs to one proxy, of the server's zone if there is one: no two see it open.
@@ -377,6 +381,41 @@
         }
     }
 
+    /// Tells a server's limit of an answer, in the terms of a mean request.
+    fn weigh(&mut self, now: Millis, k: usize, class: usize, sent: Millis, held: f64, ms: Millis, home: bool) {
+        let ms = ms * self.mean / self.class_ms[class].0.max(0.01) * if home { self.gain } else { 1.0 };
+        let s = &mut self.servers[k];
+        if s.warmth >= 1.0 {
+            s.limit.answer(now, sent, held, ms);
+        }
+    }
+
+    /// Tells it that a request was turned away; whether that says more of the limit than of the server.
+    fn turned_away(&mut self, now: Millis, k: usize, sent: Millis, held: f64) -> bool {
+        let alone = self.cfg.proxies == 1;
+        let s = &mut self.servers[k];
+        let moved = s.limit.full(now, sent, held - 1.0, alone, s.room);
+        s.news |= moved;
+        self.size(k);
+        moved
+    }
+
+    /// Looks the limits over. Only one proxy probes a server at a time: they take turns by a hash of the server
+    /// and of the span in which it is, by each one's own clock.
+    fn limits(&mut self, now: Millis) {
+        let pressed = self.waiting > 0 && self.bands.bands.iter().all(|b| b.open.is_empty());
+        let span = (now / TURN) as u64;
+        for k in 0..self.servers.len() {
+            let s = &mut self.servers[k];
+            let turn = |s: &Server| turn(s.info.id.0 ^ span, self.cfg.me, self.cfg.proxies);
+            let warm = s.told.is_none() && s.warmth >= 1.0;
+            if warm && s.limit.review(now, s.room, pressed && turn(s), true) {
+                s.news = true;
+                self.size(k);
+            }
+        }
+    }
+
     // ---- health ----
 
     /// Judges a server by how an attempt ended or that it is silent, as a whole and for the class alone: some
@@ -428,10 +467,11 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.over) else { return };
         (a.over, a.ran) = (true, outcome.may_have_run());
-        let (k, lone, silent) = (a.server, a.lone, a.silent);
+        let (k, lone, silent, sent, held) = (a.server, a.lone, a.silent, a.sent, f64::from(a.held));
         let (class, size, home) = (r.class, r.size, r.home);
         r.done |= closed;
         self.running.retain(|o| *o != id);
+        let held = 0.5 * (held + f64::from(self.seen(k).max(1)));
         if !silent && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
             // Given up, yet it may still occupy the server: its slot stays taken until it plausibly ends.
             self.ghosts.push_back((now + 2.0 * self.class_ms[class].0, k));
@@ -446,11 +486,13 @@
         match outcome {
             Outcome::Served => {
                 self.fit_window(latency < LATE * self.cfg.classes[class].aim);
+                self.weigh(now, k, class, sent, held, latency / size, home == Some(k));
                 self.learn(k, class, latency / size, home == Some(k), lone);
                 self.judge(k, class, true, false, now);
             }
             Outcome::Moot | Outcome::Cancelled => {}
             Outcome::TimedOut if silent || latency < fair => {} // blamed already, or not to blame
+            Outcome::Full if self.turned_away(now, k, sent, held) => {}
             _ => self.judge(k, class, false, outcome == Outcome::Full, now),
         }
         if outcome == Outcome::Full {
@@ -574,6 +616,7 @@
         }
         self.slowest = self.kinds.iter().map(|k| k.core).filter(|c| c.is_finite()).fold(0.0, f64::max);
         self.reclaim(now);
+        self.limits(now);
         let (up, ill) = self.census(now);
         self.doubt = ill > ALL_ILL * up || ill > DISTRUST * up && self.success < DISTRUST;
         for k in 0..self.servers.len() {
@@ -625,5 +668,9 @@
             (self.credit, self.told_at) = (self.credit - cost, now);
             out.push(Action::Broadcast(pack(self.cfg.zone, &self.servers, now)));
         }
+        if self.cfg.may_tell && self.cfg.proxies > 1 && self.servers.iter().any(|s| s.news) {
+            let news = |s: &mut Server| std::mem::take(&mut s.news).then(|| (s.info.id, s.limit.slots(s.room)));
+            out.push(Action::Broadcast(pack_limits(self.servers.iter_mut().filter_map(news))));
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod choice;
 pub mod interface;
+pub mod limit;
+mod message;
 #[cfg(feature = "settings")]
 pub mod settings;
 mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,8 @@
 //! The records that the choices keep, and the plumbing under them. Nothing is decided here.
 use crate::choice::{BACKOFF, BAND_RATIO, BANDS, RATE_SPAN, SPREAD_SAMPLES, STALE, UNMEASURED, WINDOW_LEAST};
 use crate::interface::*;
+use crate::limit::Limit;
+use crate::message::{short, unpack, unpack_limits};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
@@ -39,6 +41,8 @@
     pub kind: usize,               // its kind of machine; 0 if none is told
     pub room: f64,                 // slots for all proxies together
     pub mine: f64,                 // those of them that are this proxy's own
+    pub limit: Limit,              // what is learned of how much it can hold
+    pub news: bool,                // the others are to be told of it
     pub band: usize,               // the speed band of that cost
     pub warmth: f64,               // part of its capacity that it surely has
     pub cost: f64,                 // expected latency relative to the fleet's mean, crossing included
@@ -71,6 +75,8 @@
             kind: 0,
             room: 1.0,
             mine: 0.0,
+            limit: Limit::new(now),
+            news: false,
             band: 0,
             warmth: 1.0,
             cost: 1.0,
@@ -137,6 +143,7 @@
     pub sent: Millis,
     pub over: bool,
     pub lone: bool,   // it found the server idle
+    pub held: u32,    // requests there at its send, itself among them
     pub silent: bool, // it was out for so long that its server was blamed
     pub ran: bool,    // it runs or may have run
 }
@@ -239,47 +246,6 @@
 }
 
 const MOST_SLOTS: u32 = 1024; // of a server: a bound on work, whatever a list says
-const VERSION: u8 = 1;
-pub(crate) const HEAD: usize = 3; // bytes of a message before its servers
-pub(crate) const MESSAGE: usize = 256; // bytes of a full message
-
-/// Packs what this proxy holds and blames; servers are named by 16 bits of their hash.
-pub(crate) fn pack(zone: Option<ZoneId>, servers: &[Server], now: Millis) -> Vec<u8> {
-    let name = |s: &Server| short(s.info.id).to_le_bytes();
-    let mut bytes = vec![VERSION, zone.map_or(u8::MAX, |z| z.0 as u8), 0];
-    for s in servers.iter().filter(|s| s.health.closed > now && s.told.is_none()).take(30) {
-        bytes.extend(name(s));
-        bytes[2] += 1;
-    }
-    for s in servers.iter().filter(|s| s.own > 0) {
-        for _ in 0..s.own.min((MESSAGE - bytes.len()) as u32 / 2) {
-            bytes.extend(name(s));
-        }
-    }
-    bytes
-}
-
-/// Unpacks a message: the sender's zone, what it blames, what it holds.
-pub(crate) fn unpack(
-    bytes: &[u8], names: &FxHashMap<u16, usize>,
-) -> Option<(Option<ZoneId>, Vec<usize>, Vec<usize>)> {
-    if bytes.len() < HEAD || bytes[0] != VERSION {
-        return None;
-    }
-    let zone = (bytes[1] != u8::MAX).then_some(ZoneId(u32::from(bytes[1])));
-    let (mut blames, mut holds) = (Vec::new(), Vec::new());
-    for (i, pair) in bytes[HEAD..].chunks_exact(2).enumerate() {
-        if let Some(&k) = names.get(&u16::from_le_bytes([pair[0], pair[1]])) {
-            if i < usize::from(bytes[2]) { blames.push(k) } else { holds.push(k) }
-        }
-    }
-    Some((zone, blames, holds))
-}
-
-/// The 16 bits by which messages name a server.
-pub(crate) fn short(id: BackendId) -> u16 {
-    mix(id.0) as u16
-}
 
 /// Spreads the bits of a number.
 pub(crate) fn mix(mut x: u64) -> u64 {
@@ -427,8 +393,9 @@
     /// Notes that a request goes to a server.
     pub(crate) fn begin(&mut self, now: Millis, id: RequestId, server: usize, lone: bool) {
         self.dequeue(id);
+        let held = self.seen(server) + 1;
         let r = self.requests.get_mut(&id).expect("only known requests are sent");
-        r.attempts.push(Attempt { server, sent: now, over: false, ran: true, lone, silent: false });
+        r.attempts.push(Attempt { server, sent: now, over: false, ran: true, lone, held, silent: false });
         self.running.push(id);
     }
 
@@ -527,6 +494,10 @@
     }
 
     pub(crate) fn hear(&mut self, now: Millis, from: usize, bytes: &[u8]) {
+        if let Some(limits) = unpack_limits(bytes, &self.names) {
+            limits.into_iter().for_each(|(k, limit)| self.servers[k].limit.told(now, limit));
+            return;
+        }
         let Some((zone, blames, holds)) = unpack(bytes, &self.names).filter(|_| from < self.peers.len())
         else {
             return;
@@ -549,6 +520,13 @@
         p.holds
     }
 
+    /// Requests at a server as far as this proxy can tell: where the others are silent, as many each as it has.
+    pub(crate) fn seen(&self, k: usize) -> u32 {
+        let s = &self.servers[k];
+        let silent = self.cfg.proxies > 1 && self.peers.iter().all(Option::is_none);
+        if silent { s.own.saturating_mul(self.cfg.proxies) } else { s.held() }
+    }
+
     /// The part of its capacity that a server surely has: it warms at least evenly.
     pub(crate) fn warmth(&self, k: usize, now: Millis) -> f64 {
         let l = &self.cfg.limits;
