--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! Types, settings, events and actions: `src/interface.rs`. Records and plumbing: `src/state.rs`. Mechanism
 //! and extensions: `docs/design.md`; formula numbers are those of the paper named there. Times are in ms.
 use crate::interface::*;
-use crate::limit::turn;
+use crate::limit::{Why, turn};
 use crate::message::{HEAD, MESSAGE, pack, pack_limits};
 use crate::state::*;
 
@@ -51,6 +51,7 @@
 const COLD_PART: f64 = 0.25; // part of a cold server's budget that one request may take
 const NEWS: f64 = 0.3; // part of a request's time within which others' word must come to show idleness
 const TELL_SHARE: f64 = 0.6; // full messages a proxy may spend for each request it gets
+const CLASS_KNOWN: f64 = 20.0; // answers of a class before it tells of limits
 const TURN: Millis = 300.0; // span for which a proxy's turn to try a server's limit lasts
 pub(crate) const STALE: Millis = 500.0; // what a peer told longer ago no longer counts
 
@@ -340,7 +341,7 @@
     }
 
     /// How many slots a server has, and which of them are this proxy's own.
-    fn size(&mut self, k: usize) {
+    pub(crate) fn size(&mut self, k: usize) {
         let s = &self.servers[k];
         // A rating is cores times speed; on the slowest kind a core has about the speed of the yardstick.
         let rating = if self.cfg.rating == Rating::Size { s.info.rating } else { 1.0 };
@@ -356,7 +357,7 @@
         };
         self.kinds[s.kind].cores = cores.max(1.0);
         let s = &mut self.servers[k];
-        (s.room, s.mine) = (room, mine);
+        (s.prior, s.room, s.mine) = (prior, room, mine);
         s.weight = 1.0 / (s.info.rating * s.warmth).max(1e-6);
     }
 
@@ -383,7 +384,7 @@
 
     /// Tells a server's limit of an answer, in the terms of a mean request.
     fn weigh(&mut self, now: Millis, k: usize, class: usize, sent: Millis, held: f64, ms: Millis, home: bool) {
-        let ms = ms * self.mean / self.class_ms[class].0.max(0.01) * if home { self.gain } else { 1.0 };
+        let ms = ms * self.terms[class] * if home { self.gain } else { 1.0 };
         let s = &mut self.servers[k];
         if s.warmth >= 1.0 {
             s.limit.answer(now, sent, held, ms);
@@ -394,7 +395,7 @@
     fn turned_away(&mut self, now: Millis, k: usize, sent: Millis, held: f64) -> bool {
         let alone = self.cfg.proxies == 1;
         let s = &mut self.servers[k];
-        let moved = s.limit.full(now, sent, held - 1.0, alone, s.room);
+        let moved = s.limit.full(now, sent, held - 1.0, alone, s.prior);
         s.news |= moved;
         self.size(k);
         moved
@@ -406,11 +407,23 @@
         let pressed = self.waiting > 0 && self.bands.bands.iter().all(|b| b.open.is_empty());
         let span = (now / TURN) as u64;
         for k in 0..self.servers.len() {
+            let seen = f64::from(self.seen(k));
             let s = &mut self.servers[k];
+            let chance = draw(span, s.info.id.0);
             let turn = |s: &Server| turn(s.info.id.0 ^ span, self.cfg.me, self.cfg.proxies);
-            let warm = s.told.is_none() && s.warmth >= 1.0;
-            if warm && s.limit.review(now, s.room, pressed && turn(s), true) {
+            let due = |s: &Server| s.limit.learned() || self.kinds[s.kind].ratings.may_try(now, chance);
+            let probe = pressed && seen + 0.5 > s.room && (turn(s) || s.limit.growing(now)) && due(s);
+            let rated = !s.limit.proven();
+            if s.told.is_none()
+                && s.warmth >= 1.0
+                && let Some(why) = s.limit.review(now, s.prior, probe)
+            {
                 s.news = true;
+                match why {
+                    Why::Grew if rated => self.kinds[s.kind].ratings.failed(),
+                    Why::NoGain if rated => self.kinds[s.kind].ratings.held(now),
+                    _ => {}
+                }
                 self.size(k);
             }
         }
@@ -601,6 +614,10 @@
     /// Looks over all servers: slots, budgets of cold ones, closings that end, how many look ill.
     fn review(&mut self, now: Millis) {
         self.mean = self.mean_latency();
+        for (terms, class) in self.terms.iter_mut().zip(&self.class_ms) {
+            // Before a class's weight is known its answers tell nothing of crowds.
+            *terms = if class.1 < CLASS_KNOWN { 0.0 } else { self.mean / class.0.max(0.01) };
+        }
         self.mean_room = self.servers.iter().map(|s| s.room).sum::<f64>() / self.servers.len().max(1) as f64;
         for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= CALM_SAMPLES) {
             // Overfilled servers are slow all alike and look as if they had more cores: against that jam
@@ -669,7 +686,7 @@
             out.push(Action::Broadcast(pack(self.cfg.zone, &self.servers, now)));
         }
         if self.cfg.may_tell && self.cfg.proxies > 1 && self.servers.iter().any(|s| s.news) {
-            let news = |s: &mut Server| std::mem::take(&mut s.news).then(|| (s.info.id, s.limit.slots(s.room)));
+            let news = |s: &mut Server| std::mem::take(&mut s.news).then(|| (s.info.id, s.limit.known()));
             out.push(Action::Broadcast(pack_limits(self.servers.iter_mut().filter_map(news))));
         }
     }
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -12,16 +12,26 @@
 pub const MOST: f64 = 1024.0;
 const HALF_LIFE: Millis = 2000.0; // of what an answer tells: a neighbour comes and goes within seconds
 const FULL_WEIGHT: f64 = 64.0; // answers over which a level's latency is averaged
+const SPAN_WEIGHT: f64 = 200.0; // answers over which a span's latency is averaged
 const KNOWN: f64 = 5.0; // answers that make a level known
 const GLIMPSE: f64 = 2.0; // answers that are enough for the least latency: low levels are passed quickly
 const OUTLIER: f64 = 4.0; // times its level's mean to which an answer counts
 const FLAT: f64 = 0.9; // part of the best throughput from which on more requests bring nothing worth a wait
-const GAIN: f64 = 0.4; // part of a probe's added requests that must turn into throughput
+const GAIN: f64 = 0.5; // part of a probe's added requests that must turn into throughput
+const SURE: f64 = 2.5; // standard errors by which a probe's gain must be past doubt
 const ROOM: f64 = 1.15; // requests for each that is worked on: a few more than fit keep a server busy
-const CREST: f64 = 1.5; // latency over its least from which on a cut below the visited levels is looked into
-const PROBE: (Millis, Millis) = (60.0, 1500.0); // a probe's least and longest span
-const SPANS: f64 = 6.0; // latencies that a probe lasts, within those bounds
-const REST: (Millis, Millis) = (500.0, 16_000.0); // rest after a failed probe: doubles with each failure
+const FLOW: f64 = 20.0; // faded answers behind a curve: with fewer a probe would end without an answer
+const SPREAD: f64 = 0.5; // of one latency about its mean, where a cut is looked into
+const CREST: (f64, f64) = (1.5, 0.9); // latency over its least from which on a cut is looked into, and how deep one must be
+const CREST_RATED: (f64, f64) = (2.0, 0.65); // the same while the rating stands
+const PROBE: (Millis, Millis) = (400.0, 1500.0); // a probe's least and longest span
+const SPANS: f64 = 20.0; // latencies that a probe lasts, within those bounds
+const JOINED: Millis = 100.0; // by which a joined probe lasts longer, for the word of its end to come
+const REST: (Millis, Millis) = (1000.0, 30_000.0); // rest after a failed probe: doubles with each failure
+const FEW: f64 = 0.125; // part of the servers tried at once while all ratings may be right
+const SETTLE: Millis = 50.0; // in which others hear of a move
+const FULL_GAIN: f64 = 0.1; // weight of one request in the part that is turned away
+const FULL_PART: f64 = 0.2; // part from which on it is no chance, where others send too
 const FULL_CUT: f64 = 0.75; // to which a 'full' cuts at once where others' requests are not all known
 
 /// Why a limit moved last.
@@ -35,6 +45,8 @@
     Grew,
     /// A probe brought only latency.
     NoGain,
+    /// A probe ended without telling either way.
+    Unclear,
     /// Latency grew as much as what was held.
     Crowded,
     /// The server turned requests away.
@@ -51,6 +63,7 @@
             Why::Probing => "trying more, as demand waits",
             Why::Grew => "more requests brought more answers",
             Why::NoGain => "more requests brought only longer waits",
+            Why::Unclear => "trying more told nothing",
             Why::Crowded => "answers slowed as more were held",
             Why::Full => "it turned requests away",
             Why::Told => "another proxy told",
@@ -92,23 +105,51 @@
     if level < 3 { level as f64 + 1.0 } else { ((level as f64 + 1.0) / 2.0).exp2().ceil() }
 }
 
+/// Answers of one span: means of what was held and of latency, and how latency spreads.
+#[derive(Clone, Copy, Debug, Default)]
+struct Span {
+    count: f64,
+    held: f64,
+    latency: Millis,
+    square: f64, // mean squared deviation
+}
+
+impl Span {
+    fn add(&mut self, held: f64, latency: Millis) {
+        self.count = (self.count + 1.0).min(SPAN_WEIGHT);
+        let off = latency - self.latency;
+        self.held += (held - self.held) / self.count;
+        self.latency += off / self.count;
+        self.square += (off * (latency - self.latency) - self.square) / self.count;
+    }
+
+    /// Squared relative error of the mean latency; no server is taken for steadier than a tenth.
+    fn error(&self) -> f64 {
+        (self.square / (self.latency * self.latency)).max(0.01) / self.count
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Probe {
-    from: f64,
+    from: Option<f64>, // the limit before it
+    slots: f64,        // what that was in slots
     until: Millis,
+    seen: Span,
+    own: bool, // begun here, not told of
 }
 
 /// What is believed of one server. Concurrency counts the requests of all proxies.
 #[derive(Clone, Debug)]
 pub struct Limit {
     levels: [Level; LEVELS],
-    slots: f64,
-    learned: bool,
+    slots: Option<f64>, // none while the rating stands
+    usual: Span,        // at the present limit
     probe: Option<Probe>,
     since: Millis, // answers to requests sent before this tell of another limit
     rest: Millis,
     rest_until: Millis,
     leap: usize,
+    turned: f64, // part of what was sent that was turned away
     new: bool,
     why: Why,
     moved: Millis,
@@ -117,7 +158,6 @@
 /// A level as the curve has it: requests held, their latency, answers behind it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Point {
-    level: usize,
     held: f64,
     latency: Millis,
     weight: f64,
@@ -134,13 +174,14 @@
     pub fn new(now: Millis) -> Self {
         Limit {
             levels: [Level::default(); LEVELS],
-            slots: 1.0,
-            learned: false,
+            slots: None,
+            usual: Span::default(),
             probe: None,
             since: now,
             rest: REST.0,
             rest_until: now,
             leap: 1,
+            turned: 0.0,
             new: false,
             why: Why::Rating,
             moved: now,
@@ -149,12 +190,27 @@
 
     /// Requests that the server should hold, given what the rating says.
     pub fn slots(&self, prior: f64) -> f64 {
-        if self.learned { self.slots } else { prior }
+        self.slots.unwrap_or(prior)
     }
 
     /// Whether the rating no longer counts.
     pub fn learned(&self) -> bool {
-        self.learned
+        self.slots.is_some()
+    }
+
+    /// Whether it has just grown here: who found room looks on.
+    pub fn growing(&self, now: Millis) -> bool {
+        self.why == Why::Grew && now - self.moved < REST.0
+    }
+
+    /// The limit, if one is learned or tried, and whether it is but tried.
+    pub fn known(&self) -> (Option<f64>, bool) {
+        (self.slots, self.probe.is_some())
+    }
+
+    /// Whether a limit is learned, apart from one that is being tried.
+    pub fn proven(&self) -> bool {
+        self.probe.map_or(self.slots, |p| p.from).is_some()
     }
 
     /// Why it moved last, and when.
@@ -165,11 +221,15 @@
     /// A new process has taken the server's place: what it holds is believed, what slows it now is not.
     pub fn restart(&mut self, now: Millis) {
         self.levels = [Level::default(); LEVELS];
-        (self.probe, self.since) = (None, now);
+        self.slots = self.probe.map_or(self.slots, |p| p.from);
+        (self.probe, self.since, self.usual) = (None, now, Span::default());
+        
     }
 
-    fn set(&mut self, now: Millis, slots: f64, why: Why) {
-        (self.slots, self.learned, self.why, self.moved) = (slots.clamp(1.0, MOST), true, why, now);
+    fn set(&mut self, now: Millis, slots: Option<f64>, why: Why) {
+        if option_env!("DBG").is_some() { eprintln!("{now:.0} {:p} {:?} -> {slots:?} {why:?} usual n {:.1} L {:.1} c {:.0} probe {:?}", self, self.slots, self.usual.held, self.usual.latency, self.usual.count, self.probe); }
+        self.slots = slots.map(|s| s.clamp(1.0, MOST));
+        (self.why, self.moved, self.since) = (why, now, now);
     }
 
     /// An answer came from a server that held `held` requests in the mean, this one among them. `latency` is
@@ -177,34 +237,65 @@
     pub fn answer(&mut self, now: Millis, sent: Millis, held: f64, latency: Millis) {
         if sent >= self.since && latency.is_finite() && latency > 0.0 {
             self.levels[level(held)].add(now, held, latency);
+            self.probe.as_mut().map_or(&mut self.usual, |p| &mut p.seen).add(held, latency);
             self.new = true;
+            self.turned *= 1.0 - FULL_GAIN;
         }
     }
 
     /// The server turned a request away while it held `held` others. Returns whether that moved the limit: it is
     /// then no sign of illness. Where `alone` is false other proxies' requests may be there unseen.
     pub fn full(&mut self, now: Millis, sent: Millis, held: f64, alone: bool, prior: f64) -> bool {
-        if sent < self.since {
-            return self.learned; // sent before the last cut
+        if off('B') { return false; }
+        if sent < self.since + if alone { 0.0 } else { SETTLE } {
+            return self.learned(); // sent before all had heard of the last move
         }
         let slots = self.slots(prior);
+        self.turned += FULL_GAIN * (1.0 - self.turned);
+        if !alone && self.turned < FULL_PART {
+            return self.learned(); // others came first: no limit is known that well
+        }
         let cut = if alone { held.max(1.0) } else { held.max(FULL_CUT * slots) };
         if cut >= slots || slots <= 1.0 {
             return false;
         }
-        let before = self.probe.take().map(|p| p.from);
+        self.turned = 0.0;
+        let before = self.probe.take();
         self.fail(now, before.is_some());
-        self.since = now;
-        self.set(now, cut.max(before.unwrap_or(0.0).min(slots)), Why::Full);
+        self.usual = Span::default();
+        match before {
+            // Back to where the probe began; the rating stands where it stood.
+            Some(p) if p.slots > cut - 0.5 => self.set(now, p.from, Why::Full),
+            _ => self.set(now, Some(cut), Why::Full),
+        }
         true
     }
 
-    /// Another proxy told its belief.
-    pub fn told(&mut self, now: Millis, slots: f64) {
-        if (slots - self.slots).abs() > 0.05 || !self.learned {
-            (self.probe, self.since) = (None, now);
-            self.set(now, slots, Why::Told);
+    /// Another proxy told its belief: a limit, or that the rating stands. A `trial` is joined for a while only, as
+    /// the word of its end may be lost. Returns whether a probe at the rating has ended there, and if
+    /// so whether the rating held.
+    pub fn told(&mut self, now: Millis, slots: Option<f64>, trial: bool, prior: f64) -> Option<bool> {
+        let joined = self.probe.filter(|p| !p.own);
+        if trial {
+            if self.probe.is_none() {
+                let (from, until) = (self.slots, now + PROBE.1 + JOINED);
+                let held = self.slots(prior);
+                self.probe = Some(Probe { from, slots: held, until, seen: Span::default(), own: false });
+                self.set(now, slots, Why::Told);
+            }
+            return None;
+        }
+        if slots.is_some() == self.learned() && (self.slots(prior) - slots.unwrap_or(prior)).abs() < 0.05 {
+            self.probe = self.probe.filter(|p| p.own);
+            return joined.filter(|p| p.from.is_none()).map(|_| false);
+        }
+        let vain = joined.is_some_and(|p| slots.unwrap_or(prior) < p.slots + 0.5);
+        if vain {
+            self.fail(now, true); // all rest from it
         }
+        (self.probe, self.usual) = (None, Span::default());
+        self.set(now, slots, Why::Told);
+        joined.filter(|p| p.from.is_none()).map(|_| vain)
     }
 
     fn fail(&mut self, now: Millis, probed: bool) {
@@ -221,11 +312,11 @@
     fn curve(&self, now: Millis) -> ([Point; LEVELS], usize) {
         let mut points = [Point::default(); LEVELS];
         let mut n = 0;
-        for (at, l) in self.levels.iter().enumerate() {
+        for l in &self.levels {
             let weight = if l.weight > 0.0 { l.weight(now) } else { 0.0 };
             if weight >= if n == 0 { GLIMPSE } else { KNOWN } {
                 let (held, latency) = (f64::from(l.held), f64::from(l.latency));
-                points[n] = Point { level: at, held, latency, weight };
+                points[n] = Point { held, latency, weight };
                 n += 1;
             }
         }
@@ -233,86 +324,93 @@
         (points, n)
     }
 
-    /// Looks the limit over. `pressed`: demand waits while every server is full; `turn`: this proxy may probe
-    /// this server now. Returns whether it moved.
-    pub fn review(&mut self, now: Millis, prior: f64, pressed: bool, turn: bool) -> bool {
-        if !std::mem::take(&mut self.new) && !(pressed && turn && self.probe.is_none()) && !self.overdue(now) {
-            return false;
-        }
-        let (points, n) = self.curve(now);
-        let curve = &points[..n];
-        if let Some(probe) = self.probe {
-            return self.judge(now, probe, curve);
+    /// Looks the limit over. `probe`: demand waits, every server is full, and this proxy may probe this
+    /// one. Returns why it moved, if it did.
+    pub fn review(&mut self, now: Millis, prior: f64, probe: bool) -> Option<Why> {
+        if !std::mem::take(&mut self.new) && !probe && !self.overdue(now) {
+            return None;
         }
-        if self.cut(now, prior, curve) {
-            return true;
+        match self.probe {
+            Some(probe) if probe.own => return self.judge(now, probe),
+            Some(probe) if probe.until <= now => {
+                self.probe = None; // nobody said how it ended
+                self.set(now, probe.from, Why::Unclear);
+                return None;
+            }
+            Some(_) => return None,
+            None => {}
         }
-        pressed && turn && self.begin(now, prior, curve)
+        let (points, n) = self.curve(now);
+        let cut = self.cut(now, prior, &points[..n]);
+        cut.or_else(|| if probe { self.begin(now, prior) } else { None })
     }
 
     fn overdue(&self, now: Millis) -> bool {
         self.probe.is_some_and(|p| p.until <= now)
     }
 
-    /// Whether a probe has brought what it must.
-    fn judge(&mut self, now: Millis, probe: Probe, curve: &[Point]) -> bool {
-        let old = curve.iter().rev().find(|p| p.held < probe.from + 0.5);
-        let new = curve.iter().rev().find(|p| p.held > probe.from + 0.5 && p.held > 1.1 * probe.from);
-        let (Some(old), Some(new)) = (old, new) else {
-            if self.overdue(now) {
-                // Nobody came: nothing is learned.
-                self.probe = None;
-                self.rest_until = now + REST.0;
-                self.set(now, probe.from, Why::NoGain);
-                return true;
-            }
-            return false;
-        };
+    /// Whether a probe has brought what it must. Little evidence ends it, much is asked for to believe it: what
+    /// others hold is known roughly, and a server that slows under more must not keep them.
+    fn judge(&mut self, now: Millis, probe: Probe) -> Option<Why> {
+        let (old, new) = (self.usual, probe.seen);
+        let more = new.held / old.held;
+        let dearer = new.latency / old.latency;
+        let known = new.count >= KNOWN && more > 1.1;
+        // Throughput is n / L: a part of what was added must show in it.
+        let bound = more / (1.0 + GAIN * (more - 1.0));
+        let error = (old.error() + new.error()).sqrt();
+        let grew = known && dearer.ln() + SURE * error < bound.ln();
+        let vain = known && dearer.ln() > bound.ln() + error && new.count >= 2.0 * KNOWN;
+        if !grew && !vain && !self.overdue(now) {
+            return None;
+        }
         self.probe = None;
-        self.since = now;
-        let gained = new.rate() / old.rate() - 1.0;
-        if gained >= GAIN * (new.held / old.held - 1.0) {
-            (self.leap, self.rest, self.rest_until) = (2, REST.0, now);
+        if grew {
+            (self.leap, self.rest, self.rest_until, self.usual) = (2, REST.0, now, new);
             self.set(now, self.slots, Why::Grew);
         } else {
-            self.fail(now, true);
-            self.set(now, probe.from, Why::NoGain);
+            self.fail(now, vain);
+            self.set(now, probe.from, if vain { Why::NoGain } else { Why::Unclear });
         }
-        true
+        Some(self.why)
     }
 
-    /// Takes slots away that bring only latency.
-    fn cut(&mut self, now: Millis, prior: f64, curve: &[Point]) -> bool {
+    /// Takes slots away that bring only latency. A rating is believed until it is off by far.
+    fn cut(&mut self, now: Millis, prior: f64, curve: &[Point]) -> Option<Why> {
+        if off('A') { return None; }
         let slots = self.slots(prior);
-        let (Some(low), Some(top)) = (curve.first(), curve.last()) else { return false };
-        if top.weight < KNOWN || top.latency < CREST * low.latency {
-            return false;
+        let (low, top) = (curve.first()?, curve.last()?);
+        let (crest, part) = if self.learned() { CREST } else { CREST_RATED };
+        let doubt = |p: &Point| SPREAD / p.weight.sqrt();
+        if top.latency * (1.0 - doubt(top)) < crest * low.latency * (1.0 + doubt(low)) {
+            return None;
         }
         let best = curve.iter().map(Point::rate).fold(0.0, f64::max);
         let knee = curve.iter().find(|p| p.rate() >= FLAT * best).unwrap_or(top);
         let fits = (ROOM * best * low.latency).clamp(knee.held.min(top.held), top.held);
-        if fits > 0.9 * slots || fits > slots - 0.5 {
-            return false;
+        if fits > part * slots || fits > slots - 0.5 {
+            return None;
         }
         self.fail(now, false);
-        self.since = now;
-        self.set(now, fits, Why::Crowded);
-        true
+        self.usual = Span::default();
+        self.set(now, Some(fits), Why::Crowded);
+        Some(self.why)
     }
 
     /// Begins a probe of the next level, if the present one is known.
-    fn begin(&mut self, now: Millis, prior: f64, curve: &[Point]) -> bool {
-        let slots = self.slots(prior);
-        let here = curve.iter().rev().find(|p| p.held < slots + 0.5);
-        let Some(here) = here.filter(|p| now >= self.rest_until && p.held >= 0.7 * slots.floor()) else {
-            return false;
-        };
-        let to = edge(level(slots) + self.leap).max(slots + 1.0).min(MOST);
-        let span = (SPANS * here.latency).clamp(PROBE.0, PROBE.1);
-        self.probe = Some(Probe { from: slots, until: now + span });
-        self.since = now;
-        self.set(now, to, Why::Probing);
-        true
+    fn begin(&mut self, now: Millis, prior: f64) -> Option<Why> {
+        if off('C') { return None; }
+        let (slots, usual) = (self.slots(prior), self.usual);
+        let answers: f64 = self.levels.iter().map(|l| if l.weight > 0.0 { l.weight(now) } else { 0.0 }).sum();
+        let enough = usual.count >= KNOWN && answers >= FLOW;
+        if now < self.rest_until || !enough || usual.held < 0.7 * slots.floor() {
+            return None;
+        }
+        let to = edge(level(slots.max(usual.held)) + self.leap).max(slots + 1.0).min(MOST);
+        let span = (SPANS * usual.latency).clamp(PROBE.0, PROBE.1);
+        self.probe = Some(Probe { from: self.slots, slots, until: now + span, seen: Span::default(), own: true });
+        self.set(now, Some(to), Why::Probing);
+        Some(self.why)
     }
 }
 
@@ -331,8 +429,44 @@
     }
 }
 
+/// Whether the ratings of a kind of servers prove right: each probe in vain lets all of them rest, longer each
+/// time, and one that brings something sets all of them going.
+#[derive(Clone, Copy, Debug)]
+pub struct Ratings {
+    rest: Millis,
+    until: Millis,
+    wrong: bool,
+}
+
+impl Default for Ratings {
+    fn default() -> Self {
+        Ratings { rest: REST.0, until: 0.0, wrong: false }
+    }
+}
+
+impl Ratings {
+    /// A probe at the rating was in vain.
+    pub fn held(&mut self, now: Millis) {
+        if now >= self.until {
+            (self.until, self.rest, self.wrong) = (now + self.rest, (2.0 * self.rest).min(REST.1), false);
+        }
+    }
+
+    /// A probe at the rating brought something.
+    pub fn failed(&mut self) {
+        *self = Ratings { wrong: true, ..Ratings::default() };
+    }
+
+    /// Whether a server of which nothing is learned may be tried, given a draw in [0, 1).
+    pub fn may_try(&self, now: Millis, draw: f64) -> bool {
+        now >= self.until && (self.wrong || draw < FEW)
+    }
+}
+
 /// Whether it is a proxy's turn, by a draw that all proxies make alike from a seed.
 pub(crate) fn turn(seed: u64, me: u32, proxies: u32) -> bool {
     let score = |i: u32| crate::state::draw(seed, u64::from(i));
     (0..proxies).all(|i| i == me || score(i) < score(me))
 }
+
+fn off(c: char) -> bool { option_env!("ABL").is_some_and(|a| a.contains(c)) }
--- a/src/message.rs
+++ b/src/message.rs
@@ -8,6 +8,7 @@
 pub(crate) const HEAD: usize = 3; // bytes of a message before its servers
 pub(crate) const MESSAGE: usize = 256; // bytes of a full message
 const ENTRY: usize = 4; // bytes of a limit: its server's name, and 16 times the limit
+const TRIAL: u16 = 1 << 15; // marks a limit that is but tried
 /// Limits that one message holds.
 pub(crate) const MOST_LIMITS: usize = (MESSAGE - 1) / ENTRY;
 
@@ -50,21 +51,23 @@
 }
 
 /// Packs limits, 16ths of a request each.
-pub(crate) fn pack_limits(limits: impl Iterator<Item = (BackendId, f64)>) -> Vec<u8> {
+pub(crate) fn pack_limits(limits: impl Iterator<Item = (BackendId, (Option<f64>, bool))>) -> Vec<u8> {
     let mut bytes = vec![LIMITS];
-    for (id, limit) in limits.take(MOST_LIMITS) {
+    for (id, (limit, trial)) in limits.take(MOST_LIMITS) {
         bytes.extend(short(id).to_le_bytes());
-        bytes.extend(((limit * 16.0) as u16).to_le_bytes());
+        bytes.extend(((limit.unwrap_or(0.0) * 16.0) as u16 | if trial { TRIAL } else { 0 }).to_le_bytes());
     }
     bytes
 }
 
 /// Unpacks limits, if the message holds any.
-pub(crate) fn unpack_limits(bytes: &[u8], names: &FxHashMap<u16, usize>) -> Option<Vec<(usize, f64)>> {
+pub(crate) fn unpack_limits(bytes: &[u8], names: &FxHashMap<u16, usize>) -> Option<Vec<(usize, Option<f64>, bool)>> {
     let entries = bytes.strip_prefix(&[LIMITS])?.chunks_exact(ENTRY);
     let read = |e: &[u8]| {
         let k = names.get(&u16::from_le_bytes([e[0], e[1]]))?;
-        Some((*k, f64::from(u16::from_le_bytes([e[2], e[3]])) / 16.0))
+        let word = u16::from_le_bytes([e[2], e[3]]);
+        let limit = f64::from(word & !TRIAL) / 16.0;
+        Some((*k, (limit >= 1.0).then_some(limit), word & TRIAL != 0)) // none: the rating stands
     };
-    Some(entries.filter_map(read).filter(|(_, limit)| *limit >= 1.0).collect())
+    Some(entries.filter_map(read).collect())
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! The records that the choices keep, and the plumbing under them. Nothing is decided here.
 use crate::choice::{BACKOFF, BAND_RATIO, BANDS, RATE_SPAN, SPREAD_SAMPLES, STALE, UNMEASURED, WINDOW_LEAST};
 use crate::interface::*;
-use crate::limit::Limit;
+use crate::limit::{Limit, Ratings};
 use crate::message::{short, unpack, unpack_limits};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
@@ -39,6 +39,7 @@
     pub tokens: f64,           // sends that a cold server's budget still allows
     pub tokens_at: Millis,
     pub kind: usize,               // its kind of machine; 0 if none is told
+    pub prior: f64,                // slots as the rating has them
     pub room: f64,                 // slots for all proxies together
     pub mine: f64,                 // those of them that are this proxy's own
     pub limit: Limit,              // what is learned of how much it can hold
@@ -73,6 +74,7 @@
             tokens: 0.0,
             tokens_at: now,
             kind: 0,
+            prior: 1.0,
             room: 1.0,
             mine: 0.0,
             limit: Limit::new(now),
@@ -123,6 +125,7 @@
     pub cores: f64,       // cores of a server, as inferred
     pub calm: Millis,     // the least mean latency of late
     pub throttle: f64,    // the part of its slots that it is given
+    pub ratings: Ratings, // whether its servers' ratings prove right
 }
 
 impl Default for Kind {
@@ -134,6 +137,7 @@
             cores: 1.0,
             calm: f64::INFINITY,
             throttle: UNMEASURED,
+            ratings: Ratings::default(),
         }
     }
 }
@@ -283,6 +287,7 @@
     pub(crate) spread: (f64, f64), // mean square of latency over its expected value, and its weight
     pub(crate) window: f64,       // requests that this proxy may have out where it shares all servers
     pub(crate) mean_room: f64,    // slots of a mean server
+    pub(crate) terms: Vec<f64>, // by which a class's latency becomes a mean request's; 0 if not known
     pub(crate) mean: Millis,      // mean latency over all classes
     pub(crate) slowest: f64,      // calm latency of the slowest kind
     pub(crate) rating: f64,       // sum of the ratings of listed servers
@@ -326,6 +331,7 @@
             ghosts: VecDeque::new(),
             class_ms: cfg.classes.iter().map(|c| (c.aim / 4.0, 0.0)).collect(),
             kinds: vec![Kind::default()],
+            terms: vec![0.0; cfg.classes.len()],
             mean: first_guess,
             slowest: 0.0,
             longest_aim,
@@ -495,7 +501,16 @@
 
     pub(crate) fn hear(&mut self, now: Millis, from: usize, bytes: &[u8]) {
         if let Some(limits) = unpack_limits(bytes, &self.names) {
-            limits.into_iter().for_each(|(k, limit)| self.servers[k].limit.told(now, limit));
+            for (k, limit, trial) in limits {
+                let s = &mut self.servers[k];
+                let ratings = &mut self.kinds[s.kind].ratings;
+                match s.limit.told(now, limit, trial, s.prior) {
+                    Some(true) => ratings.held(now),
+                    Some(false) => ratings.failed(),
+                    None => {}
+                }
+                self.size(k);
+            }
             return;
         }
         let Some((zone, blames, holds)) = unpack(bytes, &self.names).filter(|_| from < self.peers.len())
