--- a/src/choice.rs
+++ b/src/choice.rs
@@ -421,7 +421,7 @@
                 s.news = true;
                 match why {
                     Why::Grew if rated => self.kinds[s.kind].ratings.failed(),
-                    Why::NoGain if rated => self.kinds[s.kind].ratings.held(now),
+                    Why::NoGain | Why::Fits if rated => self.kinds[s.kind].ratings.held(now),
                     _ => {}
                 }
                 self.size(k);
@@ -484,8 +484,7 @@
         let (class, size, home) = (r.class, r.size, r.home);
         r.done |= closed;
         self.running.retain(|o| *o != id);
-        let held = 0.5 * (held + f64::from(self.seen(k).max(1)));
-        if !silent && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
+                if !silent && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
             // Given up, yet it may still occupy the server: its slot stays taken until it plausibly ends.
             self.ghosts.push_back((now + 2.0 * self.class_ms[class].0, k));
         } else {
@@ -499,7 +498,8 @@
         match outcome {
             Outcome::Served => {
                 self.fit_window(latency < LATE * self.cfg.classes[class].aim);
-                self.weigh(now, k, class, sent, held, latency / size, home == Some(k));
+                let mean = 0.5 * (held + f64::from(self.seen(k) + 1));
+                self.weigh(now, k, class, sent, mean, latency / size, home == Some(k));
                 self.learn(k, class, latency / size, home == Some(k), lone);
                 self.judge(k, class, true, false, now);
             }
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -20,7 +20,9 @@
 const GAIN: f64 = 0.5; // part of a probe's added requests that must turn into throughput
 const SURE: f64 = 2.5; // standard errors by which a probe's gain must be past doubt
 const ROOM: f64 = 1.15; // requests for each that is worked on: a few more than fit keep a server busy
-const FLOW: f64 = 20.0; // faded answers behind a curve: with fewer a probe would end without an answer
+const SEEN: f64 = 0.67; // part of its slots at which a server's latency must be known, else it is looked at
+const LOOKS: Millis = 8000.0; // between such looks
+const FLOW: f64 = 8.0; // answers that a probe must be expected to bring
 const SPREAD: f64 = 0.5; // of one latency about its mean, where a cut is looked into
 const CREST: (f64, f64) = (1.5, 0.9); // latency over its least from which on a cut is looked into, and how deep one must be
 const CREST_RATED: (f64, f64) = (2.0, 0.65); // the same while the rating stands
@@ -30,9 +32,10 @@
 const REST: (Millis, Millis) = (1000.0, 30_000.0); // rest after a failed probe: doubles with each failure
 const FEW: f64 = 0.125; // part of the servers tried at once while all ratings may be right
 const SETTLE: Millis = 50.0; // in which others hear of a move
+const WRONG: (u32, u32) = (4, 12); // probes in vain that one which brought something makes up for, and at most
 const FULL_GAIN: f64 = 0.1; // weight of one request in the part that is turned away
-const FULL_PART: f64 = 0.2; // part from which on it is no chance, where others send too
-const FULL_CUT: f64 = 0.75; // to which a 'full' cuts at once where others' requests are not all known
+const FULL_PART: f64 = 0.3; // part from which on it is no chance, where others send too
+const FULL_CUT: f64 = 0.5; // part of the slots that a 'full' takes at once, where all are turned away
 
 /// Why a limit moved last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +48,8 @@
     Grew,
     /// A probe brought only latency.
     NoGain,
+    /// A look at fewer requests found that what is held fits.
+    Fits,
     /// A probe ended without telling either way.
     Unclear,
     /// Latency grew as much as what was held.
@@ -63,6 +68,7 @@
             Why::Probing => "trying more, as demand waits",
             Why::Grew => "more requests brought more answers",
             Why::NoGain => "more requests brought only longer waits",
+            Why::Fits => "fewer requests would bring fewer answers",
             Why::Unclear => "trying more told nothing",
             Why::Crowded => "answers slowed as more were held",
             Why::Full => "it turned requests away",
@@ -135,7 +141,8 @@
     slots: f64,        // what that was in slots
     until: Millis,
     seen: Span,
-    own: bool, // begun here, not told of
+    own: bool,  // begun here, not told of
+    down: bool, // a look at fewer requests
 }
 
 /// What is believed of one server. Concurrency counts the requests of all proxies.
@@ -148,6 +155,7 @@
     since: Millis, // answers to requests sent before this tell of another limit
     rest: Millis,
     rest_until: Millis,
+    look_at: Millis,
     leap: usize,
     turned: f64, // part of what was sent that was turned away
     new: bool,
@@ -180,6 +188,7 @@
             since: now,
             rest: REST.0,
             rest_until: now,
+            look_at: now,
             leap: 1,
             turned: 0.0,
             new: false,
@@ -255,11 +264,13 @@
         if !alone && self.turned < FULL_PART {
             return self.learned(); // others came first: no limit is known that well
         }
-        let cut = if alone { held.max(1.0) } else { held.max(FULL_CUT * slots) };
+        let cut = if alone { held.max(1.0) } else { held.max((1.0 - FULL_CUT * self.turned) * slots) };
+        // What it has served of late it can hold: others came first.
+        let cut = cut.max(self.served(now));
         if cut >= slots || slots <= 1.0 {
-            return false;
+            return self.learned() && slots > 1.0;
         }
-        self.turned = 0.0;
+        self.turned *= 0.5;
         let before = self.probe.take();
         self.fail(now, before.is_some());
         self.usual = Span::default();
@@ -271,6 +282,12 @@
         true
     }
 
+    /// The most requests that the server held of late and answered.
+    fn served(&self, now: Millis) -> f64 {
+        let known = |l: &&Level| l.weight > 0.0 && l.weight(now) >= KNOWN;
+        self.levels.iter().rev().find(known).map_or(1.0, |l| f64::from(l.held).floor())
+    }
+
     /// Another proxy told its belief: a limit, or that the rating stands. A `trial` is joined for a while only, as
     /// the word of its end may be lost. Returns whether a probe at the rating has ended there, and if
     /// so whether the rating held.
@@ -280,7 +297,7 @@
             if self.probe.is_none() {
                 let (from, until) = (self.slots, now + PROBE.1 + JOINED);
                 let held = self.slots(prior);
-                self.probe = Some(Probe { from, slots: held, until, seen: Span::default(), own: false });
+                self.probe = Some(Probe { from, slots: held, until, seen: Span::default(), own: false, down: false });
                 self.set(now, slots, Why::Told);
             }
             return None;
@@ -331,6 +348,7 @@
             return None;
         }
         match self.probe {
+            Some(probe) if probe.own && probe.down => return self.looked(now, prior, probe),
             Some(probe) if probe.own => return self.judge(now, probe),
             Some(probe) if probe.until <= now => {
                 self.probe = None; // nobody said how it ended
@@ -342,7 +360,7 @@
         }
         let (points, n) = self.curve(now);
         let cut = self.cut(now, prior, &points[..n]);
-        cut.or_else(|| if probe { self.begin(now, prior) } else { None })
+        cut.or_else(|| if probe { self.begin(now, prior, &points[..n]) } else { None })
     }
 
     fn overdue(&self, now: Millis) -> bool {
@@ -398,20 +416,42 @@
     }
 
     /// Begins a probe of the next level, if the present one is known.
-    fn begin(&mut self, now: Millis, prior: f64) -> Option<Why> {
+    fn begin(&mut self, now: Millis, prior: f64, curve: &[Point]) -> Option<Why> {
         if off('C') { return None; }
         let (slots, usual) = (self.slots(prior), self.usual);
         let answers: f64 = self.levels.iter().map(|l| if l.weight > 0.0 { l.weight(now) } else { 0.0 }).sum();
-        let enough = usual.count >= KNOWN && answers >= FLOW;
+        // Faded answers over the span that they fade over, or since the last move: with too few a probe would end
+        // without telling.
+        let span = (now - self.since).clamp(1.0, HALF_LIFE / std::f64::consts::LN_2);
+        let enough = usual.count >= KNOWN && answers.max(usual.count.min(2.0 * KNOWN)) / span * PROBE.1 >= FLOW;
         if now < self.rest_until || !enough || usual.held < 0.7 * slots.floor() {
             return None;
         }
-        let to = edge(level(slots.max(usual.held)) + self.leap).max(slots + 1.0).min(MOST);
+        let unseen = curve.first().is_none_or(|p| p.held > SEEN * slots);
+        let down = unseen && slots >= 2.0 && now >= self.look_at;
+        let to = if down {
+            self.look_at = now + LOOKS;
+            edge(level(slots).saturating_sub(2))
+        } else {
+            edge(level(slots.max(usual.held)) + self.leap).max(slots + 1.0).min(MOST)
+        };
         let span = (SPANS * usual.latency).clamp(PROBE.0, PROBE.1);
-        self.probe = Some(Probe { from: self.slots, slots, until: now + span, seen: Span::default(), own: true });
+        let (until, seen) = (now + span, Span::default());
+        self.probe = Some(Probe { from: self.slots, slots, until, seen, own: true, down });
         self.set(now, Some(to), Why::Probing);
         Some(self.why)
     }
+
+    /// Ends a look at fewer requests: the curve knows now what they would cost, and a cut may follow.
+    fn looked(&mut self, now: Millis, prior: f64, probe: Probe) -> Option<Why> {
+        if probe.seen.count < 2.0 * KNOWN && !self.overdue(now) {
+            return None;
+        }
+        self.probe = None;
+        self.set(now, probe.from, Why::Fits);
+        let (points, n) = self.curve(now);
+        self.cut(now, prior, &points[..n]).or(Some(Why::Fits))
+    }
 }
 
 /// Pools neighbours whose latencies fall though more is held: chance, as a server gets no faster by holding more.
@@ -429,37 +469,40 @@
     }
 }
 
-/// Whether the ratings of a kind of servers prove right: each probe in vain lets all of them rest, longer each
-/// time, and one that brings something sets all of them going.
+/// Whether the ratings of a kind of servers prove right: a probe in vain lets all of them rest, longer each time,
+/// unless probes have brought something of late.
 #[derive(Clone, Copy, Debug)]
 pub struct Ratings {
     rest: Millis,
     until: Millis,
-    wrong: bool,
+    wrong: u32, // probes in vain that are passed over
 }
 
 impl Default for Ratings {
     fn default() -> Self {
-        Ratings { rest: REST.0, until: 0.0, wrong: false }
+        Ratings { rest: REST.0, until: 0.0, wrong: 0 }
     }
 }
 
 impl Ratings {
     /// A probe at the rating was in vain.
     pub fn held(&mut self, now: Millis) {
-        if now >= self.until {
-            (self.until, self.rest, self.wrong) = (now + self.rest, (2.0 * self.rest).min(REST.1), false);
+        if self.wrong > 0 {
+            self.wrong -= 1;
+        } else if now >= self.until {
+            (self.until, self.rest) = (now + self.rest, (2.0 * self.rest).min(REST.1));
         }
     }
 
     /// A probe at the rating brought something.
     pub fn failed(&mut self) {
-        *self = Ratings { wrong: true, ..Ratings::default() };
+        let wrong = (self.wrong + WRONG.0).min(WRONG.1);
+        *self = Ratings { wrong, ..Ratings::default() };
     }
 
     /// Whether a server of which nothing is learned may be tried, given a draw in [0, 1).
     pub fn may_try(&self, now: Millis, draw: f64) -> bool {
-        now >= self.until && (self.wrong || draw < FEW)
+        now >= self.until && (self.wrong > 0 || draw < FEW)
     }
 }
 
