--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -164,6 +164,16 @@
         self.live.len()
     }
 
+    /// Who decides.
+    pub fn decider(&self) -> &D {
+        &self.decider
+    }
+
+    /// Where a backend's process listens, if it is on the list.
+    pub fn address(&self, backend: BackendId) -> Option<std::net::SocketAddr> {
+        self.endpoints.get(&backend).map(|e| e.address)
+    }
+
     /// When something is due next. Last resorts of requests that have their answer by now are dropped here:
     /// nearly all do, and each would wake the process for nothing.
     pub fn next_due(&mut self) -> Option<Time> {
--- a/crates/sandgap-rig/src/client.rs
+++ b/crates/sandgap-rig/src/client.rs
@@ -35,6 +35,10 @@
     pub ends: Cell<[u32; 3]>,
     /// Times of served answers, µs, until somebody takes them; bounded by the requests of the plan.
     pub latencies: RefCell<Latencies>,
+    /// Answers within their class's aim, by proxy.
+    pub in_time: RefCell<Vec<u32>>,
+    /// Times of refusals, µs, until somebody takes them.
+    pub refusals: RefCell<Latencies>,
 }
 
 impl Front {
@@ -42,6 +46,8 @@
     pub fn new(addresses: Vec<SocketAddr>) -> Rc<Self> {
         Rc::new(Front {
             believed: RefCell::new(vec![false; addresses.len()]),
+            in_time: RefCell::new(vec![0; addresses.len()]),
+            refusals: RefCell::default(),
             idle: addresses.iter().map(|_| RefCell::default()).collect(),
             addresses,
             untaken: Cell::new(0),
@@ -89,14 +95,18 @@
         self.idle.iter().for_each(|i| i.borrow_mut().clear());
     }
 
-    fn count(&self, end: End, took: Micros) {
+    fn count(&self, proxy: usize, end: End, took: Micros, aim: Micros) {
         let mut ends = self.ends.get();
         match end {
             End::Served(_) => {
                 ends[0] += 1;
                 self.latencies.borrow_mut().add(took);
+                self.in_time.borrow_mut()[proxy] += u32::from(took <= aim);
+            }
+            End::Refused => {
+                ends[1] += 1;
+                self.refusals.borrow_mut().add(took);
             }
-            End::Refused => ends[1] += 1,
             _ => ends[2] += 1,
         }
         self.ends.set(ends);
@@ -153,7 +163,9 @@
             front.park(proxy, conn);
         }
         if end.0 != End::Crossed {
-            front.count(end.0, (at + (r.timeout_ms * 1000.0) as Micros).saturating_sub(deadline));
+            let took = (at + (r.timeout_ms * 1000.0) as Micros).saturating_sub(deadline);
+            let aim = (world.plan.classes[r.class].aim_ms * 1000.0) as Micros;
+            front.count(proxy, end.0, took, aim);
             front.open.set(front.open.get() - 1);
             return;
         }
--- a/crates/sandgap-rig/src/lib.rs
+++ b/crates/sandgap-rig/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod bench;
+pub mod capacity;
 pub mod client;
 pub mod clock;
 pub mod demo;
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use sandgap_rig::bench::{Setup, compare};
+use sandgap_rig::bench::{self, compare};
+use sandgap_rig::capacity::{self, Setup, Shares};
 use sandgap_rig::proxy::Program;
 use sandgap_rig::relay::{self, Kind};
 use sandgap_rig::run;
@@ -91,6 +92,34 @@
         #[arg(long, env = "SANDGAP")]
         proxy: Option<PathBuf>,
     },
+    /// Measures service where the list says nothing true of what backends hold, in turn with the same proxy told
+    /// the truth; exits 1 on a broken rule.
+    Capacity {
+        /// What the list says.
+        #[arg(long, value_enum, value_delimiter = ',', default_value = "one,fifty,shuffled")]
+        shares: Vec<Shares>,
+        /// Loads, as parts of what the backends can do.
+        #[arg(long, value_delimiter = ',', default_value = "0.7,0.95,1.3")]
+        loads: Vec<f64>,
+        /// Proxies.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=64))]
+        proxies: u16,
+        /// Backends: every other one holds 2, the rest 12.
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(2..=200))]
+        backends: u16,
+        /// Length of each run, s.
+        #[arg(long, default_value_t = 12.0)]
+        seconds: f64,
+        /// Half the backends take twice as long in the second third of the run.
+        #[arg(long)]
+        neighbour: bool,
+        /// The seed of load and shares.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The proxy's program; where none is given, `sandgap` beside this one.
+        #[arg(long, env = "SANDGAP")]
+        proxy: Option<PathBuf>,
+    },
     /// Writes a scenario's servers and requests as an experiment of the laboratory; faults are left out.
     Export {
         /// Its name, see `list`.
@@ -158,7 +187,7 @@
             Ok(true)
         }
         Command::Bench { rate, seconds, backends, work, share, pairs, cpu, seed, json, proxy: path } => {
-            let setup = Setup { rate, seconds, backends, work_ms: work, share, pairs, cpu, seed };
+            let setup = bench::Setup { rate, seconds, backends, work_ms: work, share, pairs, cpu, seed };
             let comparison = compare(&setup, &proxy(path)?, &relay_program(Kind::Bare)?)?;
             if json {
                 println!("{}", serde_json::to_string(&comparison)?);
@@ -169,6 +198,27 @@
             }
             Ok(true)
         }
+        Command::Capacity { shares, loads, proxies, backends, seconds, neighbour, seed, proxy: path } => {
+            let program = proxy(path)?;
+            let mut held = true;
+            for load in loads {
+                let play = |shares| {
+                    let (proxies, backends) = (proxies.into(), backends.into());
+                    let setup = Setup { shares, load, proxies, backends, seconds, neighbour, seed };
+                    capacity::measure(&setup, &program)
+                };
+                let told = play(Shares::True)?;
+                println!("load {load}, told the truth: {told}");
+                held &= !told.broken;
+                for shares in &shares {
+                    let learned = play(*shares)?;
+                    let ratio = learned.in_time / told.in_time;
+                    println!("load {load}, shares {shares:?}: {ratio:.3} of that; {learned}");
+                    held &= !learned.broken;
+                }
+            }
+            Ok(held)
+        }
         Command::Export { scenario: name, folder, seed, requests, rate, proxies, backends } => {
             let plan = named(&name)?.plan(seed, Size { requests, rate, proxies, backends });
             sandgap_rig::export::write(&plan, &folder)?;
--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -303,6 +303,14 @@
                 return Err(error);
             }
         }
+        self.finish().await
+    }
+
+    /// Waits until all that was asked has its end, and ends the proxies.
+    ///
+    /// # Errors
+    /// What went wrong meanwhile, or that it takes too long.
+    pub async fn finish(self: &Rc<Self>) -> Result<(), RunError> {
         (0..self.proxies.len()).for_each(|p| self.go_on(p));
         self.front_settled().await?;
         self.discovery.set_silent(false);
--- a/crates/sandgap-rig/src/schedule.rs
+++ b/crates/sandgap-rig/src/schedule.rs
@@ -206,6 +206,11 @@
     Scenario { name: "datagrams", about: "words between proxies lost, late and doubled", draw: datagrams },
     Scenario { name: "restarts", about: "proxies told to stop, killed and started anew", draw: restarts },
     Scenario { name: "pauses", about: "proxies that stand still for a while", draw: pauses },
+    Scenario {
+        name: "wrong-weights",
+        about: "the list is wrong by up to 10 times about what backends hold; slow neighbours",
+        draw: wrong_weights,
+    },
     Scenario { name: "demo", about: "one backend hangs for a while, one drains and is replaced", draw: demo },
     Scenario { name: "mixed", about: "all of these at once", draw: mixed },
 ];
@@ -455,6 +460,23 @@
     }
 }
 
+fn wrong_weights(d: &mut Draw) {
+    for machine in &mut d.plan.machines {
+        machine.share = [0.3, 1.0, 10.0, 40.0][d.rng.usize(0..4)];
+        machine.queue = [0, 2, 64][d.rng.usize(0..3)]; // turns away at once, a little later, or hardly ever
+    }
+    let n = d.plan.requests.len();
+    for _ in 0..3 {
+        let backend = d.backend();
+        let slow = Mode::Slow(2.0 + d.rng.f64());
+        d.mode(backend, slow, (15, 30));
+    }
+    let last = d.plan.initial - 1;
+    d.replace(last, n / 4, true);
+    let proxy = d.rng.usize(0..d.plan.proxies);
+    d.kill(proxy, n / 2);
+}
+
 fn demo(d: &mut Draw) {
     let n = d.plan.requests.len();
     d.step(n / 4, Fault::Mode(1, Mode::Hang));
--- /dev/null
+++ b/crates/sandgap/src/beliefs.rs
@@ -0,0 +1,130 @@
+//! Tells operators what the module believes of each backend: a log line when a limit has moved by more than a
+//! little, and a gauge for each backend in a file that a collector reads.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use metrics::{Recorder, with_local_recorder};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusRecorder};
+use rustc_hash::FxHashMap;
+use wharfhitch::limit::Why;
+use wharfhitch::{BackendId, Belief};
+
+use crate::note;
+
+/// Ratio by which a limit must have moved since it was last logged: less is the daily up and down.
+const MOVED: f64 = 1.3;
+/// Lines at one look; the rest is logged at the next ones.
+const LINES: usize = 8;
+/// Between two writes of the file.
+const WRITE: Duration = Duration::from_secs(5);
+
+/// What was told of the module's beliefs.
+pub struct Beliefs {
+    told: FxHashMap<BackendId, f64>,
+    file: Option<File>,
+}
+
+struct File {
+    path: PathBuf,
+    recorder: PrometheusRecorder,
+    written: Option<Instant>,
+    busy: Arc<AtomicBool>,
+    failing: Arc<AtomicBool>,
+}
+
+impl Beliefs {
+    /// Nothing told yet; gauges go to `file`, if there is one.
+    pub fn new(file: Option<PathBuf>) -> Self {
+        let file = file.map(|path| {
+            let recorder = PrometheusBuilder::new().build_recorder();
+            recorder.describe_gauge(
+                "sandgap_backend_limit".into(),
+                None,
+                "requests that a backend is believed to hold, of all proxies".into(),
+            );
+            recorder.describe_gauge(
+                "sandgap_backend_rated".into(),
+                None,
+                "requests that its rating says it holds".into(),
+            );
+            File { path, recorder, written: None, busy: Arc::default(), failing: Arc::default() }
+        });
+        Beliefs { told: FxHashMap::default(), file }
+    }
+
+    /// Looks at what is believed now. Bounded by the number of listed backends.
+    pub fn look(
+        &mut self, now: Instant, beliefs: impl Iterator<Item = Belief>,
+        address: impl Fn(BackendId) -> Option<SocketAddr>,
+    ) {
+        let due = self.file.as_ref().is_some_and(|f| f.written.is_none_or(|at| now - at >= WRITE));
+        let (mut lines, mut listed) = (0, 0);
+        for belief in beliefs {
+            listed += 1;
+            let Some(address) = address(belief.backend) else { continue };
+            if lines < LINES && self.is_news(&belief) {
+                lines += 1;
+                self.told.insert(belief.backend, belief.limit);
+                note!(
+                    "{address} is believed to hold {:.1} requests (its rating says {:.1}): {}",
+                    belief.limit,
+                    belief.rated,
+                    belief.why.text()
+                );
+            }
+            if due && let Some(file) = &self.file {
+                file.gauge(&belief, address);
+            }
+        }
+        if self.told.len() > 2 * listed {
+            self.told.clear(); // backends that have left; the rest is told again
+        }
+        if due && let Some(file) = &mut self.file {
+            file.write(now);
+        }
+    }
+
+    fn is_news(&self, belief: &Belief) -> bool {
+        let before = self.told.get(&belief.backend).copied();
+        let unmoved = belief.why == Why::Rating && before.is_none();
+        let ratio = belief.limit / before.unwrap_or(belief.rated);
+        !belief.trial && !unmoved && !(1.0 / MOVED..=MOVED).contains(&ratio)
+    }
+}
+
+impl File {
+    fn gauge(&self, belief: &Belief, address: SocketAddr) {
+        let backend = address.to_string();
+        with_local_recorder(&self.recorder, || {
+            metrics::gauge!("sandgap_backend_limit", "backend" => backend.clone()).set(belief.limit);
+            metrics::gauge!("sandgap_backend_rated", "backend" => backend).set(belief.rated);
+        });
+    }
+
+    /// Writes the file, whole or not at all, on a thread of its own: a slow disk holds up no request. While one
+    /// write is under way no other begins.
+    fn write(&mut self, now: Instant) {
+        self.written = Some(now);
+        if self.busy.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (text, path) = (self.recorder.handle().render(), self.path.clone());
+        let (busy, failing) = (self.busy.clone(), self.failing.clone());
+        tokio::task::spawn_blocking(move || {
+            let whole = path.with_extension("new");
+            let outcome = fs::write(&whole, text).and_then(|()| fs::rename(&whole, &path));
+            let before = failing.swap(outcome.is_err(), Ordering::Relaxed);
+            if let Err(e) = outcome
+                && !before
+            {
+                note!(warn: "metrics can't be written to {}: {e}; mend [metrics] file", path.display());
+            }
+            busy.store(false, Ordering::Relaxed);
+        });
+    }
+}
--- a/crates/sandgap/src/config.rs
+++ b/crates/sandgap/src/config.rs
@@ -2,6 +2,7 @@
 //! [`crate::settings`] read the two kinds of file, [`crate::load`] tells them apart.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use serde_json::Value;
 use wharfhitch::Settings;
@@ -54,6 +55,8 @@
     pub names: Names,
     /// Figures of connections.
     pub connections: Connections,
+    /// Where metrics are written, if anywhere.
+    pub metrics: Option<PathBuf>,
 }
 
 /// Requests that may be held unanswered with so many descriptors.
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -11,6 +11,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use wharfhitch::{Balancer, Scope};
 
+use crate::beliefs::Beliefs;
 use crate::config::{Config, Source};
 use crate::driver::{Driver, Parts};
 use crate::event::{Inbox, Input};
@@ -85,7 +86,9 @@
     let classes = config.settings.classes.clone();
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
-    let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
+    let driver = spawn_local(
+        Driver::new(balancer, config.names.clone(), parts, Beliefs::new(config.metrics)).run(inputs),
+    );
     inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
     if let Source::Fixed(hosts) = config.source {
         inbox.put(Input::List(Scope::Full, hosts));
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -12,6 +12,7 @@
 use wharfhitch::settings::Names;
 use wharfhitch::{Balancer, RequestId, Scope};
 
+use crate::beliefs::Beliefs;
 use crate::discovery;
 use crate::event::{Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Reply, Report};
 use crate::note;
@@ -19,7 +20,7 @@
 
 /// Inputs taken between two looks at the timers; a few microseconds each.
 const BATCH: usize = 32;
-const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
+const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections and at beliefs
 
 /// What the driver needs of the other parts.
 pub struct Parts {
@@ -106,15 +107,16 @@
 pub struct Driver {
     core: Core<Balancer, Sockets>,
     start: Instant,
+    beliefs: Beliefs,
 }
 
 impl Driver {
     /// A driver with nothing in it yet. The module's clock starts here.
-    pub fn new(balancer: Balancer, names: Names, parts: Parts) -> Self {
+    pub fn new(balancer: Balancer, names: Names, parts: Parts, beliefs: Beliefs) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let start = Instant::now();
         let core = Core::new(balancer, Sockets { parts, start }, names, unix.as_secs_f64() * 1000.0);
-        Driver { core, start }
+        Driver { core, start, beliefs }
     }
 
     /// Takes inputs and timers for as long as the process runs.
@@ -146,6 +148,8 @@
             let now = Instant::now();
             if now >= sweep {
                 self.core.outside.parts.backs.iter().for_each(|b| b.sweep());
+                let believed = self.core.decider().beliefs();
+                self.beliefs.look(now.into_std(), believed, |b| self.core.address(b));
                 sweep = now + SWEEP;
             }
         }
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`event`] has the words that all parts share; `driver` owns the module and is the only one to ask it;
 //! `front` serves clients; `upstream` makes attempts; `discovery` and `peers` bring news.
 
+pub mod beliefs;
 pub mod config;
 pub mod daemon;
 pub mod discovery;
--- a/crates/sandgap/src/platform.rs
+++ b/crates/sandgap/src/platform.rs
@@ -65,6 +65,7 @@
         peers,
         known: file.known,
         connections: settings::connections(&file.settings),
+        metrics: None,
         settings,
         names,
     })
--- a/crates/sandgap/src/settings/mod.rs
+++ b/crates/sandgap/src/settings/mod.rs
@@ -26,6 +26,7 @@
     tenant: Vec<TenantTable>,
     limits: LimitsTable,
     cold: Cold,
+    metrics: Metrics,
 }
 
 #[derive(Deserialize)]
@@ -71,6 +72,11 @@
     allowance_per_s: f64,
 }
 
+#[derive(Deserialize)]
+struct Metrics {
+    file: Option<String>,
+}
+
 #[derive(Deserialize)]
 struct LimitsTable {
     max_attempts: u32,
@@ -245,6 +251,7 @@
         },
         settings,
         names,
+        metrics: file.metrics.file.map(Into::into),
     }
 }
 
--- a/crates/sandgap/src/settings/schema.rs
+++ b/crates/sandgap/src/settings/schema.rs
@@ -112,7 +112,12 @@
                 Default::None,
                 "backends of one cell drop each other's repeats",
             ),
-            key("share", Kind::Number(0.01, 1024.0), Default::Number(1.0), "its size in cores, about"),
+            key(
+                "share",
+                Kind::Number(0.01, 1024.0),
+                Default::Number(1.0),
+                "its size in cores, about: where learning begins",
+            ),
             key("state", Kind::Word(&["up", "draining"]), Default::Text("up"), "whether it takes new work"),
         ],
     },
@@ -226,4 +231,15 @@
             ),
         ],
     },
+    Table {
+        name: "metrics",
+        most: 0,
+        about: "figures for a collector",
+        keys: &[key(
+            "file",
+            Kind::Text,
+            Default::None,
+            "written anew every 5 s in the Prometheus text format; none if left out",
+        )],
+    },
 ];
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,8 +4,8 @@
 //! Types, settings, events and actions: `src/interface.rs`. Records and plumbing: `src/state.rs`. Mechanism
 //! and extensions: `docs/design.md`; formula numbers are those of the paper named there. Times are in ms.
 use crate::interface::*;
-use crate::limit::{Why, turn};
 use crate::message::{HEAD, MESSAGE, pack, pack_limits};
+use crate::slots::{CLASS_KNOWN, FULLNESS};
 use crate::state::*;
 
 const TICK: Millis = 20.0; // how often waiting and running requests are looked over: within a rule's slack
@@ -28,10 +28,7 @@
 const THROTTLE_MIN: f64 = 0.3; // the least part of its slots that a crowded kind keeps
 pub(crate) const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
 const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
-const WINDOW_CUT: f64 = 0.9; // by which such an answer shrinks the in-flight window
 pub(crate) const WINDOW_LEAST: f64 = 4.0; // requests that a proxy may always have out
-const OWN_LEAST: f64 = 8.0; // own slots under which proxies share all, for answers of exponential spread
-const FULLNESS: f64 = 1.1; // requests a core may hold: a little over one keeps it busy between answers
 const BORROW: usize = 3; // bands by which another proxy's slot counts slower: both may take it at once
 const PULL: f64 = 3.0; // a crossing's price, as a delay, is counted this many times: aims leave slack
 const SLACK_SCALE: f64 = 0.5; // part of the aim over which slack takes a request's urgency away
@@ -51,8 +48,6 @@
 const COLD_PART: f64 = 0.25; // part of a cold server's budget that one request may take
 const NEWS: f64 = 0.3; // part of a request's time within which others' word must come to show idleness
 const TELL_SHARE: f64 = 0.6; // full messages a proxy may spend for each request it gets
-const CLASS_KNOWN: f64 = 20.0; // answers of a class before it tells of limits
-const TURN: Millis = 300.0; // span for which a proxy's turn to try a server's limit lasts
 pub(crate) const STALE: Millis = 500.0; // what a peer told longer ago no longer counts
 
 /// The largest τ in 0..=m(R−1) for which (3.3) is negative.
@@ -320,47 +315,6 @@
         self.bands.file(&mut self.servers, k, band, slots, open);
     }
 
-    /// Whether this proxy's part of all slots is too small to do without the others': a few servers of one's
-    /// own leave long waits, in proportion to (1 + cv²) / slots (Pollaczek and Khinchine).
-    fn pools(&self) -> bool {
-        let own = self.mean_room * self.servers.len() as f64 / f64::from(self.cfg.proxies);
-        !self.cfg.may_tell && self.cfg.proxies > 1 && own < OWN_LEAST * self.spread.0 / 2.0
-    }
-
-    /// Requests that this proxy may have out.
-    fn most_out(&self) -> usize {
-        if self.pools() { self.window as usize } else { usize::MAX }
-    }
-
-    /// Answers that eat up their aim narrow that window: against jams, and servers that slow when crowded.
-    /// Could harm where a few slow servers alone make the late answers.
-    fn fit_window(&mut self, good: bool) {
-        let used = self.running.len() as f64 + 2.0 > self.window;
-        let window = if good { self.window + if used { 0.5 } else { 0.0 } } else { self.window * WINDOW_CUT };
-        self.window = window.clamp(WINDOW_LEAST, self.servers.len().max(4) as f64);
-    }
-
-    /// How many slots a server has, and which of them are this proxy's own.
-    pub(crate) fn size(&mut self, k: usize) {
-        let s = &self.servers[k];
-        // A rating is cores times speed; on the slowest kind a core has about the speed of the yardstick.
-        let rating = if self.cfg.rating == Rating::Size { s.info.rating } else { 1.0 };
-        let kind = &self.kinds[s.kind];
-        let cores = rating * (kind.core / self.slowest).min(1.0);
-        let prior = (FULLNESS * kind.throttle * cores).max(1.0);
-        let room = s.limit.slots(prior);
-        let mine = if self.pools() && !s.limit.learned() {
-            1.0 // one slot on every server
-        } else {
-            // Each slot belongs to one proxy, of the server's zone if there is one: no two see it open.
-            f64::from(self.owned(k, (room + draw(s.info.id.0, 0)).floor() as u32))
-        };
-        self.kinds[s.kind].cores = cores.max(1.0);
-        let s = &mut self.servers[k];
-        (s.prior, s.room, s.mine) = (prior, room, mine);
-        s.weight = 1.0 / (s.info.rating * s.warmth).max(1e-6);
-    }
-
     /// Learns from an answer how slow a server is; failures and cold servers prove nothing of their like.
     fn learn(&mut self, k: usize, class: usize, latency: Millis, home: bool, lone: bool) {
         self.learn_gain(k, class, latency, home, CLASS_SAMPLES);
@@ -382,53 +336,6 @@
         }
     }
 
-    /// Tells a server's limit of an answer, in the terms of a mean request.
-    fn weigh(&mut self, now: Millis, k: usize, class: usize, sent: Millis, held: f64, ms: Millis, home: bool) {
-        let ms = ms * self.terms[class] * if home { self.gain } else { 1.0 };
-        let s = &mut self.servers[k];
-        if s.warmth >= 1.0 {
-            s.limit.answer(now, sent, held, ms);
-        }
-    }
-
-    /// Tells it that a request was turned away; whether that says more of the limit than of the server.
-    fn turned_away(&mut self, now: Millis, k: usize, sent: Millis, held: f64) -> bool {
-        let alone = self.cfg.proxies == 1;
-        let s = &mut self.servers[k];
-        let moved = s.limit.full(now, sent, held - 1.0, alone, s.prior);
-        s.news |= moved;
-        self.size(k);
-        moved
-    }
-
-    /// Looks the limits over. Only one proxy probes a server at a time: they take turns by a hash of the server
-    /// and of the span in which it is, by each one's own clock.
-    fn limits(&mut self, now: Millis) {
-        let pressed = self.waiting > 0 && self.bands.bands.iter().all(|b| b.open.is_empty());
-        let span = (now / TURN) as u64;
-        for k in 0..self.servers.len() {
-            let seen = f64::from(self.seen(k));
-            let s = &mut self.servers[k];
-            let chance = draw(span, s.info.id.0);
-            let turn = |s: &Server| turn(s.info.id.0 ^ span, self.cfg.me, self.cfg.proxies);
-            let due = |s: &Server| s.limit.learned() || self.kinds[s.kind].ratings.may_try(now, chance);
-            let probe = pressed && seen + 0.5 > s.room && (turn(s) || s.limit.growing(now)) && due(s);
-            let rated = !s.limit.proven();
-            if s.told.is_none()
-                && s.warmth >= 1.0
-                && let Some(why) = s.limit.review(now, s.prior, probe)
-            {
-                s.news = true;
-                match why {
-                    Why::Grew if rated => self.kinds[s.kind].ratings.failed(),
-                    Why::NoGain | Why::Fits if rated => self.kinds[s.kind].ratings.held(now),
-                    _ => {}
-                }
-                self.size(k);
-            }
-        }
-    }
-
     // ---- health ----
 
     /// Judges a server by how an attempt ended or that it is silent, as a whole and for the class alone: some
@@ -484,7 +391,7 @@
         let (class, size, home) = (r.class, r.size, r.home);
         r.done |= closed;
         self.running.retain(|o| *o != id);
-                if !silent && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
+        if !silent && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
             // Given up, yet it may still occupy the server: its slot stays taken until it plausibly ends.
             self.ghosts.push_back((now + 2.0 * self.class_ms[class].0, k));
         } else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,8 +10,10 @@
 mod message;
 #[cfg(feature = "settings")]
 pub mod settings;
+mod slots;
 mod state;
 
 pub use choice::threshold;
 pub use interface::*;
+pub use slots::Belief;
 pub use state::Balancer;
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -18,7 +18,7 @@
 const OUTLIER: f64 = 4.0; // times its level's mean to which an answer counts
 const FLAT: f64 = 0.9; // part of the best throughput from which on more requests bring nothing worth a wait
 const GAIN: f64 = 0.5; // part of a probe's added requests that must turn into throughput
-const SURE: f64 = 2.5; // standard errors by which a probe's gain must be past doubt
+const SURE: f64 = 2.0; // standard errors by which a probe's gain must be past doubt
 const ROOM: f64 = 1.15; // requests for each that is worked on: a few more than fit keep a server busy
 const SEEN: f64 = 0.67; // part of its slots at which a server's latency must be known, else it is looked at
 const LOOKS: Millis = 8000.0; // between such looks
@@ -222,9 +222,9 @@
         self.probe.map_or(self.slots, |p| p.from).is_some()
     }
 
-    /// Why it moved last, and when.
-    pub fn why(&self) -> (Why, Millis) {
-        (self.why, self.moved)
+    /// Why it moved last.
+    pub fn why(&self) -> Why {
+        self.why
     }
 
     /// A new process has taken the server's place: what it holds is believed, what slows it now is not.
@@ -232,11 +232,9 @@
         self.levels = [Level::default(); LEVELS];
         self.slots = self.probe.map_or(self.slots, |p| p.from);
         (self.probe, self.since, self.usual) = (None, now, Span::default());
-        
     }
 
     fn set(&mut self, now: Millis, slots: Option<f64>, why: Why) {
-        if option_env!("DBG").is_some() { eprintln!("{now:.0} {:p} {:?} -> {slots:?} {why:?} usual n {:.1} L {:.1} c {:.0} probe {:?}", self, self.slots, self.usual.held, self.usual.latency, self.usual.count, self.probe); }
         self.slots = slots.map(|s| s.clamp(1.0, MOST));
         (self.why, self.moved, self.since) = (why, now, now);
     }
@@ -255,7 +253,6 @@
     /// The server turned a request away while it held `held` others. Returns whether that moved the limit: it is
     /// then no sign of illness. Where `alone` is false other proxies' requests may be there unseen.
     pub fn full(&mut self, now: Millis, sent: Millis, held: f64, alone: bool, prior: f64) -> bool {
-        if off('B') { return false; }
         if sent < self.since + if alone { 0.0 } else { SETTLE } {
             return self.learned(); // sent before all had heard of the last move
         }
@@ -297,7 +294,8 @@
             if self.probe.is_none() {
                 let (from, until) = (self.slots, now + PROBE.1 + JOINED);
                 let held = self.slots(prior);
-                self.probe = Some(Probe { from, slots: held, until, seen: Span::default(), own: false, down: false });
+                self.probe =
+                    Some(Probe { from, slots: held, until, seen: Span::default(), own: false, down: false });
                 self.set(now, slots, Why::Told);
             }
             return None;
@@ -395,7 +393,6 @@
 
     /// Takes slots away that bring only latency. A rating is believed until it is off by far.
     fn cut(&mut self, now: Millis, prior: f64, curve: &[Point]) -> Option<Why> {
-        if off('A') { return None; }
         let slots = self.slots(prior);
         let (low, top) = (curve.first()?, curve.last()?);
         let (crest, part) = if self.learned() { CREST } else { CREST_RATED };
@@ -417,13 +414,13 @@
 
     /// Begins a probe of the next level, if the present one is known.
     fn begin(&mut self, now: Millis, prior: f64, curve: &[Point]) -> Option<Why> {
-        if off('C') { return None; }
         let (slots, usual) = (self.slots(prior), self.usual);
         let answers: f64 = self.levels.iter().map(|l| if l.weight > 0.0 { l.weight(now) } else { 0.0 }).sum();
         // Faded answers over the span that they fade over, or since the last move: with too few a probe would end
         // without telling.
         let span = (now - self.since).clamp(1.0, HALF_LIFE / std::f64::consts::LN_2);
-        let enough = usual.count >= KNOWN && answers.max(usual.count.min(2.0 * KNOWN)) / span * PROBE.1 >= FLOW;
+        let enough =
+            usual.count >= KNOWN && answers.max(usual.count.min(2.0 * KNOWN)) / span * PROBE.1 >= FLOW;
         if now < self.rest_until || !enough || usual.held < 0.7 * slots.floor() {
             return None;
         }
@@ -511,5 +508,3 @@
     let score = |i: u32| crate::state::draw(seed, u64::from(i));
     (0..proxies).all(|i| i == me || score(i) < score(me))
 }
-
-fn off(c: char) -> bool { option_env!("ABL").is_some_and(|a| a.contains(c)) }
--- a/src/message.rs
+++ b/src/message.rs
@@ -61,7 +61,9 @@
 }
 
 /// Unpacks limits, if the message holds any.
-pub(crate) fn unpack_limits(bytes: &[u8], names: &FxHashMap<u16, usize>) -> Option<Vec<(usize, Option<f64>, bool)>> {
+pub(crate) fn unpack_limits(
+    bytes: &[u8], names: &FxHashMap<u16, usize>,
+) -> Option<Vec<(usize, Option<f64>, bool)>> {
     let entries = bytes.strip_prefix(&[LIMITS])?.chunks_exact(ENTRY);
     let read = |e: &[u8]| {
         let k = names.get(&u16::from_le_bytes([e[0], e[1]]))?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -249,8 +249,6 @@
     pub blames: Vec<usize>,
 }
 
-const MOST_SLOTS: u32 = 1024; // of a server: a bound on work, whatever a list says
-
 /// Spreads the bits of a number.
 pub(crate) fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -287,7 +285,7 @@
     pub(crate) spread: (f64, f64), // mean square of latency over its expected value, and its weight
     pub(crate) window: f64,       // requests that this proxy may have out where it shares all servers
     pub(crate) mean_room: f64,    // slots of a mean server
-    pub(crate) terms: Vec<f64>, // by which a class's latency becomes a mean request's; 0 if not known
+    pub(crate) terms: Vec<f64>,   // by which a class's latency becomes a mean request's; 0 if not known
     pub(crate) mean: Millis,      // mean latency over all classes
     pub(crate) slowest: f64,      // calm latency of the slowest kind
     pub(crate) rating: f64,       // sum of the ratings of listed servers
@@ -422,20 +420,6 @@
         (1023.0 - u.to_bits() as f64 / (1u64 << 52) as f64) * self.servers[k].weight
     }
 
-    /// How many of a server's slots are this proxy's own: each has one owner among the proxies of the
-    /// server's zone, or among all where there is none, by a hash that all of them share.
-    pub(crate) fn owned(&self, k: usize, slots: u32) -> u32 {
-        let info = &self.servers[k].info;
-        let near = |i: &u32| self.zones[*i as usize].is_none() || self.zones[*i as usize] == info.zone;
-        let any = (0..self.cfg.proxies).any(|i| near(&i));
-        let score = |slot: u32, i: u32| draw(info.id.0 ^ u64::from(slot), u64::from(i));
-        let owner = |slot: &u32| {
-            let proxies = (0..self.cfg.proxies).filter(|i| near(i) || !any);
-            proxies.max_by(|&a, &b| score(*slot, a).total_cmp(&score(*slot, b))) == Some(self.cfg.me)
-        };
-        (0..slots.min(MOST_SLOTS)).filter(owner).count() as u32
-    }
-
     /// Forgets a request that has its answer, once all its attempts have been heard of.
     pub(crate) fn finish(&mut self, id: RequestId) {
         self.dequeue(id);
@@ -510,6 +494,7 @@
                     None => {}
                 }
                 self.size(k);
+                self.place(k, now);
             }
             return;
         }
@@ -535,13 +520,6 @@
         p.holds
     }
 
-    /// Requests at a server as far as this proxy can tell: where the others are silent, as many each as it has.
-    pub(crate) fn seen(&self, k: usize) -> u32 {
-        let s = &self.servers[k];
-        let silent = self.cfg.proxies > 1 && self.peers.iter().all(Option::is_none);
-        if silent { s.own.saturating_mul(self.cfg.proxies) } else { s.held() }
-    }
-
     /// The part of its capacity that a server surely has: it warms at least evenly.
     pub(crate) fn warmth(&self, k: usize, now: Millis) -> f64 {
         let l = &self.cfg.limits;
