Compare limiters in the laboratory, test the learned limit, bound cold budgets by ratings

A property test found a cold server pushed over by a limit learned of the process before it: the budget now takes the lower of rating and limit. A test found NaN from a latency beyond f32.

--- a/crates/sandgap-lab/src/lib.rs
+++ b/crates/sandgap-lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod file;
 pub mod fleet;
 pub mod hunt;
+pub mod limiters;
 pub mod limits;
 pub mod measure;
 pub mod model;
--- a/crates/sandgap-lab/src/main.rs
+++ b/crates/sandgap-lab/src/main.rs
@@ -10,7 +10,7 @@
 use sandgap_lab::fleet::Plan;
 use sandgap_lab::rivals::PolicyKind;
 use sandgap_lab::run::MEASURES;
-use sandgap_lab::{checks, cost, hunt, report, run};
+use sandgap_lab::{checks, cost, hunt, limiters, report, run};
 
 /// A file or a call that is wrong.
 const WRONG: u8 = 2;
@@ -102,6 +102,15 @@
         #[arg(long, default_value_t = 2500.0)]
         rate: f64,
     },
+    /// Holds the module's limiter against those in common use, on servers of hidden size
+    Limiters {
+        /// The seed of the works
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Works of exponential spread
+        #[arg(long)]
+        spread: bool,
+    },
     /// Measures how fast the laboratory itself is
     Speed,
 }
@@ -216,6 +225,24 @@
             }
             Ok(true)
         }
+        Command::Limiters { seed, spread } => {
+            println!(
+                "{:<22}{:>5}  {:<9}{:>8}{:>7}{:>8}{:>7}{:>8}{:>7}{:>8}{:>7}",
+                "server of 12 cores",
+                "first",
+                "limiter",
+                "calm",
+                "slow",
+                "half",
+                "slow",
+                "after",
+                "slow",
+                "full",
+                "ready"
+            );
+            limiters::compare(seed, spread).iter().for_each(|f| println!("{f}"));
+            Ok(true)
+        }
         Command::Speed => {
             print!("{}", checks::speed().map_err(|e| e.to_string())?);
             Ok(true)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,7 +27,7 @@
 const CALM_SAMPLES: f64 = 60.0; // answers before a kind's latency is measured: the least of few is too low
 const THROTTLE_MIN: f64 = 0.3; // the least part of its slots that a crowded kind keeps
 pub(crate) const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
-const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
+pub(crate) const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
 pub(crate) const WINDOW_LEAST: f64 = 4.0; // requests that a proxy may always have out
 const BORROW: usize = 3; // bands by which another proxy's slot counts slower: both may take it at once
 const PULL: f64 = 3.0; // a crossing's price, as a delay, is counted this many times: aims leave slack
@@ -551,8 +551,11 @@
             let s = &mut self.servers[k];
             if s.fresh && warmth < 1.0 {
                 // An equal part of what its like can do, cut to what it surely can: so it stands in any case.
-                let kind = &self.kinds[s.kind]; // by its calm latency: waits in a crowd are not work
-                let capacity = s.room / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
+                // By its calm latency, as waits in a crowd are not work, and by no more than its rating: what was
+                // learned is of the process before it.
+                let kind = &self.kinds[s.kind];
+                let capacity =
+                    s.room.min(s.prior) / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
                 let rate = COLD_SHARE * self.cfg.limits.fall_multiple * warmth * capacity
                     / f64::from(self.cfg.proxies);
                 s.tokens = (s.tokens + rate * (now - s.tokens_at)).min((rate * 300.0).max(1.0));
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -10,6 +10,8 @@
 pub const LEVELS: usize = 21;
 /// Greatest limit that is ever believed, requests: a bound on work, whatever answers say.
 pub const MOST: f64 = 1024.0;
+const LEAST_MS: Millis = 1e-6; // latencies past these bounds are no measurement
+const MOST_MS: Millis = 1e7;
 const HALF_LIFE: Millis = 2000.0; // of what an answer tells: a neighbour comes and goes within seconds
 const FULL_WEIGHT: f64 = 64.0; // answers over which a level's latency is averaged
 const SPAN_WEIGHT: f64 = 200.0; // answers over which a span's latency is averaged
@@ -24,7 +26,7 @@
 const LOOKS: Millis = 8000.0; // between such looks
 const FLOW: f64 = 8.0; // answers that a probe must be expected to bring
 const SPREAD: f64 = 0.5; // of one latency about its mean, where a cut is looked into
-const CREST: (f64, f64) = (1.5, 0.9); // latency over its least from which on a cut is looked into, and how deep one must be
+const CREST: (f64, f64) = (1.5, 0.9); // latency over its least from which on a cut is considered, and how deep
 const CREST_RATED: (f64, f64) = (2.0, 0.65); // the same while the rating stands
 const PROBE: (Millis, Millis) = (400.0, 1500.0); // a probe's least and longest span
 const SPANS: f64 = 20.0; // latencies that a probe lasts, within those bounds
@@ -242,7 +244,7 @@
     /// An answer came from a server that held `held` requests in the mean, this one among them. `latency` is
     /// told in the terms of a mean request, so that a heavier mix of classes passes for no crowd.
     pub fn answer(&mut self, now: Millis, sent: Millis, held: f64, latency: Millis) {
-        if sent >= self.since && latency.is_finite() && latency > 0.0 {
+        if sent >= self.since && (LEAST_MS..MOST_MS).contains(&latency) {
             self.levels[level(held)].add(now, held, latency);
             self.probe.as_mut().map_or(&mut self.usual, |p| &mut p.seen).add(held, latency);
             self.new = true;
@@ -340,8 +342,8 @@
     }
 
     /// Looks the limit over. `probe`: demand waits, every server is full, and this proxy may probe this
-    /// one. Returns why it moved, if it did.
-    pub fn review(&mut self, now: Millis, prior: f64, probe: bool) -> Option<Why> {
+    /// one; `late`: its answers eat up what requests have time for. Returns why it moved, if it did.
+    pub fn review(&mut self, now: Millis, prior: f64, probe: bool, late: bool) -> Option<Why> {
         if !std::mem::take(&mut self.new) && !probe && !self.overdue(now) {
             return None;
         }
@@ -358,7 +360,7 @@
         }
         let (points, n) = self.curve(now);
         let cut = self.cut(now, prior, &points[..n]);
-        cut.or_else(|| if probe { self.begin(now, prior, &points[..n]) } else { None })
+        cut.or_else(|| if probe { self.begin(now, prior, late, &points[..n]) } else { None })
     }
 
     fn overdue(&self, now: Millis) -> bool {
@@ -401,8 +403,10 @@
             return None;
         }
         let best = curve.iter().map(Point::rate).fold(0.0, f64::max);
-        let knee = curve.iter().find(|p| p.rate() >= FLAT * best).unwrap_or(top);
-        let fits = (ROOM * best * low.latency).clamp(knee.held.min(top.held), top.held);
+        let knee = curve.iter().position(|p| p.rate() >= FLAT * best).unwrap_or(curve.len() - 1);
+        let (below, knee) = (curve[knee.saturating_sub(1)].held, curve[knee].held);
+        let least = if knee > 2.0 * below { below } else { knee }; // between far levels nothing is known
+        let fits = (ROOM * best * low.latency).clamp(least.min(top.held), top.held);
         if fits > part * slots || fits > slots - 0.5 {
             return None;
         }
@@ -413,7 +417,7 @@
     }
 
     /// Begins a probe of the next level, if the present one is known.
-    fn begin(&mut self, now: Millis, prior: f64, curve: &[Point]) -> Option<Why> {
+    fn begin(&mut self, now: Millis, prior: f64, late: bool, curve: &[Point]) -> Option<Why> {
         let (slots, usual) = (self.slots(prior), self.usual);
         let answers: f64 = self.levels.iter().map(|l| if l.weight > 0.0 { l.weight(now) } else { 0.0 }).sum();
         // Faded answers over the span that they fade over, or since the last move: with too few a probe would end
@@ -425,10 +429,11 @@
             return None;
         }
         let unseen = curve.first().is_none_or(|p| p.held > SEEN * slots);
-        let down = unseen && slots >= 2.0 && now >= self.look_at;
+        let down = unseen && slots >= 2.0 && now >= self.look_at && (late || self.learned());
         let to = if down {
             self.look_at = now + LOOKS;
-            edge(level(slots).saturating_sub(2))
+            // Deep enough that twice the latency would show, which a rating has to be off by.
+            edge(level(slots).saturating_sub(if self.learned() { 2 } else { 4 }))
         } else {
             edge(level(slots.max(usual.held)) + self.leap).max(slots + 1.0).min(MOST)
         };
@@ -447,7 +452,11 @@
         self.probe = None;
         self.set(now, probe.from, Why::Fits);
         let (points, n) = self.curve(now);
-        self.cut(now, prior, &points[..n]).or(Some(Why::Fits))
+        let cut = self.cut(now, prior, &points[..n]);
+        if cut.is_some() {
+            (self.look_at, self.rest_until) = (now, now); // there may be more to take away
+        }
+        cut.or(Some(Why::Fits))
     }
 }
 
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -1,6 +1,6 @@
 //! How many requests a server should hold, and which of its slots are this proxy's own. What is learned of that is
 //! in `src/limit.rs`; here the rating, the proxies' parts and the limits are brought together.
-use crate::choice::WINDOW_LEAST;
+use crate::choice::{LATE, WINDOW_LEAST};
 use crate::interface::*;
 use crate::limit::{Why, turn};
 use crate::state::*;
@@ -135,10 +135,11 @@
             let turn = |s: &Server| turn(s.info.id.0 ^ span, self.cfg.me, self.cfg.proxies);
             let due = |s: &Server| s.limit.learned() || self.kinds[s.kind].ratings.may_try(now, chance);
             let probe = pressed && seen + 0.5 > s.room && (turn(s) || s.limit.growing(now)) && due(s);
+            let late = s.slow.0 * self.mean > LATE * self.least_aim;
             let rated = !s.limit.proven();
             if s.told.is_none()
                 && s.warmth >= 1.0
-                && let Some(why) = s.limit.review(now, s.prior, probe)
+                && let Some(why) = s.limit.review(now, s.prior, probe, late)
             {
                 s.news = true;
                 match why {
--- a/src/state.rs
+++ b/src/state.rs
@@ -281,6 +281,7 @@
     pub(crate) class_ms: Vec<(f64, f64)>,         // mean latency by class, and its weight
     pub(crate) kinds: Vec<Kind>,
     pub(crate) longest_aim: Millis,
+    pub(crate) least_aim: Millis,
     pub(crate) blocked: Vec<f64>, // part of the servers that is closed to a class alone
     pub(crate) spread: (f64, f64), // mean square of latency over its expected value, and its weight
     pub(crate) window: f64,       // requests that this proxy may have out where it shares all servers
@@ -314,6 +315,7 @@
     /// Starts a proxy that knows nothing yet; `seed` is the only source of chance.
     pub fn new(cfg: Settings, seed: u64) -> Self {
         let longest_aim = cfg.classes.iter().map(|c| c.aim).fold(0.0, f64::max);
+        let least_aim = cfg.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         let first_guess = (longest_aim / 4.0).max(1.0);
         Balancer {
             rng: fastrand::Rng::with_seed(seed),
@@ -333,6 +335,7 @@
             mean: first_guess,
             slowest: 0.0,
             longest_aim,
+            least_aim,
             mean_room: 1.0,
             blocked: vec![0.0; cfg.classes.len()],
             spread: (2.0, 0.2 * SPREAD_SAMPLES),
