--- a/src/limit.rs
+++ b/src/limit.rs
@@ -342,8 +342,8 @@
     }
 
     /// Looks the limit over. `probe`: demand waits, every server is full, and this proxy may probe this
-    /// one; `late`: its answers eat up what requests have time for. Returns why it moved, if it did.
-    pub fn review(&mut self, now: Millis, prior: f64, probe: bool, late: bool) -> Option<Why> {
+    /// one; `look`: it may be tried with fewer instead, where their cost is not known. Returns why it moved, if it did.
+    pub fn review(&mut self, now: Millis, prior: f64, probe: bool, look: bool) -> Option<Why> {
         if !std::mem::take(&mut self.new) && !probe && !self.overdue(now) {
             return None;
         }
@@ -360,7 +360,7 @@
         }
         let (points, n) = self.curve(now);
         let cut = self.cut(now, prior, &points[..n]);
-        cut.or_else(|| if probe { self.begin(now, prior, late, &points[..n]) } else { None })
+        cut.or_else(|| if probe { self.begin(now, prior, look, &points[..n]) } else { None })
     }
 
     fn overdue(&self, now: Millis) -> bool {
@@ -378,7 +378,7 @@
         let bound = more / (1.0 + GAIN * (more - 1.0));
         let error = (old.error() + new.error()).sqrt();
         let grew = known && dearer.ln() + SURE * error < bound.ln();
-        let vain = known && dearer.ln() > bound.ln() + error && new.count >= 2.0 * KNOWN;
+        let vain = known && dearer.ln() > bound.ln() + error;
         if !grew && !vain && !self.overdue(now) {
             return None;
         }
@@ -417,7 +417,7 @@
     }
 
     /// Begins a probe of the next level, if the present one is known.
-    fn begin(&mut self, now: Millis, prior: f64, late: bool, curve: &[Point]) -> Option<Why> {
+    fn begin(&mut self, now: Millis, prior: f64, look: bool, curve: &[Point]) -> Option<Why> {
         let (slots, usual) = (self.slots(prior), self.usual);
         let answers: f64 = self.levels.iter().map(|l| if l.weight > 0.0 { l.weight(now) } else { 0.0 }).sum();
         // Faded answers over the span that they fade over, or since the last move: with too few a probe would end
@@ -429,7 +429,7 @@
             return None;
         }
         let unseen = curve.first().is_none_or(|p| p.held > SEEN * slots);
-        let down = unseen && slots >= 2.0 && now >= self.look_at && (late || self.learned());
+        let down = unseen && slots >= 2.0 && now >= self.look_at && look;
         let to = if down {
             self.look_at = now + LOOKS;
             // Deep enough that twice the latency would show, which a rating has to be off by.
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -135,11 +135,14 @@
             let turn = |s: &Server| turn(s.info.id.0 ^ span, self.cfg.me, self.cfg.proxies);
             let due = |s: &Server| s.limit.learned() || self.kinds[s.kind].ratings.may_try(now, chance);
             let probe = pressed && seen + 0.5 > s.room && (turn(s) || s.limit.growing(now)) && due(s);
+            // Where several proxies send, low levels are met by chance; a rating is doubted only where answers
+            // eat up what requests have time for.
             let late = s.slow.0 * self.mean > LATE * self.least_aim;
+            let look = late || s.limit.learned() && self.cfg.proxies == 1;
             let rated = !s.limit.proven();
             if s.told.is_none()
                 && s.warmth >= 1.0
-                && let Some(why) = s.limit.review(now, s.prior, probe, late)
+                && let Some(why) = s.limit.review(now, s.prior, probe, look)
             {
                 s.news = true;
                 match why {
