--- a/src/limit.rs
+++ b/src/limit.rs
@@ -89,7 +89,8 @@
 
 impl Level {
     fn weight(&self, now: Millis) -> f64 {
-        f64::from(self.weight) * (-(now - self.at) / HALF_LIFE).exp2()
+        // Most levels of a server are never met: they cost no power of two.
+        if self.weight > 0.0 { f64::from(self.weight) * (-(now - self.at) / HALF_LIFE).exp2() } else { 0.0 }
     }
 
     fn add(&mut self, now: Millis, held: f64, latency: Millis) {
@@ -154,7 +155,7 @@
     slots: Option<f64>, // none while the rating stands
     usual: Span,        // at the present limit
     probe: Option<Probe>,
-    since: Millis, // answers to requests sent before this tell of another limit
+    since: Millis, // its last move: answers to requests sent before tell of another limit
     rest: Millis,
     rest_until: Millis,
     look_at: Millis,
@@ -162,7 +163,6 @@
     turned: f64, // part of what was sent that was turned away
     new: bool,
     why: Why,
-    moved: Millis,
 }
 
 /// A level as the curve has it: requests held, their latency, answers behind it.
@@ -195,7 +195,6 @@
             turned: 0.0,
             new: false,
             why: Why::Rating,
-            moved: now,
         }
     }
 
@@ -211,7 +210,7 @@
 
     /// Whether it has just grown here: who found room looks on.
     pub fn growing(&self, now: Millis) -> bool {
-        self.why == Why::Grew && now - self.moved < REST.0
+        self.why == Why::Grew && now - self.since < REST.0
     }
 
     /// The limit, if one is learned or tried, and whether it is but tried.
@@ -229,16 +228,9 @@
         self.why
     }
 
-    /// A new process has taken the server's place: what it holds is believed, what slows it now is not.
-    pub fn restart(&mut self, now: Millis) {
-        self.levels = [Level::default(); LEVELS];
-        self.slots = self.probe.map_or(self.slots, |p| p.from);
-        (self.probe, self.since, self.usual) = (None, now, Span::default());
-    }
-
     fn set(&mut self, now: Millis, slots: Option<f64>, why: Why) {
         self.slots = slots.map(|s| s.clamp(1.0, MOST));
-        (self.why, self.moved, self.since) = (why, now, now);
+        (self.why, self.since) = (why, now);
     }
 
     /// An answer came from a server that held `held` requests in the mean, this one among them. `latency` is
@@ -283,7 +275,7 @@
 
     /// The most requests that the server held of late and answered.
     fn served(&self, now: Millis) -> f64 {
-        let known = |l: &&Level| l.weight > 0.0 && l.weight(now) >= KNOWN;
+        let known = |l: &&Level| l.weight(now) >= KNOWN;
         self.levels.iter().rev().find(known).map_or(1.0, |l| f64::from(l.held).floor())
     }
 
@@ -330,7 +322,7 @@
         let mut points = [Point::default(); LEVELS];
         let mut n = 0;
         for l in &self.levels {
-            let weight = if l.weight > 0.0 { l.weight(now) } else { 0.0 };
+            let weight = l.weight(now);
             if weight >= if n == 0 { GLIMPSE } else { KNOWN } {
                 let (held, latency) = (f64::from(l.held), f64::from(l.latency));
                 points[n] = Point { held, latency, weight };
@@ -419,7 +411,7 @@
     /// Begins a probe of the next level, if the present one is known.
     fn begin(&mut self, now: Millis, prior: f64, look: bool, curve: &[Point]) -> Option<Why> {
         let (slots, usual) = (self.slots(prior), self.usual);
-        let answers: f64 = self.levels.iter().map(|l| if l.weight > 0.0 { l.weight(now) } else { 0.0 }).sum();
+        let answers: f64 = self.levels.iter().map(|l| l.weight(now)).sum();
         // Faded answers over the span that they fade over, or since the last move: with too few a probe would end
         // without telling.
         let span = (now - self.since).clamp(1.0, HALF_LIFE / std::f64::consts::LN_2);
@@ -511,9 +503,3 @@
         now >= self.until && (self.wrong > 0 || draw < FEW)
     }
 }
-
-/// Whether it is a proxy's turn, by a draw that all proxies make alike from a seed.
-pub(crate) fn turn(seed: u64, me: u32, proxies: u32) -> bool {
-    let score = |i: u32| crate::state::draw(seed, u64::from(i));
-    (0..proxies).all(|i| i == me || score(i) < score(me))
-}
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -2,7 +2,7 @@
 //! in `src/limit.rs`; here the rating, the proxies' parts and the limits are brought together.
 use crate::choice::{LATE, WINDOW_LEAST};
 use crate::interface::*;
-use crate::limit::{Why, turn};
+use crate::limit::{MOST, Why};
 use crate::state::*;
 
 pub(crate) const FULLNESS: f64 = 1.1; // requests a core may hold: a little over one keeps it busy between answers
@@ -10,7 +10,6 @@
 const WINDOW_CUT: f64 = 0.9; // by which such an answer shrinks the in-flight window
 pub(crate) const CLASS_KNOWN: f64 = 20.0; // answers of a class before it tells of limits
 const TURN: Millis = 300.0; // span for which a proxy's turn to try a server's limit lasts
-const MOST_SLOTS: u32 = 1024; // of a server: a bound on work, whatever a list says
 
 /// What is believed of a server's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -86,12 +85,9 @@
         let info = &self.servers[k].info;
         let near = |i: &u32| self.zones[*i as usize].is_none() || self.zones[*i as usize] == info.zone;
         let any = (0..self.cfg.proxies).any(|i| near(&i));
-        let score = |slot: u32, i: u32| draw(info.id.0 ^ u64::from(slot), u64::from(i));
-        let owner = |slot: &u32| {
-            let proxies = (0..self.cfg.proxies).filter(|i| near(i) || !any);
-            proxies.max_by(|&a, &b| score(*slot, a).total_cmp(&score(*slot, b))) == Some(self.cfg.me)
-        };
-        (0..slots.min(MOST_SLOTS)).filter(owner).count() as u32
+        let near = || (0..self.cfg.proxies).filter(|i| near(i) || !any);
+        let mine = |slot: &u32| falls_to(info.id.0 ^ u64::from(*slot), near()) == Some(self.cfg.me);
+        (0..slots.min(MOST as u32)).filter(mine).count() as u32 // whatever a list says
     }
 
     /// Requests at a server as far as this proxy can tell: where the others are silent, as many each as it has.
@@ -101,8 +97,8 @@
         if silent { s.own.saturating_mul(self.cfg.proxies) } else { s.held() }
     }
 
-    #[allow(clippy::too_many_arguments)]
     /// Tells a server's limit of an answer, in the terms of a mean request.
+    #[allow(clippy::too_many_arguments)]
     pub(crate) fn weigh(
         &mut self, now: Millis, k: usize, class: usize, sent: Millis, held: f64, ms: Millis, home: bool,
     ) {
@@ -123,18 +119,24 @@
         moved
     }
 
-    /// Looks the limits over. Only one proxy probes a server at a time: they take turns by a hash of the server
-    /// and of the span in which it is, by each one's own clock.
+    /// Whether this proxy may try a server's limit now. Only one does at a time: they take turns by a hash of the
+    /// server and of the span in which it is, by each one's own clock.
+    fn may_probe(&self, now: Millis, k: usize) -> bool {
+        let (s, span) = (&self.servers[k], (now / TURN) as u64);
+        let turn = || falls_to(s.info.id.0 ^ span, 0..self.cfg.proxies) == Some(self.cfg.me);
+        let due = || {
+            let chance = draw(span, s.info.id.0);
+            s.limit.learned() || self.kinds[s.kind].ratings.may_try(now, chance)
+        };
+        f64::from(self.seen(k)) + 0.5 > s.room && (s.limit.growing(now) || turn()) && due()
+    }
+
+    /// Looks the limits over.
     pub(crate) fn limits(&mut self, now: Millis) {
         let pressed = self.waiting > 0 && self.bands.bands.iter().all(|b| b.open.is_empty());
-        let span = (now / TURN) as u64;
         for k in 0..self.servers.len() {
-            let seen = f64::from(self.seen(k));
+            let probe = pressed && self.may_probe(now, k);
             let s = &mut self.servers[k];
-            let chance = draw(span, s.info.id.0);
-            let turn = |s: &Server| turn(s.info.id.0 ^ span, self.cfg.me, self.cfg.proxies);
-            let due = |s: &Server| s.limit.learned() || self.kinds[s.kind].ratings.may_try(now, chance);
-            let probe = pressed && seen + 0.5 > s.room && (turn(s) || s.limit.growing(now)) && due(s);
             // Where several proxies send, low levels are met by chance; a rating is doubted only where answers
             // eat up what requests have time for.
             let late = s.slow.0 * self.mean > LATE * self.least_aim;
--- a/src/state.rs
+++ b/src/state.rs
@@ -261,6 +261,12 @@
     (mix(a ^ mix(b.wrapping_add(0x9e37_79b9_7f4a_7c15))) >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// The proxy to which a seed falls, by a draw that all proxies make alike.
+pub(crate) fn falls_to(seed: u64, proxies: impl Iterator<Item = u32>) -> Option<u32> {
+    let score = |i: u32| draw(seed, u64::from(i));
+    proxies.max_by(|&a, &b| score(a).total_cmp(&score(b)))
+}
+
 /// Waiting requests, by class and by whether they are beyond their tenant's share, oldest first.
 pub(crate) type Queues = Vec<VecDeque<RequestId>>;
 
