Word problems of files in one place for daemon and laboratory: sandgap-problem

Problem with its line, the line of a byte and the nearest name stood in the daemon's settings and in the laboratory's experiment files alike. Both call one small crate now; texts and tests are as they were.

--- a/crates/sandgap-lab/src/file.rs
+++ b/crates/sandgap-lab/src/file.rs
@@ -1,8 +1,8 @@
 //! The experiment file: what it may hold, and everything that is wrong with it at once.
 
-use std::fmt;
 use std::path::{Path, PathBuf};
 
+use sandgap_problem::{Problem, line, nearest};
 use serde::{Deserialize, Serialize};
 use toml::de::{DeTable, DeValue};
 use toml::{Table, Value};
@@ -17,24 +17,6 @@
 use crate::model::server::{Build, ColdRule};
 use crate::rivals::PolicyKind;
 
-/// One thing that is wrong: where, and how to mend it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Problem {
-    /// Line of the file, from 1; 0 where something is missing as a whole.
-    pub line: usize,
-    /// What is wrong and what would be right.
-    pub text: String,
-}
-
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self.line {
-            0 => write!(f, "{}", self.text),
-            line => write!(f, "line {line}: {}", self.text),
-        }
-    }
-}
-
 /// A file that can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum FileError {
@@ -516,10 +498,9 @@
     let Some((what, expected)) = first.split_once(", expected ") else { return first.to_owned() };
     let Some(given) = what.split('`').nth(1) else { return first.to_owned() };
     let names = expected.split('`').skip(1).step_by(2);
-    let like = names.map(|n| (strsim::jaro_winkler(given, n), n));
-    match like.max_by(|a, b| a.0.total_cmp(&b.0)) {
-        Some((likeness, nearest)) if likeness > 0.6 => format!("{what}; did you mean '{nearest}'?"),
-        _ => first.to_owned(),
+    match nearest(given, names) {
+        meant if meant.is_empty() => first.to_owned(),
+        meant => format!("{what}{meant}"),
     }
 }
 
@@ -610,10 +591,6 @@
     })
 }
 
-fn line(text: &str, at: usize) -> usize {
-    1 + text.as_bytes().iter().take(at).filter(|b| **b == b'\n').count()
-}
-
 /// The line of a dotted key, or of the nearest thing above it that stands in the file.
 fn find(text: &str, table: &DeTable, key: &str) -> usize {
     fn go(text: &str, at: &DeValue, way: &[String], found: usize) -> usize {
--- a/crates/sandgap/src/settings/check.rs
+++ b/crates/sandgap/src/settings/check.rs
@@ -1,31 +1,13 @@
 //! Reads a settings file against the schema and finds all that is wrong with it at once.
 
-use std::fmt;
 use std::net::SocketAddr;
 
+use sandgap_problem::{Problem, line, nearest};
 use toml::de::{DeTable, DeValue};
 use toml::{Spanned, Table as Values, Value};
 
 use super::schema::{Default, Key, Kind, TABLES, Table};
 
-/// One thing that is wrong: where, and how to mend it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Problem {
-    /// Line of the file, from 1; 0 where something is missing as a whole.
-    pub line: usize,
-    /// What is wrong and what would be right.
-    pub text: String,
-}
-
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self.line {
-            0 => write!(f, "{}", self.text),
-            line => write!(f, "line {line}: {}", self.text),
-        }
-    }
-}
-
 /// A file on its way through the checks.
 pub struct Reader<'a> {
     text: &'a str,
@@ -39,7 +21,7 @@
         let mut reader = Reader { text, problems: Vec::new() };
         let (spanned, errors) = DeTable::parse_recoverable(text);
         for e in &errors {
-            let line = e.span().map_or(0, |s| reader.line(s.start));
+            let line = e.span().map_or(0, |s| line(text, s.start));
             reader.problems.push(Problem { line, text: e.message().to_owned() });
         }
         let mut values = Values::new();
@@ -49,15 +31,9 @@
         (values, reader)
     }
 
-    /// The line of a byte of the text.
-    fn line(&self, at: usize) -> usize {
-        let before = self.text.as_bytes().iter().take(at).filter(|b| **b == b'\n').count();
-        before + 1
-    }
-
     /// Notes a problem at a byte of the text.
     pub fn wrong(&mut self, at: usize, text: String) {
-        let line = self.line(at);
+        let line = line(self.text, at);
         self.problems.push(Problem { line, text });
     }
 
@@ -178,12 +154,3 @@
         good
     }
 }
-
-/// `; did you mean 'X'?` for the name that is most like one.
-fn nearest(name: &str, names: impl Iterator<Item = &'static str>) -> String {
-    let like = names.map(|n| (strsim::jaro_winkler(name, n), n));
-    match like.max_by(|a, b| a.0.total_cmp(&b.0)) {
-        Some((likeness, nearest)) if likeness > 0.6 => format!("; did you mean '{nearest}'?"),
-        _ => String::new(),
-    }
-}
--- a/crates/sandgap/src/settings/mod.rs
+++ b/crates/sandgap/src/settings/mod.rs
@@ -14,8 +14,8 @@
 
 use crate::config::{Config, Source, held};
 use crate::event::Host;
-pub use check::Problem;
 use check::Reader;
+pub use sandgap_problem::Problem;
 
 #[derive(Deserialize)]
 struct File {
