Write gauges of listed backends only: a recorder anew for each metrics file

The recorder lived as long as the process and forgot no gauge: with backends that come and go it grew without bound and told of those that had left. A test holds both; the rest is as it was.

--- a/crates/sandgap/src/beliefs.rs
+++ b/crates/sandgap/src/beliefs.rs
@@ -31,7 +31,6 @@
 
 struct File {
     path: PathBuf,
-    recorder: PrometheusRecorder,
     written: Option<Instant>,
     busy: Arc<AtomicBool>,
     failing: Arc<AtomicBool>,
@@ -40,20 +39,8 @@
 impl Beliefs {
     /// Nothing told yet; gauges go to `file`, if there is one.
     pub fn new(file: Option<PathBuf>) -> Self {
-        let file = file.map(|path| {
-            let recorder = PrometheusBuilder::new().build_recorder();
-            recorder.describe_gauge(
-                "sandgap_backend_limit".into(),
-                None,
-                "requests that a backend is believed to hold, of all proxies".into(),
-            );
-            recorder.describe_gauge(
-                "sandgap_backend_rated".into(),
-                None,
-                "requests that its rating says it holds".into(),
-            );
-            File { path, recorder, written: None, busy: Arc::default(), failing: Arc::default() }
-        });
+        let file =
+            file.map(|path| File { path, written: None, busy: Arc::default(), failing: Arc::default() });
         Beliefs { told: FxHashMap::default(), file }
     }
 
@@ -63,6 +50,8 @@
         address: impl Fn(BackendId) -> Option<SocketAddr>,
     ) {
         let due = self.file.as_ref().is_some_and(|f| f.written.is_none_or(|at| now - at >= WRITE));
+        // Anew for each write: a recorder never forgets a gauge, and backends come and go for years.
+        let recorder = due.then(recorder);
         let (mut lines, mut listed) = (0, 0);
         for belief in beliefs {
             listed += 1;
@@ -77,15 +66,15 @@
                     belief.why.text()
                 );
             }
-            if due && let Some(file) = &self.file {
-                file.gauge(&belief, address);
+            if let Some(recorder) = &recorder {
+                gauge(recorder, &belief, address);
             }
         }
         if self.told.len() > 2 * listed {
             self.told.clear(); // backends that have left; the rest is told again
         }
-        if due && let Some(file) = &mut self.file {
-            file.write(now);
+        if let (Some(recorder), Some(file)) = (recorder, &mut self.file) {
+            file.write(now, recorder.handle().render());
         }
     }
 
@@ -97,24 +86,35 @@
     }
 }
 
-impl File {
-    fn gauge(&self, belief: &Belief, address: SocketAddr) {
-        let backend = address.to_string();
-        with_local_recorder(&self.recorder, || {
-            metrics::gauge!("sandgap_backend_limit", "backend" => backend.clone()).set(belief.limit);
-            metrics::gauge!("sandgap_backend_rated", "backend" => backend).set(belief.rated);
-        });
-    }
+fn recorder() -> PrometheusRecorder {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let about = "requests that a backend is believed to hold, of all proxies";
+    recorder.describe_gauge("sandgap_backend_limit".into(), None, about.into());
+    recorder.describe_gauge(
+        "sandgap_backend_rated".into(),
+        None,
+        "requests that its rating says it holds".into(),
+    );
+    recorder
+}
 
+fn gauge(recorder: &PrometheusRecorder, belief: &Belief, address: SocketAddr) {
+    let backend = address.to_string();
+    with_local_recorder(recorder, || {
+        metrics::gauge!("sandgap_backend_limit", "backend" => backend.clone()).set(belief.limit);
+        metrics::gauge!("sandgap_backend_rated", "backend" => backend).set(belief.rated);
+    });
+}
+
+impl File {
     /// Writes the file, whole or not at all, on a thread of its own: a slow disk holds up no request. While one
     /// write is under way no other begins.
-    fn write(&mut self, now: Instant) {
+    fn write(&mut self, now: Instant, text: String) {
         self.written = Some(now);
         if self.busy.swap(true, Ordering::Relaxed) {
             return;
         }
-        let (text, path) = (self.recorder.handle().render(), self.path.clone());
-        let (busy, failing) = (self.busy.clone(), self.failing.clone());
+        let (path, busy, failing) = (self.path.clone(), self.busy.clone(), self.failing.clone());
         tokio::task::spawn_blocking(move || {
             let whole = path.with_extension("new");
             let outcome = fs::write(&whole, text).and_then(|()| fs::rename(&whole, &path));
@@ -128,3 +128,35 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn believed(backend: u64, limit: f64) -> Belief {
+        Belief { backend: BackendId(backend), rated: 1.0, limit, trial: false, why: Why::Grew }
+    }
+
+    #[tokio::test]
+    async fn the_file_names_the_backends_that_are_listed_now_and_no_others() {
+        let path = std::env::temp_dir().join(format!("sandgap-beliefs-{}.prom", std::process::id()));
+        let mut beliefs = Beliefs::new(Some(path.clone()));
+        let address = |b: BackendId| Some(SocketAddr::from(([127, 0, 0, 1], b.0 as u16)));
+        let start = Instant::now();
+        for (i, (backend, gone)) in [(7001, 7002), (7002, 7001)].into_iter().enumerate() {
+            let file = beliefs.file.as_ref().expect("a file");
+            let busy = file.busy.clone();
+            beliefs.look(start + 2 * WRITE * i as u32, [believed(backend, 12.0)].into_iter(), address);
+            while busy.load(Ordering::Relaxed) {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let text = fs::read_to_string(&path).expect("written");
+            assert!(
+                text.contains(&format!("sandgap_backend_limit{{backend=\"127.0.0.1:{backend}\"}} 12")),
+                "{text}"
+            );
+            assert!(!text.contains(&format!(":{gone}")), "{text}");
+        }
+        let _ = fs::remove_file(path);
+    }
+}
