Let staff drain the proxy and take it back: an admin address, one serving state

Change: serving.rs owns starting, serving, drained, stopping; admin.rs answers ready, drain, resume, one line each; a drained proxy says no at /up, closes idle connections and ends each answer's connection. The listener is bound with SO_REUSEPORT.

--- /dev/null
+++ b/crates/sandgap/src/admin.rs
@@ -0,0 +1,176 @@
+//! The admin address: one line in, one line out, the connection closed.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+use crate::note;
+use crate::serving::{Serving, State};
+
+/// Connections at once, each a descriptor of the reserve: the oldest without a whole call gives way.
+pub const CALLERS: usize = 16;
+/// Bytes of a line, its end included: calls are a word.
+const LINE: usize = 256;
+/// A caller that has said nothing whole by then is told so.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// What a caller still sends is read for this long, lest a reset overtake the answer.
+const LINGER: Duration = Duration::from_millis(200);
+/// Wait after a failed accept, lest it spin.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Reads a call from what has come, if that is enough to tell; `ended` says that no more comes.
+fn line(bytes: &[u8], ended: bool) -> Option<Result<&str, &'static str>> {
+    let Some(end) = bytes.iter().position(|b| *b == b'\n') else {
+        return match bytes.len() {
+            LINE.. => Some(Err("the line is too long")),
+            _ if ended => Some(Err("the line has no end")),
+            _ => None,
+        };
+    };
+    if !bytes[end..].trim_ascii().is_empty() {
+        return Some(Err("one call a connection"));
+    }
+    Some(std::str::from_utf8(&bytes[..end]).map(str::trim).map_err(|_| "the line is no text"))
+}
+
+/// Carries out a call; the answer is a line.
+fn answer(call: Result<&str, &'static str>, serving: &Serving) -> String {
+    match call {
+        Ok("ready") if serving.is_ready() => match serving.state() {
+            State::Drained => "200 ready, and drained".into(),
+            _ => "200 ready".into(),
+        },
+        Ok("ready") if serving.state() == State::Stopping => "400 stopping".into(),
+        Ok("ready") => "400 no list of backends yet".into(),
+        Ok("drain" | "resume") if serving.state() == State::Stopping => "400 stopping".into(),
+        Ok("drain") => {
+            serving.drain();
+            note!("drained by hand: clients are sent away");
+            "200 draining".into()
+        }
+        Ok("resume") => {
+            serving.resume();
+            note!("resumed by hand: clients are taken");
+            "200 taking clients".into()
+        }
+        Ok("") => "400 an empty line; calls are ready, drain, resume".into(),
+        Ok(_) => "400 no such call; calls are ready, drain, resume".into(),
+        Err(why) => format!("400 {why}"),
+    }
+}
+
+async fn hear(stream: &mut TcpStream) -> io::Result<Result<String, &'static str>> {
+    let mut bytes = [0; LINE];
+    let mut have = 0;
+    loop {
+        let n = stream.read(&mut bytes[have..]).await?;
+        have += n;
+        if let Some(call) = line(&bytes[..have], n == 0) {
+            return Ok(call.map(str::to_owned));
+        }
+    }
+}
+
+async fn serve_one(mut stream: TcpStream, heard: impl FnOnce(), serving: Rc<Serving>) -> io::Result<()> {
+    let call = timeout(PATIENCE, hear(&mut stream)).await.unwrap_or(Ok(Err("no whole line in time")))?;
+    heard();
+    let text = answer(call.as_deref().map_err(|e| *e), &serving) + "\n";
+    stream.write_all(text.as_bytes()).await?;
+    stream.shutdown().await?;
+    let mut rest = [0; LINE];
+    let _ = timeout(LINGER, async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} }).await;
+    Ok(())
+}
+
+/// Answers callers for as long as the process runs. The answer to a call stands before it takes effect anywhere else.
+pub async fn serve(listener: TcpListener, serving: Rc<Serving>) {
+    let callers: Rc<std::cell::RefCell<VecDeque<(u64, AbortHandle)>>> = Rc::default();
+    for number in 0.. {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                note!(warn: "admin: {e}");
+                sleep(PAUSE).await;
+                continue;
+            }
+        };
+        let mut all = callers.borrow_mut();
+        all.retain(|(_, task)| !task.is_finished());
+        if all.len() >= CALLERS
+            && let Some((_, oldest)) = all.pop_front()
+        {
+            oldest.abort();
+        }
+        // Whoever has made a whole call gives way to nobody.
+        let forget = {
+            let callers = callers.clone();
+            move || callers.borrow_mut().retain(|(n, _)| *n != number)
+        };
+        let serving = serving.clone();
+        let task = spawn_local(async move {
+            let _ = serve_one(stream, forget, serving).await; // a caller that has left needs no answer
+        });
+        all.push_back((number, task.abort_handle()));
+    }
+}
+
+/// Listens for callers. An address that can't be used is logged: the proxy serves without it.
+pub async fn listen(address: SocketAddr) -> Option<TcpListener> {
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            let at = listener.local_addr().unwrap_or(address);
+            note!("admin calls at {at}");
+            Some(listener)
+        }
+        Err(e) => {
+            note!(error: "admin: {address} can't be used: {e}; nobody can drain this proxy by hand");
+            None
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_is_taken_whole_or_refused() {
+        for (bytes, ended, is) in [
+            (&b""[..], false, None),
+            (b"rea", false, None),
+            (b"ready\n", false, Some(Ok("ready"))),
+            (b"ready\r\n", false, Some(Ok("ready"))),
+            (b"\n", false, Some(Ok(""))),
+            (b"drain", true, Some(Err("the line has no end"))),
+            (b"drain\nresume\n", false, Some(Err("one call a connection"))),
+            (b"dr\xffin\n", false, Some(Err("the line is no text"))),
+            (&[b'a'; LINE], false, Some(Err("the line is too long"))),
+        ] {
+            assert_eq!(line(bytes, ended), is, "{}", String::from_utf8_lossy(bytes));
+        }
+    }
+
+    #[test]
+    fn calls_are_answered_by_the_state() {
+        let serving = Serving::default();
+        let ask = |call| answer(Ok(call), &serving);
+        assert!(ask("ready").starts_with("400"));
+        serving.listed();
+        assert!(ask("ready").starts_with("200"));
+        assert!(ask("drain").starts_with("200") && ask("drain").starts_with("200"));
+        assert!(!serving.is_up() && ask("ready").starts_with("200"));
+        assert!(ask("resume").starts_with("200") && serving.is_up());
+        assert!(ask("explode").starts_with("400") && ask("").starts_with("400"));
+        serving.stop();
+        for call in ["ready", "drain", "resume"] {
+            assert!(ask(call).starts_with("400"), "{call}");
+        }
+    }
+}
--- a/crates/sandgap/src/config.rs
+++ b/crates/sandgap/src/config.rs
@@ -39,6 +39,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where staff call it by hand, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// Where the list of backends comes from.
     pub source: Source,
     /// The source of all chance.
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -15,10 +15,13 @@
 use crate::config::{Config, Source};
 use crate::driver::{Driver, Parts};
 use crate::event::{Inbox, Input};
-use crate::{discovery, front, load, note, peers, upstream};
+use crate::serving::Serving;
+use crate::{admin, discovery, front, load, note, peers, upstream};
 
-/// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
+/// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch, and
+/// those who call by hand.
 const RESERVE: usize = 32;
+const _: () = assert!(admin::CALLERS < RESERVE - 12);
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
@@ -52,6 +55,13 @@
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
     let hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     let listener = front::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
+    let serving = Rc::new(Serving::default());
+    if let Some(listener) = match config.admin {
+        Some(address) => admin::listen(address).await,
+        None => None,
+    } {
+        spawn_local(admin::serve(listener, serving.clone()));
+    }
     let (inbox, inputs) = Inbox::new();
     let (discovery, addresses) = match &config.source {
         Source::Discovery(address) => Some(watch::channel(*address)).unzip(),
@@ -71,7 +81,6 @@
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs.
     let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget / 4));
-    let ready = Rc::new(Cell::new(false));
     let known_only = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
     let parts = Parts {
@@ -80,7 +89,7 @@
         peers,
         discovery: addresses.clone(),
         watch: asked.clone(),
-        ready: ready.clone(),
+        serving: serving.clone(),
         remembered: known_only.clone(),
     };
     let classes = config.settings.classes.clone();
@@ -96,12 +105,14 @@
     if let Some(addresses) = addresses {
         spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
     }
-    let up = ready.clone();
+    let up = serving.clone();
     spawn_local(async move {
         tokio::time::sleep(PATIENCE).await;
-        up.set(up.get() || known_only.get());
+        if known_only.get() {
+            up.listed();
+        }
     });
-    let front = front::Frontend::new(inbox, config.names, classes, upstreams, budget, ready);
+    let front = front::Frontend::new(inbox, config.names, classes, upstreams, budget, serving);
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
     let stop = async move {
@@ -112,9 +123,9 @@
     };
     // Without its module a proxy could only fail everything: then it is better dead and started anew.
     // A task of its own: what is polled right here is polled whenever any task has run.
-    let serving = spawn_local(front.serve(listener, stop));
+    let front = spawn_local(front.serve(listener, stop));
     tokio::select! {
-        end = serving => end.map_err(|e| format!("the front has ended: {e}")),
+        end = front => end.map_err(|e| format!("the front has ended: {e}")),
         end = driver => Err(format!("the driver has ended: {end:?}")),
     }
 }
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -17,6 +17,7 @@
 use crate::event::{Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Reply, Report};
 use crate::note;
 use crate::peers::Peers;
+use crate::serving::Serving;
 
 /// Inputs taken between two looks at the timers; a few microseconds each.
 const BATCH: usize = 32;
@@ -34,8 +35,8 @@
     pub discovery: Option<watch::Receiver<SocketAddr>>,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
-    /// Set once discovery has told the list.
-    pub ready: Rc<Cell<bool>>,
+    /// Told once discovery has told the list.
+    pub serving: Rc<Serving>,
     /// Set once there is a remembered list to serve from.
     pub remembered: Rc<Cell<bool>>,
 }
@@ -92,7 +93,7 @@
 
     fn listed(&mut self, scope: Scope, some: bool) {
         match scope {
-            Scope::Full => self.parts.ready.set(true),
+            Scope::Full => self.parts.serving.listed(),
             Scope::Cached => self.parts.remembered.set(some),
             Scope::Delta | Scope::Failed => {}
         }
--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -93,5 +93,14 @@
         let idle = standing[Stage::Idle as usize].values();
         let idle = idle.take_while(|c| now - c.since.get() >= IDLE_MOST);
         unheard.chain(idle).for_each(|c| c.close.notify_one());
+        drop(standing);
+        self.close_idle();
+    }
+
+    /// Where clients are sent away, nobody stays between requests.
+    pub(super) fn close_idle(&self) {
+        if self.serving.sends_away() {
+            self.close_all(Stage::Idle);
+        }
     }
 }
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -22,7 +22,7 @@
         &self, request: Request<Incoming>, came: Instant, due: Instant,
     ) -> Response<Full<Bytes>> {
         if request.uri().path() == "/up" {
-            let up = self.ready.get() && !self.draining.get();
+            let up = self.serving.is_up();
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let (head, body) = request.into_parts();
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -39,7 +39,7 @@
                     front.respond(request, came, client.due.get()).await
                 };
                 // Where one request was wrong, nobody knows where the next one would begin.
-                if over || front.draining.get() || response.status().is_client_error() {
+                if over || front.serving.sends_away() || response.status().is_client_error() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 } else {
                     front.turn(&client, Stage::Idle);
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::event::Inbox;
 use crate::note;
+use crate::serving::Serving;
 use crate::socket::Socket;
 use crate::upstream::Upstreams;
 use admission::{Client, Stage};
@@ -35,10 +36,9 @@
     upstreams: Rc<Upstreams>,
     /// Sockets for clients and backends together.
     budget: usize,
-    /// Whether the module has a list.
-    ready: Rc<Cell<bool>>,
+    /// Whether clients are taken.
+    serving: Rc<Serving>,
     next: Cell<u64>,
-    draining: Cell<bool>,
     /// Connections, those of them with an open request, and the others by stage and age.
     open: Cell<usize>,
     busy: Cell<usize>,
@@ -50,11 +50,11 @@
 }
 
 impl Frontend {
-    /// A front for clients. `budget` counts sockets of clients and backends together; `ready` says whether
-    /// the module has a list.
+    /// A front for clients. `budget` counts sockets of clients and backends together; `serving` says
+    /// whether clients are taken.
     pub fn new(
         inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, budget: usize,
-        ready: Rc<Cell<bool>>,
+        serving: Rc<Serving>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
@@ -62,9 +62,8 @@
             classes,
             upstreams,
             budget,
-            ready,
+            serving,
             next: Cell::new(0),
-            draining: Cell::new(false),
             open: Cell::new(0),
             busy: Cell::new(0),
             empty: Cell::new(Instant::now()),
@@ -88,11 +87,12 @@
             tokio::select! {
                 biased;
                 () = &mut stop => break,
+                () = self.serving.changed() => self.close_idle(),
                 () = self.clone().accept(&listener) => {}
             }
         }
         // Idle connections close now: a request that crosses that comes again while connections still do.
-        self.draining.set(true);
+        self.serving.stop();
         self.close_all(Stage::Idle);
         let end = Instant::now() + STAY;
         while timeout_at(end, self.clone().accept(&listener)).await.is_ok() {}
@@ -182,6 +182,7 @@
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?; // a restart finds old connections in TIME_WAIT
+    socket.set_reuseport(true)?; // an upgrade's new process listens beside the old one
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`event`] has the words that all parts share; `driver` owns the module and is the only one to ask it;
 //! `front` serves clients; `upstream` makes attempts; `discovery` and `peers` bring news.
 
+pub mod admin;
 pub mod beliefs;
 pub mod config;
 pub mod daemon;
@@ -14,6 +15,7 @@
 pub mod log;
 pub mod peers;
 pub mod platform;
+pub mod serving;
 pub mod settings;
 pub mod socket;
 pub mod upstream;
--- a/crates/sandgap/src/load.rs
+++ b/crates/sandgap/src/load.rs
@@ -31,7 +31,7 @@
         return settings::read(path).map_err(|all| all.iter().map(told).collect::<Vec<_>>().join("\n"));
     }
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    platform::parse(&text).map_err(|e| {
+    platform::parse(&text).map(told_apart).map_err(|e| {
         format!(
             "{}: {e}\n{0}: it was read as the platform's JSON, since its name does not end in .toml; for settings of \
              sandgap's own give it a name that does",
@@ -39,3 +39,11 @@
         )
     })
 }
+
+/// What the platform tells each process apart counts before the file, which an upgrade may share with the process
+/// before it. Text that is no address counts as none.
+fn told_apart(mut config: Config) -> Config {
+    let own = std::env::var("NODE_ADMIN").ok().and_then(|text| text.parse().ok());
+    config.admin = own.or(config.admin);
+    config
+}
--- a/crates/sandgap/src/platform.rs
+++ b/crates/sandgap/src/platform.rs
@@ -14,6 +14,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    admin: Option<SocketAddr>,
     seed: Value,
     #[serde(default)]
     limits: Limits,
@@ -59,6 +60,7 @@
     Ok(Config {
         name: file.name,
         listen: file.listen,
+        admin: file.admin,
         source: Source::Discovery(file.discovery),
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
         sockets,
--- a/crates/sandgap/src/settings/mod.rs
+++ b/crates/sandgap/src/settings/mod.rs
@@ -33,6 +33,7 @@
 struct Proxy {
     name: String,
     listen: SocketAddr,
+    admin: Option<SocketAddr>,
     sockets: usize,
     zone: Option<String>,
     seed: Option<String>,
@@ -237,6 +238,7 @@
     Config {
         name: file.proxy.name,
         listen: file.proxy.listen,
+        admin: file.proxy.admin,
         source: match file.discovery.address {
             Some(address) => Source::Discovery(address),
             None => Source::Fixed(file.backend.into_iter().map(host).collect()),
--- a/crates/sandgap/src/settings/schema.rs
+++ b/crates/sandgap/src/settings/schema.rs
@@ -73,6 +73,7 @@
         keys: &[
             key("name", Kind::Text, Default::Text("sandgap"), "its name, for the log"),
             key("listen", Kind::Address, Default::Required, "where clients connect"),
+            key("admin", Kind::Address, Default::None, "where staff call it by hand: ready, drain, resume"),
             key("sockets", Kind::Whole(64, 1_000_000), Default::Whole(1024), "file descriptors it may hold"),
             key("zone", Kind::Text, Default::None, "the zone in which it stands"),
             key(
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -291,6 +291,8 @@
     /// Of every class; its aim is four fifths of it.
     pub deadline: u32,
     pub may_tell: Option<(SocketAddr, SocketAddr)>,
+    /// Whether it listens for calls by hand.
+    pub admin: bool,
     /// Descriptors that the system allows the process.
     pub descriptors: Option<u32>,
 }
@@ -304,6 +306,7 @@
             dial_timeout: 400,
             deadline: 5000,
             may_tell: None,
+            admin: false,
             descriptors: None,
         }
     }
@@ -311,12 +314,13 @@
 
 pub fn config(discovery: SocketAddr, setup: &Setup) -> String {
     let tells = setup.may_tell.is_some();
+    let admin = if setup.admin { r#""admin":"127.0.0.1:0","# } else { "" };
     let (deadline, aim) = (setup.deadline, setup.deadline / 5 * 4);
     let peers = setup.may_tell.map_or(String::new(), |(own, other)| {
         format!(r#""peer_listen":"{own}","peers":["{own}","{other}"],"peers_all":"{other}","#)
     });
     format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        r#"{{"name":"n0",{admin}"listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
         "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"pushed",
         "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],
@@ -337,6 +341,8 @@
 pub struct Proxy {
     child: Child,
     pub address: SocketAddr,
+    /// Where it takes calls by hand.
+    pub admin: Option<SocketAddr>,
     pub log: Arc<Mutex<String>>,
     file: std::path::PathBuf,
 }
@@ -388,8 +394,11 @@
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the proxy starts");
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
+        let after = |line: &str, words| line.split_once(words).map(|(_, a)| a.parse().expect("an address"));
+        let mut admin = None;
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
-            line.split_once("listens on ").map(|(_, address)| address.parse().expect("an address"))
+            admin = admin.or_else(|| after(&line, "admin calls at "));
+            after(&line, "listens on ")
         });
         let kept = log.clone();
         thread::spawn(move || {
@@ -398,7 +407,7 @@
                 kept.lock().expect("no panic").push_str(&(line + "\n"));
             }
         });
-        Proxy { child, address: address.expect("the proxy listens"), log, file }
+        Proxy { child, address: address.expect("the proxy listens"), admin, log, file }
     }
 
     /// Starts a proxy and waits until it is up.
@@ -416,6 +425,18 @@
         self.signal("-TERM");
     }
 
+    /// Says something at the admin address; returns all that comes back, nothing if the process has ended.
+    pub fn call(&self, text: &[u8]) -> String {
+        let Ok(mut stream) = TcpStream::connect(self.admin.expect("an admin address")) else {
+            return String::new();
+        };
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        let _ = stream.write_all(text); // an answer may come before the last byte
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer); // what came counts, however it ended
+        answer
+    }
+
     /// Replaces the configuration and says so.
     pub fn reload(&self, text: &str) {
         std::fs::write(&self.file, text).expect("a file");
