Change settings while requests are open: generations, checked whole or not used

Need: at SIGHUP classes come, go and change their effect, and a broken file must change nothing; only the list's source was read again. Change: generation.rs gives a class whose rules change another number, free again once no request holds it; change.rs holds the new file against the one in force; the module is told by Event::Settings and keeps what it learned where the class is the same thing. Attempts are counted by the class's own rules. Ruled out: changing the table in place, by a test in which an open request's class becomes repeatable.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -9,8 +9,8 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use wharfhitch::settings::{Names, index_of, number_of};
 use wharfhitch::{
-    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Millis, Outcome, RequestId,
-    Scope, State, TenantId, ZoneId,
+    Action, Backend, BackendId, Balancer, CellId, Change, ClassId, Event, Key, KindId, Millis, Outcome,
+    RequestId, Scope, State, TenantId, ZoneId,
 };
 
 use crate::endpoint::{Endpoint, Host};
@@ -233,6 +233,11 @@
         self.handle(now, Event::Ended { request, attempt, latency, outcome, closed });
     }
 
+    /// The settings have changed.
+    pub fn change(&mut self, now: Time, change: Change) {
+        self.handle(now, Event::Settings(Box::new(change)));
+    }
+
     /// Another proxy's message.
     pub fn message(&mut self, now: Time, from: u32, bytes: Vec<u8>) {
         self.handle(now, Event::Message { from, bytes });
--- a/crates/sandgap-lab/src/rivals.rs
+++ b/crates/sandgap-lab/src/rivals.rs
@@ -282,7 +282,10 @@
 impl Decide for Rival {
     fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::List { scope: Scope::Failed, .. } | Event::Started { .. } | Event::Message { .. } => {}
+            Event::List { scope: Scope::Failed, .. }
+            | Event::Started { .. }
+            | Event::Message { .. }
+            | Event::Settings(_) => {}
             Event::List { scope, entries } => self.list(scope, entries),
             Event::Request { id, class, budget, .. } => {
                 let asked =
--- a/crates/sandgap/src/config.rs
+++ b/crates/sandgap/src/config.rs
@@ -59,6 +59,8 @@
     pub names: Names,
     /// Figures of connections.
     pub connections: Connections,
+    /// The platform's file as it stands, less what is read at the start alone; a later one is held against it.
+    pub shape: Value,
     /// Where metrics are written, if anywhere.
     pub metrics: Option<PathBuf>,
 }
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -6,19 +6,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
-use wharfhitch::{Balancer, Scope};
+use wharfhitch::{Balancer, Discovery, Rating, Scope, ZoneId};
 
 use crate::beliefs::Beliefs;
 use crate::config::{Config, Source};
 use crate::driver::{Driver, Parts};
 use crate::event::{Inbox, Input};
+use crate::front::Frontend;
+use crate::generation::Generations;
 use crate::handover::{self, Taken, Upgrade};
 use crate::serving::Serving;
-use crate::{admin, discovery, front, load, note, peers, upstream};
+use crate::upstream::Upstreams;
+use crate::{admin, change, discovery, front, load, note, peers};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch, and
 /// those who call by hand.
@@ -27,24 +31,79 @@
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-/// At each SIGHUP reads the configuration's file again. Discovery may have moved, or the fixed list changed; all
-/// else needs a new start.
-async fn reload(mut hup: Signal, path: PathBuf, discovery: Option<watch::Sender<SocketAddr>>, inbox: Inbox) {
-    while hup.recv().await.is_some() {
-        match load::read(&path) {
-            Ok(Config { source, .. }) => match (source, &discovery) {
-                (Source::Discovery(address), Some(discovery)) => {
-                    note!("the configuration names discovery at {address}");
-                    discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
-                }
-                (Source::Fixed(hosts), None) => {
-                    note!("the configuration names {} backends", hosts.len());
-                    inbox.put(Input::List(Scope::Full, hosts));
-                }
-                _ => note!(warn: "a change between discovery and a fixed list needs a new start"),
-            },
-            Err(e) => note!(warn: "the configuration stays as it was: {e}"),
+/// What a reload changes.
+struct Reload {
+    path: PathBuf,
+    /// The platform's file in force.
+    shape: Value,
+    fixed: Fixed,
+    discovery: Option<watch::Sender<SocketAddr>>,
+    inbox: Inbox,
+    front: Rc<Frontend>,
+    upstreams: Rc<Upstreams>,
+}
+
+/// What stays as it was at the start.
+#[derive(PartialEq)]
+struct Fixed {
+    listen: SocketAddr,
+    sockets: usize,
+    proxy: (u32, u32, Option<ZoneId>),
+    lists: (Discovery, Rating),
+    may_tell: bool,
+}
+
+impl Fixed {
+    fn of(config: &Config) -> Self {
+        let s = &config.settings;
+        Fixed {
+            listen: config.listen,
+            sockets: config.sockets,
+            proxy: (s.me, s.proxies, s.zone),
+            lists: (s.discovery, s.rating),
+            may_tell: s.may_tell,
+        }
+    }
+}
+
+impl Reload {
+    /// At each SIGHUP reads the configuration's file again, and uses all of it or none.
+    async fn run(mut self, mut hup: Signal) {
+        while hup.recv().await.is_some() {
+            if let Err(e) = load::read(&self.path).and_then(|config| self.take(config)) {
+                note!(warn: "the configuration stays as it was: {e}");
+            }
+        }
+    }
+
+    fn take(&mut self, config: Config) -> Result<(), String> {
+        // sandgap's own settings have been checked whole by their schema.
+        if !self.shape.is_null() {
+            change::check(&self.shape, &config.shape)?;
+        }
+        if matches!(config.source, Source::Discovery(_)) != self.discovery.is_some() {
+            return Err("a change between discovery and a fixed list needs a new start".into());
+        }
+        let change = self.front.change(&config.settings, &config.names)?;
+        if Fixed::of(&config) != self.fixed {
+            note!(warn: "listen, limits, number, zone, discovery's way, weights and peers need a new start; they stay");
+        }
+        note!("settings in force: classes {}", config.names.classes.join(", "));
+        self.inbox.put(Input::Change(Box::new(change)));
+        self.upstreams.change(&config.connections);
+        self.shape = config.shape;
+        match (config.source, &self.discovery) {
+            (Source::Discovery(address), Some(discovery)) => {
+                note!("the configuration names discovery at {address}");
+                discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
+            }
+            (Source::Fixed(hosts), _) => {
+                note!("the configuration names {} backends", hosts.len());
+                self.inbox.put(Input::List(Scope::Full, hosts));
+            }
+            (Source::Discovery(_), None) => {}
         }
+        Ok(())
     }
 }
 
@@ -85,7 +144,7 @@
         Source::Discovery(address) => Some(watch::channel(*address)).unzip(),
         Source::Fixed(_) => (None, None),
     };
-    spawn_local(reload(hup, path, discovery, inbox.clone()));
+    let fixed = Fixed::of(&config);
     let peers = match config.peers {
         Some(addresses) => {
             let on = format!("peers on {}", addresses.listen);
@@ -98,7 +157,7 @@
     let budget = config.sockets - RESERVE;
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs.
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget / 4));
+    let upstreams = Rc::new(Upstreams::new(&config.connections, budget / 4));
     let known_only = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
     let parts = Parts {
@@ -110,12 +169,11 @@
         serving: serving.clone(),
         remembered: known_only.clone(),
     };
-    let classes = config.settings.classes.clone();
+    let generations = Generations::new(&config.settings, &config.names);
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
-    let driver = spawn_local(
-        Driver::new(balancer, config.names.clone(), parts, Beliefs::new(config.metrics)).run(inputs),
-    );
+    let driver =
+        spawn_local(Driver::new(balancer, config.names, parts, Beliefs::new(config.metrics)).run(inputs));
     inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
     if let Source::Fixed(hosts) = config.source {
         inbox.put(Input::List(Scope::Full, hosts));
@@ -131,8 +189,10 @@
         }
     });
     let address = listener.local_addr().map_err(at("the listener"))?;
-    let front =
-        front::Frontend::new(inbox.clone(), config.names, classes, upstreams, budget, serving.clone());
+    let front = front::Frontend::new(inbox.clone(), generations, upstreams.clone(), budget, serving.clone());
+    let (shape, reloaded) = (config.shape, front.clone());
+    let reload = Reload { path, shape, fixed, discovery, inbox: inbox.clone(), front: reloaded, upstreams };
+    spawn_local(reload.run(hup));
     if let Some(directory) = config.upgrade {
         let path = handover::path(&directory, address);
         let front = front.clone();
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -173,6 +173,7 @@
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.core.ended(now, request, attempt, latency, outcome, reply);
             }
+            Input::Change(change) => self.core.change(now, *change),
             Input::List(scope, hosts) => self.core.list(now, scope, hosts),
             Input::Datagram { from, bytes } => self.core.message(now, from, bytes),
         }
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -30,6 +30,8 @@
         /// The answer, where it was served.
         reply: Option<Reply>,
     },
+    /// The settings have changed.
+    Change(Box<wharfhitch::Change>),
     /// News of the list.
     List(Scope, Vec<Host>),
     /// Another proxy's message.
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -54,7 +54,7 @@
         let id = RequestId(self.number());
         let (answer, answered) = oneshot::channel();
         let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
-        let Asked { class, tenant, key, hint, .. } = asked;
+        let Asked { class, tenant, key, hint, generation, .. } = asked;
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
             class,
@@ -62,7 +62,11 @@
             key,
             hint,
             deadline,
-            exchange: Rc::new(Forwarded { message, upstreams: self.upstreams.clone(), hold: open }),
+            exchange: Rc::new(Forwarded {
+                message,
+                upstreams: self.upstreams.clone(),
+                hold: (open, generation),
+            }),
             answer,
         })));
         // Hyper drops this future when the client leaves.
--- a/crates/sandgap/src/front/head.rs
+++ b/crates/sandgap/src/front/head.rs
@@ -11,6 +11,7 @@
 use wharfhitch::{ClassId, Effect, Key, TenantId};
 
 use super::Frontend;
+use crate::generation::Generation;
 
 /// The ids of open requests. A second request under one of them could be taken for the first.
 pub(super) type OpenIds = Rc<RefCell<FxHashSet<Rc<str>>>>;
@@ -42,6 +43,7 @@
     pub(super) key: Option<Key>,
     pub(super) hint: Option<f64>,
     pub(super) patience: Duration,
+    pub(super) generation: Rc<Generation>,
 }
 
 impl Frontend {
@@ -51,33 +53,31 @@
     ) -> Result<Asked, (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
         let name = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.names.classes.iter().position(|c| c == name);
-        let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
-        let wanted = if self.classes[class].effect == Effect::Safe { Method::GET } else { Method::POST };
+        let generation = self.generations.borrow().current().clone();
+        let (class, rules) = generation.class(name).ok_or((StatusCode::NOT_FOUND, "no such class"))?;
+        let wanted = if rules.effect == Effect::Safe { Method::GET } else { Method::POST };
         if *method != wanted {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
         }
         let known = Known::read(headers)?;
-        let keyed = matches!(self.classes[class].effect, Effect::Keyed { .. });
+        let keyed = matches!(rules.effect, Effect::Keyed { .. });
         if keyed != known.key.is_some() && *method == Method::POST {
             return Err(bad("Idempotency-Key does not fit the class"));
         }
         let id = known.id.filter(|id| !id.is_empty());
         let id = id.ok_or(bad("X-Request-ID is missing"))?.to_owned();
         let tenant = match known.tenant {
-            _ if self.names.tenants.is_empty() => None,
-            Some(name) => {
-                let tenant = self.names.tenants.iter().position(|t| t == name);
-                Some(TenantId(tenant.ok_or(bad("no such tenant"))?))
-            }
+            _ if !generation.has_tenants() => None,
+            Some(name) => Some(generation.tenant(name).ok_or(bad("no such tenant"))?),
             None => return Err(bad("X-Tenant-Id is missing")),
         };
         let patience = number(known.timeout)?.ok_or(bad("X-Timeout is missing"))?;
-        let patience = Duration::from_secs_f64(patience.min(self.classes[class].deadline / 1000.0));
+        let patience = Duration::from_secs_f64(patience.min(rules.deadline / 1000.0));
         let query = uri.query().unwrap_or_default();
         let sid = query.split('&').find_map(|p| p.strip_prefix("sid="));
         let hint = number(known.cost)?.map(|us| us / 1000.0);
-        Ok(Asked { id, class: ClassId(class), tenant, key: sid.map(|s| Key(number_of(s))), hint, patience })
+        let key = sid.map(|s| Key(number_of(s)));
+        Ok(Asked { id, class, tenant, key, hint, patience, generation: generation.clone() })
     }
 }
 
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -16,10 +16,11 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use wharfhitch::Class;
 use wharfhitch::settings::Names;
+use wharfhitch::{Change, Settings};
 
 use crate::event::Inbox;
+use crate::generation::Generations;
 use crate::note;
 use crate::serving::Serving;
 use crate::socket::Socket;
@@ -31,8 +32,7 @@
 /// What all connections share.
 pub struct Frontend {
     inbox: Inbox,
-    names: Names,
-    classes: Vec<Class>,
+    generations: RefCell<Generations>,
     upstreams: Rc<Upstreams>,
     /// Sockets for clients and backends together.
     budget: Cell<usize>,
@@ -53,13 +53,11 @@
     /// A front for clients. `budget` counts sockets of clients and backends together; `serving` says
     /// whether clients are taken.
     pub fn new(
-        inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, budget: usize,
-        serving: Rc<Serving>,
+        inbox: Inbox, generations: Generations, upstreams: Rc<Upstreams>, budget: usize, serving: Rc<Serving>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
-            names,
-            classes,
+            generations: RefCell::new(generations),
             upstreams,
             budget: Cell::new(budget),
             serving,
@@ -109,7 +107,7 @@
         drop(listener);
         sleep(SILENT).await;
         self.close_all(Stage::Silent);
-        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let longest = self.generations.borrow().longest();
         let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
         while self.busy.get() > 0 {
             if timeout_at(end, self.left.notified()).await.is_err() {
@@ -181,6 +179,15 @@
         }
     }
 
+    /// Puts other settings in force for the requests that come from now on, and returns what the module has to be
+    /// told before the first of them.
+    ///
+    /// # Errors
+    /// Where open requests hold too many classes; nothing has changed then.
+    pub fn change(&self, settings: &Settings, names: &Names) -> Result<Change, String> {
+        self.generations.borrow_mut().change(settings, names)
+    }
+
     /// Sets how many sockets clients and backends may hold together: two processes share them while both run.
     pub fn set_budget(&self, budget: usize) {
         self.budget.set(budget);
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -5,12 +5,14 @@
 
 pub mod admin;
 pub mod beliefs;
+pub mod change;
 pub mod config;
 pub mod daemon;
 pub mod discovery;
 pub mod driver;
 pub mod event;
 pub mod front;
+pub mod generation;
 pub mod handover;
 pub mod load;
 pub mod log;
--- a/crates/sandgap/src/platform.rs
+++ b/crates/sandgap/src/platform.rs
@@ -38,6 +38,8 @@
 /// What is wrong with it.
 pub fn parse(text: &str) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let mut shape: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    shape["known"].take(); // long, and read at the start alone
     if !file.settings.is_object() {
         return Err("'settings' is no object".into());
     }
@@ -68,6 +70,7 @@
         peers,
         known: file.known,
         connections: settings::connections(&file.settings),
+        shape,
         metrics: None,
         settings,
         names,
--- a/crates/sandgap/src/settings/mod.rs
+++ b/crates/sandgap/src/settings/mod.rs
@@ -255,6 +255,7 @@
         },
         settings,
         names,
+        shape: Json::Null,
         metrics: file.metrics.file.map(Into::into),
     }
 }
--- a/crates/sandgap/src/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -202,8 +202,8 @@
 
 /// What all attempts share: time-outs and the budget of sockets.
 pub struct Upstreams {
-    dial_timeout: Duration,
-    idle_limit: Duration,
+    dial_timeout: Cell<Duration>,
+    idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
     most: usize,
     /// Idle connections by the number of their endpoint, in the order of their last use. Each holds a permit,
@@ -214,14 +214,22 @@
 impl Upstreams {
     /// Time-outs from the settings, and how many sockets all attempts may hold together.
     pub fn new(connections: &wharfhitch::settings::Connections, sockets: usize) -> Self {
-        let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
-        Upstreams {
-            dial_timeout: span(connections.dial_timeout),
-            idle_limit: span(connections.idle_close * IDLE_PART),
+        let new = Upstreams {
+            dial_timeout: Cell::default(),
+            idle_limit: Cell::default(),
             sockets: Arc::new(Semaphore::new(sockets)),
             most: sockets,
             idle: RefCell::default(),
-        }
+        };
+        new.change(connections);
+        new
+    }
+
+    /// Takes over other time-outs.
+    pub fn change(&self, connections: &wharfhitch::settings::Connections) {
+        let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
+        self.dial_timeout.set(span(connections.dial_timeout));
+        self.idle_limit.set(span(connections.idle_close * IDLE_PART));
     }
 
     /// Sockets in use.
@@ -259,12 +267,12 @@
 
     async fn connection(&self, endpoint: &Endpoint) -> io::Result<Connection> {
         while let Some(idle) = self.unpark(endpoint) {
-            if idle.since.elapsed() < self.idle_limit && idle.connection.is_alive() {
+            if idle.since.elapsed() < self.idle_limit.get() && idle.connection.is_alive() {
                 return Ok(idle.connection);
             }
         }
         // Boxed, so that the many attempts that need no new connection don't carry the room for one.
-        Box::pin(timeout(self.dial_timeout, self.open(endpoint.address))).await?
+        Box::pin(timeout(self.dial_timeout.get(), self.open(endpoint.address))).await?
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
@@ -340,7 +348,7 @@
 
     fn sweep(&self) {
         let now = Instant::now();
-        let fresh = |i: &Idle| now - i.since < self.idle_limit && i.connection.is_alive();
+        let fresh = |i: &Idle| now - i.since < self.idle_limit.get() && i.connection.is_alive();
         self.idle.borrow_mut().retain(|_, all| {
             all.retain(fresh);
             !all.is_empty()
--- a/crates/sandgap/tests/ops.rs
+++ b/crates/sandgap/tests/ops.rs
@@ -115,3 +115,68 @@
     assert!(!proxy.call(b"resume\n").starts_with("200"), "nothing undoes SIGTERM");
     assert!(proxy.wait().success());
 }
+
+#[test]
+fn settings_change_whole_or_not_at_all_and_open_requests_keep_theirs() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |m| match m.id() {
+        "held" => Deed::Hold(held.clone(), empty("500 Oops")),
+        id if id.starts_with("fails") => Deed::Write(empty("500 Oops")),
+        _ => Deed::Write(ok("served")),
+    });
+    let (discovery, proxy) = by_hand(&[&backend]);
+    let good = config(discovery.address, &Setup { admin: true, ..Setup::default() });
+    let page_class = r#""name":"page","effect":"idempotent""#;
+    let ask = |text: &str| status(Client::new(&proxy).ask(text));
+    let as_submit = |id: &str| submit(id, "5", "x").replace("/submit", "/page");
+    // Broken ones first: each leaves everything as it was.
+    let broken = [
+        String::new(),
+        good[..good.len() / 2].to_owned(),
+        good.replace("\"maxAttempts\":6,", ""),
+        good.replace("\"maxAttempts\":6", "\"maxAttempts\":0"),
+        good.replace("\"maxAttempts\":6", "\"maxAttempts\":\"6\""),
+        good.replace("\"deadline\":5000", "\"deadline\":-1"),
+        good.replace("\"deadline\":5000", "\"deadline\":NaN"),
+        good.replace("\"deadline\":5000,", ""),
+        good.replace("\"name\":\"submit\"", "\"name\":\"page\""),
+        good.replace("\"promise\":4000,", ""),
+        good.replace(&discovery.address.to_string(), "nowhere"),
+    ];
+    for (i, text) in broken.iter().enumerate() {
+        assert_ne!(*text, good, "{i}");
+        proxy.reload(text);
+        let told = || proxy.log.lock().expect("no panic").matches("stays as it was").count();
+        wait_for("a word on it", || told() == i + 1);
+        assert_eq!((ask(&page("a")), ask(&submit("b", "5", "x"))), (200, 200), "{i}");
+    }
+    // A request that must not run twice is open when its class becomes one that may, and another goes.
+    let mut open = Client::new(&proxy);
+    open.send(&submit("held", "5", "x"));
+    wait_for("it to be sent", || backend.seen().iter().any(|m| m.id() == "held"));
+    let changed = good
+        .replace(page_class, r#""name":"page","effect":"at_most_once""#)
+        .replace(r#""name":"submit","effect":"at_most_once""#, r#""name":"submit","effect":"idempotent""#)
+        .replace(r#""name":"booking""#, r#""name":"lesson""#);
+    proxy.reload(&changed);
+    wait_for("the change", || ask(&as_submit("c")) == 200);
+    assert_eq!(ask(&page("d")), 405, "a class that must not run twice takes no GET");
+    assert_eq!(ask(&page("e").replace("/page", "/submit")), 200);
+    let lesson = submit("f", "5", "x")
+        .replace("/submit", "/lesson")
+        .replace("X-Tenant", "Idempotency-Key: k\r\nX-Tenant");
+    assert_eq!(ask(&lesson), 200);
+    assert_eq!(ask(&lesson.replace("/lesson", "/booking")), 404, "a class that has gone");
+    gate.open();
+    assert_eq!(status(open.answer()), 502, "it may have run, and is neither refused nor sent again");
+    assert_eq!(backend.seen().iter().filter(|m| m.id() == "held").count(), 1);
+    // Fewer attempts count for those that come.
+    proxy.reload(&changed.replace("\"maxAttempts\":6", "\"maxAttempts\":1"));
+    wait_for("the change", || proxy.log.lock().expect("no panic").matches("settings in force").count() == 2);
+    wait_for("it to be in force", || {
+        let id = format!("fails-{}", backend.seen().len());
+        let _ = ask(&page(&id).replace("/page", "/submit"));
+        backend.seen().iter().filter(|m| m.id() == id).count() == 1
+    });
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -87,6 +87,7 @@
         }
         match event {
             Event::List { scope, entries } => self.list(now, scope, entries),
+            Event::Settings(change) => self.change(now, *change),
             Event::Request { id, class, tenant, key, budget, hint } => {
                 self.arrive(now, id, class.0, tenant, key, budget, hint, out);
             }
@@ -215,7 +216,7 @@
         }
         // A server back from a closing is tried with what may be repeated, if there is such traffic at all.
         let safe_class = |c: &Class| c.effect == Effect::Safe;
-        let safe = safe_class(&self.cfg.classes[r.class]) || !self.cfg.classes.iter().any(safe_class);
+        let safe = safe_class(&self.cfg.classes[r.class]) || !self.some_safe;
         let home = r.home.filter(|&h| !r.tried(h));
         // Near its aim a request goes to any open server: holding it further would cost its worth.
         let urgent = r.aim - now < 1.5 * self.usual(r) + 2.0 * TICK;
@@ -513,7 +514,7 @@
     fn may_repeat(&self, r: &Request, now: Millis) -> bool {
         let harmless = self.cfg.classes[r.class].effect == Effect::Safe || !r.may_have_run();
         let dropped = || self.bound(r).is_some_and(|(.., until)| now < until);
-        (harmless || dropped()) && r.attempts.len() < self.cfg.limits.max_attempts as usize
+        (harmless || dropped()) && r.attempts.len() < self.most_attempts[r.class] as usize
     }
 
     // ---- cold starts and drains ----
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -65,7 +65,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this span earns the full worth.
     pub aim: Millis,
@@ -235,6 +235,18 @@
     }
 }
 
+/// Settings that take the place of others while requests are open.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// All of them. Classes are by number, with those that only open requests hold.
+    pub settings: Settings,
+    /// By class number, whether requests may still come for it.
+    pub live: Vec<bool>,
+    /// Numbers that are new, or given anew as no request holds them, with the class that each was before under
+    /// other figures, if any: what was learned of that holds on.
+    pub fresh: Vec<(ClassId, Option<ClassId>)>,
+}
+
 /// What a proxy sees.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -245,6 +257,8 @@
         /// Its lines.
         entries: Vec<Backend>,
     },
+    /// The settings have changed. Rules of a class number never change while requests hold it.
+    Settings(Box<Change>),
     /// A request has come in and is owed exactly one final answer.
     Request {
         /// Its number.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! and carry out the [`Action`]s that it returns.
 #![doc = include_str!("../README.md")]
 
+mod change;
 mod choice;
 pub mod interface;
 pub mod limit;
--- a/src/state.rs
+++ b/src/state.rs
@@ -286,6 +286,9 @@
     pub(crate) ghosts: VecDeque<(Millis, usize)>, // slots of attempts given up, and until when they stay taken
     pub(crate) class_ms: Vec<(f64, f64)>,         // mean latency by class, and its weight
     pub(crate) kinds: Vec<Kind>,
+    pub(crate) live: Vec<bool>,         // classes for which requests may come
+    pub(crate) most_attempts: Vec<u32>, // for a request of a class
+    pub(crate) some_safe: bool,         // some class may be repeated
     pub(crate) longest_aim: Millis,
     pub(crate) least_aim: Millis,
     pub(crate) blocked: Vec<f64>, // part of the servers that is closed to a class alone
@@ -321,9 +324,8 @@
     /// Starts a proxy that knows nothing yet; `seed` is the only source of chance.
     pub fn new(cfg: Settings, seed: u64) -> Self {
         let longest_aim = cfg.classes.iter().map(|c| c.aim).fold(0.0, f64::max);
-        let least_aim = cfg.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         let first_guess = (longest_aim / 4.0).max(1.0);
-        Balancer {
+        let mut new = Balancer {
             rng: fastrand::Rng::with_seed(seed),
             servers: Vec::new(),
             vacant: Vec::new(),
@@ -341,7 +343,10 @@
             mean: first_guess,
             slowest: 0.0,
             longest_aim,
-            least_aim,
+            least_aim: longest_aim,
+            live: vec![true; cfg.classes.len()],
+            most_attempts: vec![cfg.limits.max_attempts; cfg.classes.len()],
+            some_safe: false,
             mean_room: 1.0,
             blocked: vec![0.0; cfg.classes.len()],
             spread: (2.0, 0.2 * SPREAD_SAMPLES),
@@ -367,7 +372,9 @@
             subscribed: false,
             ask_at: 0.0,
             cfg,
-        }
+        };
+        new.survey();
+        new
     }
 
     pub(crate) fn enqueue(&mut self, id: RequestId, first: bool) {
