--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -46,6 +46,10 @@
     fn attempt(&mut self, held: &Self::Held, attempt: Attempt);
     /// Gives a request its one final answer.
     fn answer(&mut self, held: &mut Self::Held, request: RequestId, answer: Answer<Self::Reply>);
+    /// Whether a request can't be sent again, as a part of it has gone out and is kept nowhere.
+    fn is_spent(&self, _held: &Self::Held) -> bool {
+        false
+    }
     /// Nothing new goes to an endpoint any more: what is kept for it may go.
     fn retire(&mut self, endpoint: &Endpoint);
     /// Sends bytes to every other proxy.
@@ -85,6 +89,8 @@
     pub hint: Option<Millis>,
     /// When the client gives up.
     pub deadline: Time,
+    /// Of one that goes out as it comes in: how long the client waits once it has gone out.
+    pub upload: Option<Time>,
     /// What is kept with it.
     pub held: H,
 }
@@ -111,6 +117,10 @@
     wanted: Rc<Cell<bool>>,
     held: H,
     deadline: Time,
+    /// See [`Arrival::upload`].
+    upload: Option<Time>,
+    /// It goes out as it comes in, and no deadline counts.
+    uploading: bool,
     attempts: u32,
     out: u32,
 }
@@ -139,6 +149,8 @@
     now: Time,
     /// Attempts that were never begun, to be told after the actions in hand.
     moot: VecDeque<(RequestId, u32)>,
+    /// Uploads that have begun, to be told after the actions in hand.
+    begun: Vec<RequestId>,
 }
 
 impl<D: Decide, O: Outside> Core<D, O> {
@@ -156,6 +168,7 @@
             actions: Vec::new(),
             now: Time::ZERO,
             moot: VecDeque::new(),
+            begun: Vec::new(),
         }
     }
 
@@ -201,11 +214,13 @@
 
     /// A whole request has come in.
     pub fn request(&mut self, now: Time, arrival: Arrival<O::Held>) {
-        let Arrival { id, class, tenant, key, hint, deadline, held } = arrival;
+        let Arrival { id, class, tenant, key, hint, deadline, upload, held } = arrival;
         let last = deadline.saturating_sub(LAST_RESORT);
         let budget = ms(last.saturating_sub(now));
         let wanted = Rc::new(Cell::new(true));
-        self.live.insert(id, Live { open: true, wanted, held, deadline, attempts: 0, out: 0 });
+        let (uploading, attempts, out) = (false, 0, 0);
+        let live = Live { open: true, wanted, held, deadline, upload, uploading, attempts, out };
+        self.live.insert(id, live);
         self.due.push(Reverse((last, Due::LastResort(id))));
         self.handle(now, Event::Request { id, class, tenant, key, budget, hint });
     }
@@ -217,11 +232,47 @@
         }
     }
 
+    /// A request has gone out whole: from now on its client waits.
+    pub fn uploaded(&mut self, now: Time, id: RequestId) {
+        if self.live.get(&id).is_some_and(|l| l.uploading) {
+            self.end_upload(now, id, false);
+        }
+    }
+
+    /// No more of a request goes out; `spent` where it can't go out again.
+    fn end_upload(&mut self, now: Time, id: RequestId, spent: bool) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let Some(patience) = live.upload else { return };
+        live.uploading = false;
+        live.deadline = now + patience;
+        let last = live.deadline.saturating_sub(LAST_RESORT);
+        self.due.push(Reverse((last, Due::LastResort(id))));
+        let budget = if spent { 0.0 } else { ms(last.saturating_sub(now)) };
+        self.handle(now, Event::Uploaded { request: id, budget });
+    }
+
+    /// A long answer has begun, and goes on as it comes. Its end is told with [`Core::ended`].
+    pub fn started(&mut self, now: Time, request: RequestId, attempt: u32, reply: O::Reply) {
+        if self.live.get(&request).is_some_and(|l| l.uploading) {
+            self.end_upload(now, request, false); // answered before it had gone out whole
+        }
+        if self.close(request, |outside, held| outside.answer(held, request, Answer::Served(reply))) {
+            self.handle(now, Event::Started { request, attempt });
+        }
+    }
+
     /// An attempt has ended: one that [`Outside::attempt`] began, once.
     pub fn ended(
         &mut self, now: Time, request: RequestId, attempt: u32, latency: Millis, outcome: Outcome,
         reply: Option<O::Reply>,
     ) {
+        let Some(live) = self.live.get(&request) else { return };
+        if live.open && live.upload.is_some() {
+            let spent = outcome != Outcome::Served && self.outside.is_spent(&live.held);
+            if live.uploading || spent {
+                self.end_upload(now, request, spent);
+            }
+        }
         let Some(live) = self.live.get_mut(&request) else { return };
         live.out -= 1;
         let was_open = live.open;
@@ -266,6 +317,9 @@
 
     /// Answers a request that nobody else has answered in time. It may have run, so it has failed.
     fn last_resort(&mut self, now: Time, id: RequestId) {
+        if self.live.get(&id).is_some_and(|l| l.uploading || l.deadline > now + LAST_RESORT) {
+            return; // another is set once it has gone out
+        }
         if self.close(id, |outside, held| outside.answer(held, id, Answer::Failed)) {
             self.handle(now, Event::Abandoned(id));
         }
@@ -334,6 +388,9 @@
             self.perform(action);
         }
         self.actions = actions;
+        while let Some(id) = self.begun.pop() {
+            self.handle(now, Event::Uploading(id));
+        }
         while let Some((request, attempt)) = self.moot.pop_front() {
             self.ended(now, request, attempt, 0.0, Outcome::Moot, None);
         }
@@ -368,6 +425,10 @@
             return self.moot.push_back((request, number));
         };
         let until = timeout.map_or(live.deadline, |t| live.deadline.min(self.now + time(t)));
+        if live.upload.is_some() {
+            live.uploading = true;
+            self.begun.push(request);
+        }
         let (endpoint, wanted) = (endpoint.clone(), live.wanted.clone());
         self.outside.attempt(&live.held, Attempt { request, number, endpoint, wanted, until });
     }
--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -73,7 +73,7 @@
 
 fn arrival(id: u64, deadline: Time) -> Arrival<()> {
     let (class, id) = (ClassId(0), RequestId(id));
-    Arrival { id, class, tenant: None, key: None, hint: None, deadline, held: () }
+    Arrival { id, class, tenant: None, key: None, hint: None, deadline, upload: None, held: () }
 }
 
 fn send(id: u64, name: &str) -> Action {
--- a/crates/sandgap-lab/src/fleet/client.rs
+++ b/crates/sandgap-lab/src/fleet/client.rs
@@ -130,6 +130,7 @@
         }
         let (p, task) = (r.proxy, r.task);
         let arrival = Arrival {
+            upload: None,
             id: RequestId(u64::from(number)),
             class: ClassId(usize::from(task.class)),
             tenant: (!self.e.tenants.is_empty()).then_some(TenantId(usize::from(task.tenant))),
--- a/crates/sandgap-lab/src/rivals.rs
+++ b/crates/sandgap-lab/src/rivals.rs
@@ -284,6 +284,8 @@
         match event {
             Event::List { scope: Scope::Failed, .. }
             | Event::Started { .. }
+            | Event::Uploading(_)
+            | Event::Uploaded { .. }
             | Event::Message { .. }
             | Event::Settings(_) => {}
             Event::List { scope, entries } => self.list(scope, entries),
--- a/crates/sandgap/src/config.rs
+++ b/crates/sandgap/src/config.rs
@@ -47,6 +47,8 @@
     pub source: Source,
     /// The source of all chance.
     pub seed: u64,
+    /// Memory that the process may hold, in bytes.
+    pub memory: usize,
     /// File descriptors that the process may hold.
     pub sockets: usize,
     /// Where the other proxies are, if they may be told anything.
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -22,12 +22,16 @@
 use crate::handover::{self, Taken, Upgrade};
 use crate::serving::Serving;
 use crate::upstream::Upstreams;
-use crate::{admin, change, discovery, front, load, note, peers};
+use crate::{admin, body, change, discovery, front, load, note, peers};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch, and
 /// those who call by hand.
 const RESERVE: usize = 32;
 const _: () = assert!(admin::CALLERS < RESERVE - 12);
+/// Part of the memory that long requests may hold together, as 1 over it.
+const MEMORY_PART: usize = 4;
+/// Bytes that a long request holds at most: the part that is kept, and a chunk on each side.
+const UPLOAD: usize = body::WHOLE + 2 * (32 << 10);
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
@@ -188,8 +192,10 @@
             up.listed();
         }
     });
+    let uploads = config.memory / MEMORY_PART / UPLOAD;
     let address = listener.local_addr().map_err(at("the listener"))?;
-    let front = front::Frontend::new(inbox.clone(), generations, upstreams.clone(), budget, serving.clone());
+    let front =
+        front::Frontend::new(inbox.clone(), generations, upstreams.clone(), budget, serving.clone(), uploads);
     let (shape, reloaded) = (config.shape, front.clone());
     let reload = Reload { path, shape, fixed, discovery, inbox: inbox.clone(), front: reloaded, upstreams };
     spawn_local(reload.run(hup));
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -70,6 +70,10 @@
         }
     }
 
+    fn is_spent(&self, held: &Held) -> bool {
+        held.exchange.is_spent()
+    }
+
     fn retire(&mut self, endpoint: &Endpoint) {
         self.parts.backs.iter().for_each(|b| b.retire(endpoint));
     }
@@ -164,11 +168,14 @@
         let now = self.now();
         match input {
             Input::Request(arrival) => {
-                let Arrival { id, class, tenant, key, hint, deadline, exchange, answer } = *arrival;
+                let Arrival { id, class, tenant, key, hint, deadline, upload, exchange, answer } = *arrival;
                 let deadline = deadline.saturating_duration_since(self.start);
                 let held = Held { exchange, answer: Some(answer) };
-                self.core.request(now, core::Arrival { id, class, tenant, key, hint, deadline, held });
+                let arrival = core::Arrival { id, class, tenant, key, hint, deadline, upload, held };
+                self.core.request(now, arrival);
             }
+            Input::Uploaded(id) => self.core.uploaded(now, id),
+            Input::Started { request, attempt, reply } => self.core.started(now, request, attempt, reply),
             Input::Gone(id) => self.core.gone(now, id),
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.core.ended(now, request, attempt, latency, outcome, reply);
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -5,6 +5,7 @@
 use std::any::Any;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 pub use sandgap_driver::{Endpoint, Host};
 use tokio::sync::{mpsc, oneshot};
@@ -17,6 +18,17 @@
     Request(Box<Arrival>),
     /// Its client has left.
     Gone(RequestId),
+    /// A long request has gone out whole.
+    Uploaded(RequestId),
+    /// A long answer has begun.
+    Started {
+        /// The request.
+        request: RequestId,
+        /// Its attempt, counted from 0.
+        attempt: u32,
+        /// What there is of the answer, and the rest as it comes.
+        reply: Reply,
+    },
     /// An attempt has ended.
     Ended {
         /// The request.
@@ -57,6 +69,8 @@
     pub hint: Option<Millis>,
     /// When the client gives up.
     pub deadline: Instant,
+    /// Of one that goes out as it comes in: how long the client waits once it has gone out.
+    pub upload: Option<Duration>,
     /// What goes to backends.
     pub exchange: Rc<dyn Exchange>,
     /// Takes the one final answer.
@@ -69,6 +83,11 @@
     /// Begins one attempt. It must write nothing once `attempt` says that it is not wanted, and never sends
     /// twice; the report tells how it ended, whatever happens.
     fn attempt(self: Rc<Self>, attempt: Attempt);
+
+    /// Whether it can't be sent again, as a part of it has gone out and is kept nowhere.
+    fn is_spent(&self) -> bool {
+        false
+    }
 }
 
 /// One attempt: where to, until when, and who is told.
@@ -103,13 +122,15 @@
     request: RequestId,
     attempt: u32,
     sent: Instant,
+    /// Time from the request's last byte to the answer's first, of a long one.
+    latency: Option<Millis>,
     told: bool,
 }
 
 impl Report {
     /// A report on an attempt that begins now.
     pub fn new(inbox: Inbox, request: RequestId, attempt: u32) -> Self {
-        Report { inbox, request, attempt, sent: Instant::now(), told: false }
+        Report { inbox, request, attempt, sent: Instant::now(), latency: None, told: false }
     }
 
     /// When the attempt began.
@@ -117,6 +138,23 @@
         self.sent
     }
 
+    /// Tells that a long request has gone out whole: its backend's time counts from here.
+    pub fn uploaded(&mut self) {
+        self.sent = Instant::now();
+        self.inbox.put(Input::Uploaded(self.request));
+    }
+
+    /// Tells that a long answer has begun.
+    pub fn started(&mut self, reply: Reply) {
+        self.latency = Some(self.elapsed());
+        let (request, attempt) = (self.request, self.attempt);
+        self.inbox.put(Input::Started { request, attempt, reply });
+    }
+
+    fn elapsed(&self) -> Millis {
+        self.sent.elapsed().as_secs_f64() * 1000.0
+    }
+
     /// Tells the end.
     pub fn tell(mut self, outcome: Outcome, reply: Option<Reply>) {
         self.put(outcome, reply);
@@ -124,7 +162,7 @@
 
     fn put(&mut self, outcome: Outcome, reply: Option<Reply>) {
         self.told = true;
-        let latency = self.sent.elapsed().as_secs_f64() * 1000.0;
+        let latency = self.latency.unwrap_or_else(|| self.elapsed());
         let (request, attempt) = (self.request, self.attempt);
         self.inbox.put(Input::Ended { request, attempt, latency, outcome, reply });
     }
--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -1,6 +1,6 @@
 //! Admission and eviction: how many connections are let in, and which give way to others.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,7 +39,40 @@
     pub(super) queued: Cell<Option<Instant>>,
     /// It has ended its sending.
     pub(super) ended: Cell<bool>,
+    /// A long answer is on its way.
+    pub(super) answering: Cell<bool>,
     pub(super) close: Notify,
+    /// What has come of a head, until it has been read.
+    pub(super) head: RefCell<Vec<u8>>,
+}
+
+impl Client {
+    /// Whether the head in hand tells a body's form once: by its chunks, and by no length. A head that came along
+    /// with the request before is not at hand, and tells nothing.
+    pub(super) fn is_plainly_chunked(&self) -> bool {
+        let head = self.head.borrow();
+        let Some(end) = head.windows(4).position(|w| w == b"\r\n\r\n") else { return false };
+        let lines = head[..end].split(|b| *b == b'\n');
+        let names: Vec<&[u8]> =
+            lines.filter_map(|l| Some(l[..l.iter().position(|b| *b == b':')?].trim_ascii())).collect();
+        let count = |name: &[u8]| names.iter().filter(|n| n.eq_ignore_ascii_case(name)).count();
+        count(b"transfer-encoding") == 1 && count(b"content-length") == 0
+    }
+}
+
+/// See [`Frontend::busy_until_dropped`].
+pub(super) struct BusyUntilDropped {
+    front: Rc<Frontend>,
+    client: Rc<Client>,
+}
+
+impl Drop for BusyUntilDropped {
+    fn drop(&mut self) {
+        self.client.answering.set(false);
+        if self.client.stage.get() == Stage::Busy {
+            self.front.turn(&self.client, Stage::Idle);
+        }
+    }
 }
 
 impl Frontend {
@@ -65,6 +98,12 @@
         }
     }
 
+    /// Keeps a connection from giving way until what is returned is dropped.
+    pub(super) fn busy_until_dropped(self: &Rc<Self>, client: &Rc<Client>) -> BusyUntilDropped {
+        client.answering.set(true);
+        BusyUntilDropped { front: self.clone(), client: client.clone() }
+    }
+
     /// Asks the one that is the first to give way to close, if any has stood long enough; it is asked once. With
     /// `late`, those that have sent nothing are not spared: who comes is at least as likely to.
     pub(super) fn make_room(&self, late: bool) -> bool {
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -1,26 +1,29 @@
 //! Answering: one request, one final answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header;
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use wharfhitch::RequestId;
 
 use super::Frontend;
+use super::admission::Client;
 use super::head::{Asked, OpenId, target};
+use super::receive::{receive, told};
+use crate::body::{self, Answering};
 use crate::event::{Answer, Arrival, Inbox, Input};
-use crate::upstream::{BODY, Forwarded, Outgoing, Reply, strip};
+use crate::upstream::{Forwarded, Outgoing, Payload, Reply, strip};
 
 impl Frontend {
-    /// Answers a request that came at `came` and has to be whole when it is `due`.
+    /// Answers a request whose head came at `came`.
     pub(super) async fn respond(
-        &self, request: Request<Incoming>, came: Instant, due: Instant,
-    ) -> Response<Full<Bytes>> {
+        self: &Rc<Self>, request: Request<Incoming>, came: Instant, client: &Rc<Client>,
+    ) -> Response<Answering> {
         if request.uri().path() == "/up" {
             let up = self.serving.is_up();
             return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
@@ -30,31 +33,41 @@
             Ok(asked) => asked,
             Err((status, text)) => return plain(status, text),
         };
-        // Its length lies or hides a second request where both are told: hyper shows only one of them.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) {
-            return plain(StatusCode::LENGTH_REQUIRED, "the length must be told");
+        // Its length lies or hides a second request where both are told, and hyper shows only one of them.
+        if head.headers.contains_key(header::TRANSFER_ENCODING) && !client.is_plainly_chunked() {
+            return plain(StatusCode::LENGTH_REQUIRED, "the length must be told once");
         }
-        if body.size_hint().lower() > BODY as u64 {
+        if body.size_hint().lower() > body::LONGEST {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
         let Some(open) = OpenId::take(&self.ids, &asked.id) else {
             return plain(StatusCode::CONFLICT, "a request with this id is open");
         };
-        let deadline = came + asked.patience;
-        let body = match timeout_at(deadline.min(due), Limited::new(body, BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        let received = match receive(body).await {
+            Ok(received) => received,
+            Err(trouble) => {
+                let (status, text) = told(trouble);
+                return plain(status, text);
             }
-            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body is malformed"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body came too late"),
         };
+        // A client counts from its last byte.
+        let came = if received.late { Instant::now() } else { came };
+        let deadline = came + asked.patience;
+        let body = received.body;
+        let upload = match &body {
+            Payload::Long(upload) => Some(upload.clone()),
+            Payload::Short(_) => None,
+        };
+        if upload.is_some() && self.uploading.get() >= self.uploads {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "too many long requests");
+        }
+        let uploading = upload.as_ref().map(|_| Counted::new(self, |f| &f.uploading));
         let mut headers = head.headers;
         strip(&mut headers);
         let id = RequestId(self.number());
         let (answer, answered) = oneshot::channel();
-        let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
-        let Asked { class, tenant, key, hint, generation, .. } = asked;
+        let Asked { class, tenant, key, hint, generation, patience, .. } = asked;
+        let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body, patience };
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
             class,
@@ -62,10 +75,11 @@
             key,
             hint,
             deadline,
+            upload: upload.as_ref().map(|_| patience),
             exchange: Rc::new(Forwarded {
                 message,
                 upstreams: self.upstreams.clone(),
-                hold: (open, generation),
+                hold: (open, generation, uploading),
             }),
             answer,
         })));
@@ -73,12 +87,26 @@
         let mut leaves = Leaves { inbox: &self.inbox, id, waits: true };
         let answer = answered.await;
         leaves.waits = false;
+        if let (Some(trouble), Ok(Answer::Refused(_) | Answer::Failed)) =
+            (upload.and_then(|u| u.trouble()), &answer)
+        {
+            let (status, text) = told(trouble);
+            return plain(status, text);
+        }
         match answer {
             Ok(Answer::Served(reply)) => {
                 let Ok(reply) = reply.downcast::<Reply>() else {
                     return plain(StatusCode::BAD_GATEWAY, "failed"); // no HTTP back made it
                 };
-                let mut response = Response::new(Full::new(reply.body));
+                let body = match reply.body {
+                    // Its connection is busy until it has ended.
+                    Answering::Long(stream, _) => {
+                        let counted = Counted::new(self, |f| &f.answering);
+                        Answering::Long(stream, Some(Box::new((self.busy_until_dropped(client), counted))))
+                    }
+                    short => short,
+                };
+                let mut response = Response::new(body);
                 *response.headers_mut() = reply.headers;
                 response
             }
@@ -94,6 +122,27 @@
     }
 }
 
+/// One more of something, for as long as it lives.
+struct Counted {
+    front: Rc<Frontend>,
+    count: fn(&Frontend) -> &Cell<usize>,
+}
+
+impl Counted {
+    fn new(front: &Rc<Frontend>, count: fn(&Frontend) -> &Cell<usize>) -> Self {
+        count(front).set(count(front).get() + 1);
+        Counted { front: front.clone(), count }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let count = (self.count)(&self.front);
+        count.set(count.get() - 1);
+        self.front.left.notify_waiters();
+    }
+}
+
 /// Tells the driver when the client leaves before its answer.
 struct Leaves<'a> {
     inbox: &'a Inbox,
@@ -109,8 +158,8 @@
     }
 }
 
-pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Answering> {
+    let mut response = Response::new(Bytes::from_static(text.as_bytes()).into());
     *response.status_mut() = status;
     response
 }
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -17,13 +17,13 @@
 use super::Frontend;
 use super::admission::{Client, Stage};
 use super::answer::plain;
-use super::limits::{BUSY, CUT, GRACE, HEAD_SIZE, LINGER, WHOLE};
+use super::limits::{BUSY, CUT, GRACE, HEAD_SIZE, LINGER, READER, WHOLE};
 use crate::socket::Socket;
 
 impl Frontend {
     pub(super) async fn connection(self: &Rc<Self>, stream: Socket, client: &Rc<Client>) {
         let service = service_fn(|request| {
-            let (front, client) = (self.clone(), client.clone());
+            let (front, client, stream) = (self.clone(), client.clone(), stream.clone());
             async move {
                 if client.stage.get() == Stage::Idle {
                     client.due.set(Instant::now() + WHOLE); // its head came along with the request before
@@ -36,12 +36,16 @@
                 let mut response = if over {
                     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
                 } else {
-                    front.respond(request, came, client.due.get()).await
+                    front.respond(request, came, &client).await
                 };
+                client.head.borrow_mut().clear();
+                if client.answering.get() {
+                    stream.wait_for_reader(READER);
+                }
                 // Where one request was wrong, nobody knows where the next one would begin.
                 if over || front.serving.sends_away() || response.status().is_client_error() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-                } else {
+                } else if !client.answering.get() {
                     front.turn(&client, Stage::Idle);
                 }
                 Ok::<_, Infallible>(response)
@@ -102,6 +106,11 @@
             self.client.ended.set(true);
         }
         let stage = self.client.stage.get();
+        if matches!(stage, Stage::Silent | Stage::Idle | Stage::Begun) {
+            let mut head = self.client.head.borrow_mut();
+            let room = HEAD_SIZE.saturating_sub(head.len());
+            head.extend_from_slice(&buf.filled()[before..][..room.min(buf.filled().len() - before)]);
+        }
         if matches!(stage, Stage::Silent | Stage::Idle) {
             if stage == Stage::Idle {
                 self.client.due.set(Instant::now() + WHOLE);
--- a/crates/sandgap/src/front/limits.rs
+++ b/crates/sandgap/src/front/limits.rs
@@ -6,9 +6,12 @@
 pub(super) const HEAD_SIZE: usize = 16 << 10;
 /// Connections that the system holds until they are accepted.
 pub(super) const BACKLOG: u32 = 1024;
-/// A request must be whole this long after its first byte; the first one this long after its connection came
-/// up, for a client that sends nothing of use is owed an end within 3 s.
+/// A head must be whole this long after its first byte; the first one this long after its connection came up, for a
+/// client may take 2 s, and one that sends nothing of use is owed an end within 3 s. Bodies go by their pace, see
+/// [`crate::body::Pace`].
 pub(super) const WHOLE: Duration = Duration::from_millis(2200);
+/// A reader that takes nothing of a long answer for this span has gone.
+pub(super) const READER: Duration = Duration::from_secs(30);
 /// A connection between requests may be closed after 2 s, no sooner, and is when descriptors run short.
 pub(super) const IDLE_LEAST: Duration = Duration::from_millis(2050);
 /// It is closed in any case after this span: some clients ask once and keep their connection for good.
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod head;
 mod limits;
+mod receive;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -42,6 +43,11 @@
     /// Connections, those of them with an open request, and the others by stage and age.
     open: Cell<usize>,
     busy: Cell<usize>,
+    /// Those of them with a long answer on its way, and those with a long request.
+    answering: Cell<usize>,
+    uploading: Cell<usize>,
+    /// Long requests at once.
+    uploads: usize,
     /// When the accept queue was last seen empty.
     empty: Cell<Instant>,
     standing: RefCell<[BTreeMap<u64, Rc<Client>>; SPARED.len()]>,
@@ -51,9 +57,10 @@
 
 impl Frontend {
     /// A front for clients. `budget` counts sockets of clients and backends together; `serving` says
-    /// whether clients are taken.
+    /// whether clients are taken; `uploads` is how many long requests may go on at once.
     pub fn new(
-        inbox: Inbox, generations: Generations, upstreams: Rc<Upstreams>, budget: usize, serving: Rc<Serving>,
+        inbox: Inbox, generations: Generations, upstreams: Rc<Upstreams>, budget: usize,
+        serving: Rc<Serving>, uploads: usize,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
@@ -64,6 +71,9 @@
             next: Cell::new(0),
             open: Cell::new(0),
             busy: Cell::new(0),
+            answering: Cell::new(0),
+            uploading: Cell::new(0),
+            uploads,
             empty: Cell::new(Instant::now()),
             standing: RefCell::default(),
             ids: OpenIds::default(),
@@ -110,7 +120,9 @@
         let longest = self.generations.borrow().longest();
         let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
         while self.busy.get() > 0 {
-            if timeout_at(end, self.left.notified()).await.is_err() {
+            // A long answer that has begun is not cut off for as long as the process may live.
+            let end = if self.answering.get() > 0 { end.max(Instant::now() + SWEEP) } else { end };
+            if timeout_at(end, self.left.notified()).await.is_err() && self.answering.get() == 0 {
                 return note!(warn: "ended with connections open");
             }
         }
@@ -156,7 +168,9 @@
                     accepted: now,
                     queued: Cell::new(Some(self.empty.get())),
                     ended: Cell::new(false),
+                    answering: Cell::new(false),
                     close: Notify::new(),
+                    head: RefCell::default(),
                 });
                 self.open.set(self.open.get() + 1);
                 self.busy.set(self.busy.get() + 1);
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod beliefs;
+pub mod body;
 pub mod change;
 pub mod config;
 pub mod daemon;
--- a/crates/sandgap/src/platform.rs
+++ b/crates/sandgap/src/platform.rs
@@ -30,6 +30,7 @@
 #[derive(Deserialize, Default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 /// Reads a text.
@@ -66,6 +67,7 @@
         upgrade: None,
         source: Source::Discovery(file.discovery),
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
+        memory: (file.limits.memory_mb.unwrap_or(192.0).clamp(16.0, 1e6) * (1 << 20) as f64) as usize,
         sockets,
         peers,
         known: file.known,
--- a/crates/sandgap/src/settings/mod.rs
+++ b/crates/sandgap/src/settings/mod.rs
@@ -36,6 +36,7 @@
     admin: Option<SocketAddr>,
     upgrade: Option<String>,
     sockets: usize,
+    memory_mb: usize,
     zone: Option<String>,
     seed: Option<String>,
 }
@@ -246,6 +247,7 @@
             None => Source::Fixed(file.backend.into_iter().map(host).collect()),
         },
         seed,
+        memory: file.proxy.memory_mb << 20,
         sockets: file.proxy.sockets,
         peers: None,
         known: Json::Null,
--- a/crates/sandgap/src/settings/schema.rs
+++ b/crates/sandgap/src/settings/schema.rs
@@ -76,6 +76,12 @@
             key("admin", Kind::Address, Default::None, "where staff call it by hand: ready, drain, resume"),
             key("upgrade", Kind::Text, Default::None, "directory in which a newer process finds this one"),
             key("sockets", Kind::Whole(64, 1_000_000), Default::Whole(1024), "file descriptors it may hold"),
+            key(
+                "memory_mb",
+                Kind::Whole(16, 1_000_000),
+                Default::Whole(192),
+                "memory that it may hold, in MiB",
+            ),
             key("zone", Kind::Text, Default::None, "the zone in which it stands"),
             key(
                 "seed",
--- a/crates/sandgap/src/socket.rs
+++ b/crates/sandgap/src/socket.rs
@@ -46,6 +46,11 @@
         SockRef::from(&*self.0.borrow()).shutdown(Shutdown::Write)
     }
 
+    /// Ends the connection once the other side has taken nothing of what is written for so long (RFC 5482).
+    pub fn wait_for_reader(&self, most: std::time::Duration) {
+        let _ = SockRef::from(&*self.0.borrow()).set_tcp_user_timeout(Some(most)); // it waits longer without
+    }
+
     /// Whether the other side has neither ended the connection nor said anything that has not been read. The
     /// runtime may not have seen it yet, so the system is asked.
     pub fn is_quiet(&self) -> bool {
--- a/crates/sandgap/src/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body as _;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
@@ -21,23 +21,31 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use wharfhitch::Outcome;
 
+use crate::body::{self, Answering, Broken, End, Progress, Sending, Stream, Upload};
 use crate::event::{self, Attempt, Back, Endpoint, Exchange};
 use crate::socket::Socket;
 
-/// Bytes of a body, by the protocol.
-pub const BODY: usize = 64 << 10;
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
 const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
 /// Longest wait until a connection is ready for its next request.
 const READY: Duration = Duration::from_secs(1);
 
-/// Once an answer has begun, its head and its body must each come to their end within this span. An answer that
-/// is told longer than it is would else keep its request until the client gives up.
-const STALL: Duration = Duration::from_millis(250);
+/// Once an answer has begun, a part of it must come at least every so often. An answer that is told longer than it
+/// is would else keep its request until the client gives up.
+const STALL: Duration = Duration::from_millis(500);
+/// A long answer's reader has what has come so far after this span at the latest. What breaks before can still be
+/// answered as failed, or made good elsewhere.
+const GATHER: Duration = Duration::from_millis(150);
+/// A backend that says nothing for this long within a long answer has gone.
+const SILENCE: Duration = Duration::from_secs(10);
+/// Span between looks for that.
+const LOOK: Duration = Duration::from_secs(1);
+/// Bytes of a connection's buffer: room for any head, and a long body passes in pieces of it.
+const BUFFER: usize = 16 << 10;
 
 /// A client's request in the form in which it goes on.
 pub struct Outgoing {
@@ -47,16 +55,26 @@
     pub uri: Uri,
     /// Without those of one connection alone.
     pub headers: HeaderMap,
-    /// At most [`BODY`] bytes.
-    pub body: Bytes,
+    /// What goes with it.
+    pub body: Payload,
+    /// How long the client waits, from the request's last byte.
+    pub patience: Duration,
 }
 
-/// A backend's whole answer.
+/// A request's body.
+pub enum Payload {
+    /// At most [`body::WHOLE`] bytes.
+    Short(Bytes),
+    /// More, as they come.
+    Long(Rc<Upload>),
+}
+
+/// A backend's answer.
 pub struct Reply {
     /// Without those of one connection alone.
     pub headers: HeaderMap,
-    /// At most [`BODY`] bytes.
-    pub body: Bytes,
+    /// Whole, or as it comes.
+    pub body: Answering,
 }
 
 struct Idle {
@@ -66,7 +84,7 @@
 
 /// A connection to a backend; dropping it closes the socket.
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Sending>,
     meter: Rc<Meter>,
     stream: Socket,
     driver: JoinHandle<()>,
@@ -95,9 +113,16 @@
     /// How much of the blank line that ends the head has been seen.
     blank: Cell<usize>,
     /// Bytes of the body still to be written.
-    left: Cell<usize>,
-    /// Since when a part of an answer has been there without its end.
+    left: Cell<u64>,
+    /// A body whose length is not told ends with its last chunk.
+    chunked: RefCell<Option<Rc<Upload>>>,
+    tail: Cell<[u8; LAST_CHUNK.len()]>,
+    /// Told when a request's last byte is written.
+    finished: Notify,
+    /// When the last part of an answer came that has not come to its end.
     partial: Cell<Option<Instant>>,
+    /// The answer's head has come: what stops now is its body.
+    in_body: Cell<bool>,
     read: Notify,
 }
 
@@ -109,25 +134,48 @@
 }
 
 const BLANK: &[u8] = b"\r\n\r\n";
+const LAST_CHUNK: [u8; 5] = *b"0\r\n\r\n";
 
 impl Meter {
-    fn start(&self, gate: Gate, body: usize) {
+    fn start(&self, gate: Gate, body: &Payload) {
         self.gate.replace(Some(gate));
         self.begun.set(false);
         self.denied.set(false);
         self.blank.set(0);
-        self.left.set(body);
+        let (left, chunked) = match body {
+            Payload::Short(bytes) => (bytes.len() as u64, None),
+            Payload::Long(upload) => {
+                (upload.length().unwrap_or(0), Some(upload).filter(|u| u.length().is_none()))
+            }
+        };
+        self.left.set(left);
+        self.chunked.replace(chunked.cloned());
+        self.tail.take();
         self.partial.set(None);
+        self.in_body.set(false);
+    }
+
+    /// The answer's head has come.
+    fn body_begins(&self) {
+        self.in_body.set(true);
+        self.partial.set(Some(Instant::now()));
+        self.read.notify_one();
     }
 
     /// Notes what has been read of an answer. What stops at a blank line may be an interim answer's whole head,
     /// after which the real one takes its time.
     fn got(&self, bytes: &[u8]) {
-        let since = self.partial.get().unwrap_or_else(Instant::now);
-        self.partial.set((!bytes.ends_with(BLANK)).then_some(since));
+        self.partial.set((self.in_body.get() || !bytes.ends_with(BLANK)).then(Instant::now));
         self.read.notify_one();
     }
 
+    /// Waits until the request's last byte is written.
+    async fn finished(&self) {
+        while !self.complete() {
+            self.finished.notified().await; // perhaps of a request before it
+        }
+    }
+
     /// Waits until an answer has begun and not come to its end for too long.
     async fn stalled(&self) {
         loop {
@@ -156,12 +204,27 @@
             let seen = self.blank.get();
             self.blank.set(if byte == BLANK[seen] { seen + 1 } else { usize::from(byte == b'\r') });
         }
-        self.left.set(self.left.get().saturating_sub(rest.len()));
+        self.left.set(self.left.get().saturating_sub(rest.len() as u64));
+        if self.chunked.borrow().is_some() {
+            let mut tail = self.tail.get();
+            let kept = rest.len().min(tail.len());
+            tail.rotate_left(kept);
+            let at = tail.len() - kept;
+            tail[at..].copy_from_slice(&rest[rest.len() - kept..]);
+            self.tail.set(tail);
+        }
+        if self.complete() {
+            self.finished.notify_one();
+        }
     }
 
     /// Whether the request's last byte has been written: from then on it may have run.
     fn complete(&self) -> bool {
-        self.blank.get() == BLANK.len() && self.left.get() == 0
+        let whole = match &*self.chunked.borrow() {
+            Some(upload) => upload.has_ended() && self.tail.get() == LAST_CHUNK,
+            None => self.left.get() == 0,
+        };
+        self.blank.get() == BLANK.len() && whole
     }
 }
 
@@ -284,7 +347,7 @@
         let meter = Rc::new(Meter::default());
         let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(BODY)
+            .max_buf_size(BUFFER)
             .handshake(TokioIo::new(io))
             .await
             .map_err(io::Error::other)?;
@@ -296,41 +359,88 @@
 
     /// Makes one attempt and tells how it ended; the report gets that before the connection is pooled.
     async fn attempt(&self, message: &Outgoing, attempt: Attempt) {
-        let Attempt { endpoint, wanted, until, report } = attempt;
-        let report = |outcome, reply: Option<Reply>| {
-            report.tell(outcome, reply.map(|r| Box::new(r) as event::Reply));
+        let Attempt { endpoint, wanted, mut until, mut report } = attempt;
+        let mut uploads = match &message.body {
+            Payload::Long(upload) if upload.is_spent() => return report.tell(Outcome::Moot, None),
+            body => matches!(body, Payload::Long(_)),
         };
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
         let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
             Ok(Ok(connection)) => connection,
-            Ok(Err(_)) | Err(_) => return report(Outcome::ConnectFailed, None),
+            Ok(Err(_)) | Err(_) => return report.tell(Outcome::ConnectFailed, None),
         };
         if !endpoint.is_open() || !wanted.get() {
-            return report(Outcome::Moot, None);
+            return report.tell(Outcome::Moot, None);
         }
-        let Some(request) = message.request(until) else { return report(Outcome::Moot, None) };
+        let Some(request) = message.request(until) else { return report.tell(Outcome::Moot, None) };
         let meter = connection.meter.clone();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted }, message.body.len());
+        meter.start(Gate { endpoint: endpoint.clone(), wanted }, &message.body);
+        let sender = &mut connection.sender;
         let answer = async {
             tokio::select! {
                 biased;
-                answer = exchange(&mut connection.sender, request) => answer,
+                answer = exchange(sender, request, &meter) => answer,
                 () = meter.stalled() => Err("the answer has no end".into()),
             }
         };
-        match timeout_at(until, answer).await {
-            Ok(Ok((outcome, reply, keep))) => {
-                report(outcome, reply);
-                meter.gate.replace(None);
-                let ready = keep && matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(())));
-                if ready {
-                    self.park(&endpoint, connection);
+        // A long request may take its time; the backend's begins with its last byte.
+        let answer = {
+            tokio::pin!(answer);
+            loop {
+                tokio::select! {
+                    biased;
+                    answer = &mut answer => break Some(answer),
+                    () = meter.finished(), if uploads => {
+                        uploads = false;
+                        report.uploaded();
+                        until = Instant::now() + message.patience;
+                    }
+                    () = sleep_until(until), if !uploads => break None,
                 }
             }
-            Ok(Err(_)) if meter.denied.get() && !meter.begun.get() => report(Outcome::Moot, None),
-            Ok(Err(_)) | Err(_) if !meter.complete() => report(Outcome::ConnectFailed, None),
-            Ok(Err(_)) => report(Outcome::Reset, None),
-            Err(_) => report(Outcome::TimedOut, None), // the connection is dropped, never used again
+        };
+        match answer {
+            Some(Ok(Got::Whole(outcome, reply, keep))) => {
+                report.tell(outcome, reply.map(|r| Box::new(r) as event::Reply));
+                meter.gate.replace(None);
+                self.keep(&endpoint, connection, keep && meter.complete()).await;
+            }
+            Some(Ok(Got::Long(reply, progress, end))) => {
+                report.started(Box::new(reply));
+                meter.gate.replace(None);
+                let (outcome, keep) = follow(&progress, end).await;
+                report.tell(outcome, None);
+                self.keep(&endpoint, connection, keep && meter.complete()).await;
+            }
+            Some(Err(_)) if meter.denied.get() && !meter.begun.get() => report.tell(Outcome::Moot, None),
+            Some(Err(_)) | None if !meter.complete() => report.tell(Outcome::ConnectFailed, None),
+            Some(Err(_)) => report.tell(Outcome::Reset, None),
+            None => report.tell(Outcome::TimedOut, None), // the connection is dropped, never used again
+        }
+    }
+
+    /// Pools a connection once it is ready for another request.
+    async fn keep(&self, endpoint: &Endpoint, mut connection: Connection, keep: bool) {
+        if keep && matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(()))) {
+            self.park(endpoint, connection);
+        }
+    }
+}
+
+/// Waits for the end of a long answer; the flag says whether its connection may be kept. A reader that leaves or
+/// takes nothing is no fault of the backend.
+async fn follow(progress: &Progress, mut end: End) -> (Outcome, bool) {
+    loop {
+        tokio::select! {
+            biased;
+            end = &mut end => return match end {
+                Ok(true) => (Outcome::Served, true),
+                Ok(false) => (Outcome::Reset, false),
+                Err(_) => (Outcome::Served, false),
+            },
+            () = sleep(LOOK) => if progress.silence() >= SILENCE {
+                return (Outcome::Reset, false); // the connection goes, and the reader sees the answer cut
+            },
         }
     }
 }
@@ -370,34 +480,97 @@
     fn attempt(self: Rc<Self>, attempt: Attempt) {
         tokio::task::spawn_local(async move { self.upstreams.attempt(&self.message, attempt).await });
     }
+
+    fn is_spent(&self) -> bool {
+        matches!(&self.message.body, Payload::Long(upload) if upload.is_spent())
+    }
 }
 
-/// Sends a request and reads the whole answer; the flag says whether the connection may be kept.
+/// What has come of an answer.
+enum Got {
+    /// All of it; the flag says whether the connection may be kept.
+    Whole(Outcome, Option<Reply>, bool),
+    /// The beginning of a long one.
+    Long(Reply, Rc<Progress>, End),
+}
+
+/// Sends a request and reads the answer, or the beginning of a long one.
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>,
-) -> Result<(Outcome, Option<Reply>, bool), String> {
-    let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    sender: &mut SendRequest<Sending>, request: Request<Sending>, meter: &Meter,
+) -> Result<Got, Broken> {
+    let answer = sender.send_request(request).await?;
+    meter.body_begins();
     let (head, body) = answer.into_parts();
-    // A body that only the connection's end delimits may be cut short and nobody could tell.
-    if body.size_hint().exact().is_none() && !head.headers.contains_key(header::TRANSFER_ENCODING) {
+    let length = body.size_hint().exact();
+    // A body that only the connection's end delimits may be cut short and nobody could tell, unless the head says
+    // that it will end so.
+    let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    if length.is_none() && !chunked && !closes(&head.headers) {
         return Err("the answer's length is not told".into());
     }
-    if body.size_hint().lower() > BODY as u64 {
-        return Err("the answer is too long".into());
-    }
-    let body = timeout(STALL, Limited::new(body, BODY).collect()).await.map_err(|e| e.to_string())?;
-    let body = body.map_err(|e| e.to_string())?.to_bytes();
-    Ok(match head.status {
+    let keep = length.is_some() || chunked;
+    let outcome = match head.status {
         StatusCode::OK => {
             let mut headers = head.headers;
             strip(&mut headers);
-            (Outcome::Served, Some(Reply { headers, body }), true)
+            return Ok(match gather(body, length).await? {
+                Gathered::Whole(bytes) => {
+                    Got::Whole(Outcome::Served, Some(Reply { headers, body: bytes.into() }), keep)
+                }
+                Gathered::Begun(first, rest) => {
+                    let (stream, progress, end) = Stream::new(first, rest);
+                    Got::Long(Reply { headers, body: Answering::Long(Box::new(stream), None) }, progress, end)
+                }
+            });
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_unseen(&head.headers) => {
-            (Outcome::Full, None, true)
+            Outcome::Full
+        }
+        _ => Outcome::Error,
+    };
+    let whole = Limited::new(body, body::WHOLE).collect().await;
+    Ok(Got::Whole(outcome, None, keep && whole.is_ok() && head.status != StatusCode::SWITCHING_PROTOCOLS))
+}
+
+/// Whether an answer says that its connection ends with it.
+fn closes(headers: &HeaderMap) -> bool {
+    let words = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    words.flat_map(|v| v.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"))
+}
+
+enum Gathered {
+    Whole(Bytes),
+    Begun(Bytes, Incoming),
+}
+
+/// Gathers a short answer whole, and of a long one no more than it takes to tell that it is long.
+async fn gather(mut body: Incoming, length: Option<u64>) -> Result<Gathered, Broken> {
+    match length {
+        Some(length) if length <= body::WHOLE as u64 => {
+            return Ok(Gathered::Whole(body.collect().await?.to_bytes()));
         }
-        status => (Outcome::Error, None, status != StatusCode::SWITCHING_PROTOCOLS),
-    })
+        Some(length) if length > body::LONGEST_ANSWER => return Err("the answer is too long".into()),
+        _ => {}
+    }
+    let mut have: Vec<Bytes> = Vec::new();
+    let mut size = 0;
+    let patience = sleep(GATHER);
+    tokio::pin!(patience);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = &mut patience, if size > 0 => return Ok(Gathered::Begun(have.concat().into(), body)),
+        };
+        let Some(frame) = frame else { return Ok(Gathered::Whole(have.concat().into())) };
+        if let Ok(data) = frame?.into_data() {
+            size += data.len();
+            have.push(data);
+        }
+        if size > body::WHOLE {
+            return Ok(Gathered::Begun(have.concat().into(), body));
+        }
+    }
 }
 
 /// Takes out the headers that concern one connection alone, and the length, which is set anew.
@@ -431,8 +604,12 @@
 
 impl Outgoing {
     /// The request for one attempt; `X-Timeout` tells how long this proxy will wait.
-    fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, until: Instant) -> Option<Request<Sending>> {
+        let (body, until) = match &self.body {
+            Payload::Short(bytes) => (Sending::Whole(Some(bytes.clone()).filter(|b| !b.is_empty())), until),
+            Payload::Long(upload) => (Sending::long(upload), Instant::now() + self.patience),
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
@@ -448,11 +625,14 @@
 mod tests {
     use super::*;
 
-    fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<bool>>) {
+    fn started(body: &'static [u8]) -> (Meter, Rc<Endpoint>, Rc<Cell<bool>>) {
         let endpoint = Endpoint::new(1, "127.0.0.1:1".parse().expect("an address"), 0.0);
         let wanted = Rc::new(Cell::new(true));
         let meter = Meter::default();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted: wanted.clone() }, body);
+        meter.start(
+            Gate { endpoint: endpoint.clone(), wanted: wanted.clone() },
+            &Payload::Short(Bytes::from_static(body)),
+        );
         (meter, endpoint, wanted)
     }
 
@@ -460,7 +640,7 @@
     fn a_request_is_complete_with_its_last_byte_however_it_is_cut() {
         let text = b"POST /x HTTP/1.1\r\nA: b\r\n\r\n\r\n\r\nbody";
         for cut in 1..text.len() {
-            let (meter, ..) = started(8);
+            let (meter, ..) = started(b"\r\n\r\nbody");
             meter.wrote(&text[..cut]);
             assert!(meter.begun.get() && !meter.complete(), "cut at {cut}");
             meter.wrote(&text[cut..]);
@@ -470,13 +650,13 @@
 
     #[test]
     fn the_first_byte_waits_for_an_open_backend_and_a_wanted_request() {
-        let (meter, endpoint, _) = started(0);
+        let (meter, endpoint, _) = started(b"");
         endpoint.set_open(false);
         assert!(!meter.admit() && meter.denied.get());
-        let (meter, _, wanted) = started(0);
+        let (meter, _, wanted) = started(b"");
         wanted.set(false);
         assert!(!meter.admit());
-        let (meter, endpoint, _) = started(0);
+        let (meter, endpoint, _) = started(b"");
         assert!(meter.admit());
         meter.wrote(b"G");
         endpoint.set_open(false); // what has begun is finished
--- /dev/null
+++ b/crates/sandgap/tests/long.rs
@@ -0,0 +1,346 @@
+//! Bodies and answers longer than what is held whole, both ways.
+
+mod sockets;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use sockets::*;
+
+/// What a backend has read of one request: its id, its body, and whether that came to its end.
+type Read1 = (String, Vec<u8>, bool);
+
+/// A backend that reads bodies of either form and lets a script answer.
+struct Raw {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<Read1>>>,
+}
+
+impl Raw {
+    fn new(answer: impl Fn(&Read1, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (address, seen) = (listener.local_addr().expect("bound"), Arc::new(Mutex::new(Vec::new())));
+        let (answer, kept) = (Arc::new(answer), seen.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (answer, seen) = (answer.clone(), kept.clone());
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+                    let mut stream = stream;
+                    while let Some(read) = read_request(&mut reader) {
+                        let whole = read.2;
+                        seen.lock().expect("no panic").push(read.clone());
+                        answer(&read, &mut stream);
+                        if !whole {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Raw { address, seen }
+    }
+
+    fn seen(&self) -> Vec<Read1> {
+        self.seen.lock().expect("no panic").clone()
+    }
+}
+
+fn headers(reader: &mut impl BufRead) -> Option<Vec<String>> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        match line.trim_end() {
+            "" => return Some(lines),
+            text => lines.push(text.to_owned()),
+        }
+    }
+}
+
+fn value<'a>(lines: &'a [String], name: &str) -> Option<&'a str> {
+    let pairs = lines.iter().filter_map(|l| l.split_once(':'));
+    pairs.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim()).next()
+}
+
+/// A body by its length or its chunks, and whether it came to its end; by the connection's end without either.
+fn read_body(reader: &mut impl BufRead, lines: &[String]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    if value(lines, "transfer-encoding").is_none() {
+        let Some(length) = value(lines, "content-length") else {
+            let whole = reader.read_to_end(&mut body).is_ok();
+            return (body, whole);
+        };
+        let length: u64 = length.parse().expect("a length");
+        let _ = reader.take(length).read_to_end(&mut body);
+        let whole = body.len() as u64 == length;
+        return (body, whole);
+    }
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).is_err() {
+            return (body, false);
+        }
+        let Ok(size) = u64::from_str_radix(line.trim(), 16) else { return (body, false) };
+        let before = body.len();
+        let _ = reader.take(size).read_to_end(&mut body);
+        line.clear();
+        let ended = reader.read_line(&mut line).is_err() || line != "\r\n";
+        if (body.len() - before) as u64 != size || ended {
+            return (body, false);
+        }
+        if size == 0 {
+            return (body, true);
+        }
+    }
+}
+
+fn read_request(reader: &mut impl BufRead) -> Option<Read1> {
+    let lines = headers(reader)?;
+    let id = value(&lines, "x-request-id").unwrap_or_default().to_owned();
+    if value(&lines, "content-length").or(value(&lines, "transfer-encoding")).is_none() {
+        return Some((id, Vec::new(), true));
+    }
+    let (body, whole) = read_body(reader, &lines);
+    Some((id, body, whole))
+}
+
+/// Bytes that repeat only after a long while, so that none can go missing unseen.
+fn content(size: usize) -> Vec<u8> {
+    (0..size as u32).map(|i| (i.wrapping_mul(2_654_435_761) >> 24) as u8).collect()
+}
+
+fn chunked(body: &[u8], chunk: usize) -> Vec<u8> {
+    let mut out = Vec::new();
+    for part in body.chunks(chunk) {
+        out.extend(format!("{:x}\r\n", part.len()).bytes());
+        out.extend(part);
+        out.extend(b"\r\n");
+    }
+    out.extend(b"0\r\n\r\n");
+    out
+}
+
+fn proxy(backends: &[&Raw], sockets: usize) -> (Discovery, Proxy) {
+    let discovery = Discovery::new();
+    let hosts: Vec<String> =
+        backends.iter().enumerate().map(|(i, b)| host(&format!("s-{i}"), b.address, "up", 0)).collect();
+    discovery.say(&list(1, true, &hosts));
+    let proxy = Proxy::up(&discovery, &Setup { sockets, ..Setup::default() });
+    (discovery, proxy)
+}
+
+/// Writes all of a request, though the answer may come first, and reads the answer: status, body, whether it is whole.
+fn ask(proxy: &Proxy, request: &[u8]) -> (u16, Vec<u8>, bool) {
+    let stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+    stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    let mut writer = stream.try_clone().expect("a socket");
+    let request = request.to_vec();
+    let writing = thread::spawn(move || drop(writer.write_all(&request)));
+    let mut reader = BufReader::new(stream);
+    let (mut status, mut lines) = (100, Vec::new());
+    while status == 100 {
+        let Some(head) = headers(&mut reader) else { return (0, Vec::new(), false) };
+        status = head[0].split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        lines = head;
+    }
+    let (body, whole) = read_body(&mut reader, &lines);
+    drop(reader);
+    let _ = writing.join();
+    (status, body, whole)
+}
+
+fn upload(id: &str, framing: &str, body: &[u8]) -> Vec<u8> {
+    let mut request = submit(id, "5", "").replace("Content-Length: 0", framing).into_bytes();
+    request.extend(body);
+    request
+}
+
+#[test]
+fn long_answers_pass_unchanged_in_each_form() {
+    let body = content(3_000_000);
+    for form in ["length", "chunked", "close"] {
+        let text = body.clone();
+        let backend = Raw::new(move |_, stream| {
+            let (head, bytes) = match form {
+                "length" => (format!("Content-Length: {}", text.len()), text.clone()),
+                "chunked" => ("Transfer-Encoding: chunked".to_owned(), chunked(&text, 7001)),
+                _ => ("Connection: close".to_owned(), text.clone()),
+            };
+            let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n").as_bytes());
+            let _ = stream.write_all(&bytes);
+            if form == "close" {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+        });
+        let (_discovery, proxy) = proxy(&[&backend], 256);
+        for id in ["a", "b"] {
+            let (status, got, whole) = ask(&proxy, page(id).as_bytes());
+            assert!(status == 200 && whole && got == body, "{form} {id}: {status} {whole} {}", got.len());
+        }
+        // Of HTTP/1.0 the connection's end tells where an answer ends that tells no length.
+        let old = page("c").replace("HTTP/1.1", "HTTP/1.0");
+        let (status, got, whole) = ask(&proxy, old.as_bytes());
+        assert!(status == 200 && whole && got == body, "{form}, 1.0: {status} {whole} {}", got.len());
+        assert_eq!(backend.seen().len(), 3);
+    }
+}
+
+#[test]
+fn an_answer_cut_anywhere_is_never_taken_for_whole_nor_run_again() {
+    let body = content(300_000);
+    let pieces = chunked(&body, 10_000);
+    for (head, bytes) in [("Content-Length: 300000", &body), ("Transfer-Encoding: chunked", &pieces)] {
+        for cut in [0, 1, 100, 65_536, 65_537, 70_000, 200_000, bytes.len() - 1] {
+            let part = bytes[..cut].to_vec();
+            let backend = Raw::new(move |_, stream| {
+                let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n").as_bytes());
+                let _ = stream.write_all(&part);
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            });
+            let other = Raw::new(|_, stream| drop(stream.write_all(ok("other").as_bytes())));
+            let (_discovery, proxy) = proxy(&[&backend, &other], 256);
+            // Whichever backend gets it; the one that cuts must show as a failure or as a cut.
+            for id in 0..4 {
+                let (status, got, whole) = ask(&proxy, &upload(&id.to_string(), "Content-Length: 1", b"x"));
+                let fits = status == 502 || status == 200 && (!whole || got == b"other");
+                assert!(fits, "{head}, cut at {cut}: {status} {whole} {}", got.len());
+            }
+            let all = [backend.seen(), other.seen()].concat();
+            assert_eq!(all.len(), 4, "{head}, cut at {cut}: nothing runs twice");
+        }
+    }
+}
+
+#[test]
+fn long_uploads_pass_unchanged_in_each_form() {
+    let backend = Raw::new(|_, stream| drop(stream.write_all(ok("done").as_bytes())));
+    let (_discovery, proxy) = proxy(&[&backend], 256);
+    for size in [65_536, 65_537, 100_000, 2_000_000] {
+        let body = content(size);
+        for (id, framing, bytes) in [
+            (format!("l-{size}"), format!("Content-Length: {size}"), body.clone()),
+            (format!("c-{size}"), "Transfer-Encoding: chunked".into(), chunked(&body, 999)),
+            (format!("e-{size}"), format!("Expect: 100-continue\r\nContent-Length: {size}"), body.clone()),
+        ] {
+            let (status, ..) = ask(&proxy, &upload(&id, &framing, &bytes));
+            assert_eq!(status, 200, "{id}");
+            let seen = backend.seen();
+            let one: Vec<_> = seen.iter().filter(|r| r.0 == id).collect();
+            assert!(one.len() == 1 && one[0].2 && one[0].1 == body, "{id}: {} times", one.len());
+        }
+    }
+}
+
+#[test]
+fn an_upload_that_stops_anywhere_never_runs() {
+    let backend = Raw::new(|read, stream| {
+        if read.2 {
+            let _ = stream.write_all(ok("done").as_bytes());
+        }
+    });
+    let (_discovery, proxy) = proxy(&[&backend], 256);
+    let body = content(200_000);
+    let pieces = chunked(&body, 5000);
+    for (framing, bytes) in [("Content-Length: 200000", &body), ("Transfer-Encoding: chunked", &pieces)] {
+        for cut in [0, 1, 1000, 65_536, 70_000, 150_000, bytes.len() - 1] {
+            let id = format!("{}-{cut}", framing.len());
+            let mut stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+            stream.write_all(&upload(&id, framing, &bytes[..cut])).expect("taken");
+            drop(stream);
+            assert_eq!(ask(&proxy, page(&format!("after-{id}")).as_bytes()).0, 200, "{id}");
+        }
+    }
+    assert!(backend.seen().iter().all(|r| r.2 || r.0.contains('-')));
+    assert!(backend.seen().iter().filter(|r| r.2).all(|r| r.0.starts_with("after")), "none ran");
+}
+
+#[test]
+fn one_that_stops_sending_gets_its_end_and_one_too_long_a_413() {
+    let backend = Raw::new(|_, stream| drop(stream.write_all(ok("done").as_bytes())));
+    let (_discovery, proxy) = proxy(&[&backend], 256);
+    for (sent, framing) in
+        [(0, "Content-Length: 10"), (5, "Content-Length: 10"), (80_000, "Content-Length: 9000000")]
+    {
+        let id = format!("s-{sent}");
+        let mut client = Client::new(&proxy);
+        client.send(&String::from_utf8(upload(&id, framing, &vec![b'x'; sent])).expect("text"));
+        assert_eq!(client.last_answer(), Some((408, true)), "{id}");
+    }
+    let (status, ..) =
+        ask(&proxy, &upload("long", "Transfer-Encoding: chunked", &chunked(&content(34 << 20), 60_000)));
+    assert_eq!(status, 413);
+    assert!(backend.seen().iter().all(|r| !r.2), "none ran");
+}
+
+#[test]
+fn an_upload_goes_elsewhere_only_while_its_start_is_kept() {
+    // One that can't be reached costs nothing; one that breaks off in the midst leaves a refusal, as it never ran.
+    let dead = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let good = Raw::new(|_, stream| drop(stream.write_all(ok("done").as_bytes())));
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[host("s-0", dead, "up", 0), host("s-1", good.address, "up", 0)]));
+    let served = Proxy::up(&discovery, &Setup::default());
+    for id in 0..6 {
+        let body = content(500_000);
+        assert_eq!(ask(&served, &upload(&id.to_string(), "Content-Length: 500000", &body)).0, 200);
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let broken = listener.local_addr().expect("bound");
+    let taken = Arc::new(Mutex::new(0));
+    let count = taken.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let _ = stream.read_exact(&mut vec![0; 300_000]);
+            *count.lock().expect("no panic") += 1; // and it closes, with much unread
+        }
+    });
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[host("s-0", broken, "up", 0)]));
+    let refused = Proxy::up(&discovery, &Setup::default());
+    let (status, ..) = ask(&refused, &upload("r", "Content-Length: 9000000", &content(9_000_000)));
+    assert_eq!((status, *taken.lock().expect("no panic")), (503, 1), "refused at once, and not sent again");
+}
+
+#[test]
+fn many_long_answers_to_slow_readers_take_little_memory() {
+    const READERS: usize = 200;
+    let backend = Raw::new(|_, stream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 33554432\r\n\r\n");
+        let piece = [b'x'; 32 << 10];
+        for _ in 0..1024 {
+            if stream.write_all(&piece).is_err() {
+                return;
+            }
+        }
+    });
+    let (_discovery, proxy) = proxy(&[&backend], 1024);
+    let before = proxy.memory();
+    let mut readers: Vec<TcpStream> = Vec::new();
+    for id in 0..READERS {
+        let mut stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        stream.write_all(page(&format!("r-{id}")).as_bytes()).expect("taken");
+        readers.push(stream);
+    }
+    // Each has begun, and then nobody reads for a while.
+    for stream in &mut readers {
+        let mut head = [0; 64];
+        stream.read_exact(&mut head).expect("it begins");
+        assert!(head.starts_with(b"HTTP/1.1 200"));
+    }
+    let held = proxy.memory() - before;
+    assert!(held < 40_000, "{held} KiB for {READERS} answers of 32 MiB");
+    // Short requests pass beside them, and whoever reads gets all.
+    let first = &mut readers[0];
+    let mut got = 0u64;
+    while got < 33_000_000 {
+        let n = first.read(&mut [0; 65_536]).expect("it goes on");
+        assert!(n > 0, "cut after {got}");
+        got += n as u64;
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -91,7 +91,9 @@
             Event::Request { id, class, tenant, key, budget, hint } => {
                 self.arrive(now, id, class.0, tenant, key, budget, hint, out);
             }
-            Event::Started { request, .. } => self.started(request),
+            Event::Uploading(id) => self.uploading(now, id),
+            Event::Uploaded { request, budget } => self.uploaded(now, request, budget),
+            Event::Started { request, attempt } => self.started(now, request, attempt as usize),
             Event::Ended { request, attempt, latency, outcome, closed, .. } => {
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -274,6 +274,15 @@
         /// Its expected work on a standard core.
         hint: Option<Millis>,
     },
+    /// A long request has gone out in part: its server does nothing for it until its last byte has come.
+    Uploading(RequestId),
+    /// It has gone out whole, or never will.
+    Uploaded {
+        /// The request.
+        request: RequestId,
+        /// How long the client waits from now on; 0 where the request can't be sent again.
+        budget: Millis,
+    },
     /// A streamed answer has begun: the client owns it now.
     Started {
         /// The request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 mod choice;
 pub mod interface;
 pub mod limit;
+mod long;
 mod message;
 #[cfg(feature = "settings")]
 pub mod settings;
--- a/src/state.rs
+++ b/src/state.rs
@@ -468,13 +468,6 @@
         self.class_ms[r.class].0 * r.size
     }
 
-    /// The client owns an answer that has begun.
-    pub(crate) fn started(&mut self, id: RequestId) {
-        if let Some(r) = self.requests.get_mut(&id) {
-            r.started = true;
-        }
-    }
-
     /// Counts the listed servers and those of them that are closed as ill, and notes for each class the part
     /// that is closed to it and how often a middling server fails.
     pub(crate) fn census(&mut self, now: Millis) -> (f64, f64) {
