--- a/crates/sandgap/src/handover.rs
+++ b/crates/sandgap/src/handover.rs
@@ -1,7 +1,7 @@
 //! Upgrades: a new process takes the listening socket itself from the one before it, so that both accept from one
 //! queue and none of its connections is lost when the old one stops.
 //!
-//! The old process listens on a Unix socket in a directory that both share. The new one says [`HELLO`] and gets one
+//! The old process listens on a Unix socket in a directory that both share. The new one says `HELLO` and gets one
 //! head with the descriptors (SCM_RIGHTS, unix(7)). From then on frames go both ways until one of them ends: `S`, the
 //! new one serves now and the old one finishes what it holds; `D`, a datagram of another proxy or of the other
 //! process. The end of the stream is the end of the process: the old one takes the queue back, or the new one has it
