Reset a request that crosses an idle connection's close instead of dropping it

Faulty lines: the linger at the end of front/connection.rs, meant for refused clients. A test fails without the change.

--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -59,6 +59,7 @@
             .serve_connection(TokioIo::new(io), service);
         tokio::pin!(connection);
         let mut cut = None;
+        let mut closed_idle = None;
         loop {
             let wait = cut.unwrap_or_else(Instant::now);
             tokio::select! {
@@ -68,6 +69,9 @@
                     if matches!(client.stage.get(), Stage::Silent | Stage::Begun) {
                         return;
                     }
+                    if client.stage.get() == Stage::Idle {
+                        closed_idle = Some(client.ticket.get());
+                    }
                     connection.as_mut().graceful_shutdown();
                     cut = cut.or(Some(Instant::now() + CUT));
                 }
@@ -80,6 +84,11 @@
                 }
             }
         }
+        // A request that crosses the close of an idle connection must not be read and dropped: only a reset tells the
+        // client that nobody has taken it.
+        if closed_idle == Some(client.ticket.get()) {
+            return;
+        }
         // Malformed HTTP has been answered by hyper; a client that left needs nothing.
         if !client.ended.get() {
             self.turn(client, Stage::Refused);
--- a/crates/sandgap/tests/ops.rs
+++ b/crates/sandgap/tests/ops.rs
@@ -105,6 +105,27 @@
     }
 }
 
+#[test]
+fn a_request_that_crosses_an_idle_connection_s_close_is_taken_by_nobody() {
+    let backend = Backend::new(Deed::Write(ok("served")));
+    let (_discovery, proxy) = by_hand(&[&backend]);
+    let mut stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+    stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    stream.write_all(page("a").as_bytes()).expect("taken");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"served") {
+        let mut byte = [0; 1];
+        stream.read_exact(&mut byte).expect("an answer");
+        answer.push(byte[0]);
+    }
+    assert!(proxy.call(b"drain\n").starts_with("200"));
+    assert!(matches!(stream.read(&mut [0; 1]), Ok(0)), "closed between requests");
+    // Nobody is there to read what comes now, and the client is told so by a reset.
+    let first = stream.write_all(page("b").as_bytes());
+    assert!(first.is_err() || stream.write_all(b"x").is_err(), "it must not be taken and dropped");
+    assert_eq!(backend.seen().len(), 1);
+}
+
 #[test]
 fn drain_and_resume_may_cross_sigterm() {
     let backend = Backend::new(Deed::Write(ok("served")));
