Keep an upload out of the requests that count as out; test the module's long ones

Seen by reading: a long upload stayed among the running ones, which a small tier's window counts, for as long as its client sent. Now it joins them with its last byte.

--- a/src/long.rs
+++ b/src/long.rs
@@ -12,6 +12,7 @@
         (r.aim, r.due) = (f64::INFINITY, f64::INFINITY);
         let k = a.server;
         self.servers[k].own -= 1;
+        self.running.retain(|o| *o != id);
         self.place(k, now);
     }
 
@@ -24,6 +25,7 @@
         let s = &mut self.servers[a.server];
         s.progress = if s.own == 0 { now } else { s.progress };
         s.own += 1;
+        self.running.push(id);
         let k = a.server;
         self.place(k, now);
     }
--- /dev/null
+++ b/tests/long.rs
@@ -0,0 +1,61 @@
+//! Long requests and answers: what a server is charged for, and what is tried again.
+mod common;
+use common::*;
+use wharfhitch::*;
+
+/// Servers with one slot each.
+fn hand(servers: u64) -> Hand {
+    let one = |id| Backend { rating: 1.0, ..server(id) };
+    Hand::new(settings(1), (1..=servers).map(one).collect())
+}
+
+fn sends(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Send { .. })).count()
+}
+
+fn uploaded(id: u64, budget: Millis) -> Event {
+    Event::Uploaded { request: RequestId(id), budget }
+}
+
+#[test]
+fn an_upload_takes_no_slot_until_it_has_gone_out() {
+    let mut hand = hand(1);
+    assert_eq!(sends(&hand.give(request(1, 1, 900.0))), 1);
+    assert_eq!(sends(&hand.give(request(2, 1, 900.0))), 0, "the slot is taken");
+    assert_eq!(sends(&hand.give(Event::Uploading(RequestId(1)))), 1, "and free while the first goes out");
+    assert!(hand.give(ended(2, 0, 5.0, Outcome::Served)).is_empty());
+    // No time-out counts meanwhile, however long it takes.
+    assert!(hand.pass(60_000.0).is_empty());
+    assert!(hand.give(uploaded(1, 900.0)).is_empty());
+    assert_eq!(sends(&hand.give(request(3, 1, 900.0))), 0, "the server is at work");
+    assert_eq!(sends(&hand.give(ended(1, 0, 20.0, Outcome::Served))), 1);
+}
+
+#[test]
+fn one_that_has_gone_out_in_part_is_answered_at_once_and_not_sent_again() {
+    let mut hand = hand(2);
+    assert_eq!(sends(&hand.give(request(1, 1, 900.0))), 1);
+    hand.give(Event::Uploading(RequestId(1)));
+    hand.pass(5000.0);
+    // Its start is still kept: it may go again, with all the client's patience.
+    hand.give(uploaded(1, 900.0));
+    assert_eq!(sends(&hand.give(ended(1, 0, 1.0, Outcome::ConnectFailed))), 1);
+    hand.give(Event::Uploading(RequestId(1)));
+    hand.give(uploaded(1, 0.0));
+    let actions = hand.give(ended(1, 1, 1.0, Outcome::ConnectFailed));
+    assert!(matches!(actions[..], [Action::Refuse { .. }]), "it never ran: {actions:?}");
+}
+
+#[test]
+fn a_long_answer_s_server_is_free_and_its_end_tells_how_it_did() {
+    let mut hand = hand(1);
+    assert_eq!(sends(&hand.give(request(1, 0, 900.0))), 1);
+    assert_eq!(sends(&hand.give(request(2, 0, 900.0))), 0);
+    let begun = hand.give(Event::Started { request: RequestId(1), attempt: 0 });
+    assert_eq!(sends(&begun), 1, "the slot is free for the next");
+    assert!(hand.give(ended(2, 0, 5.0, Outcome::Served)).is_empty());
+    assert!(hand.pass(60_000.0).is_empty(), "who reads slowly is neither answered again nor given up");
+    let request = RequestId(1);
+    let broken = Event::Ended { request, attempt: 0, latency: 20.0, outcome: Outcome::Reset, closed: true };
+    assert!(hand.give(broken).is_empty(), "what the client has begun to read is not sent again");
+}
