--- a/crates/sandgap/src/body.rs
+++ b/crates/sandgap/src/body.rs
@@ -29,6 +29,11 @@
 /// Why a body has not passed.
 pub type Broken = Box<dyn std::error::Error + Send + Sync>;
 
+/// Makes one piece of chunks. Most bodies come in one, which is not copied.
+pub fn join(mut chunks: Vec<Bytes>) -> Bytes {
+    if chunks.len() > 1 { chunks.concat().into() } else { chunks.pop().unwrap_or_default() }
+}
+
 /// How long a peer may keep us waiting, by what it has sent: a bucket of time that bytes fill.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -39,8 +39,6 @@
     pub(super) queued: Cell<Option<Instant>>,
     /// It has ended its sending.
     pub(super) ended: Cell<bool>,
-    /// A long answer is on its way.
-    pub(super) answering: Cell<bool>,
     pub(super) close: Notify,
     /// What has come of a head, until it has been read.
     pub(super) head: RefCell<Vec<u8>>,
@@ -68,7 +66,6 @@
 
 impl Drop for BusyUntilDropped {
     fn drop(&mut self) {
-        self.client.answering.set(false);
         if self.client.stage.get() == Stage::Busy {
             self.front.turn(&self.client, Stage::Idle);
         }
@@ -100,7 +97,6 @@
 
     /// Keeps a connection from giving way until what is returned is dropped.
     pub(super) fn busy_until_dropped(self: &Rc<Self>, client: &Rc<Client>) -> BusyUntilDropped {
-        client.answering.set(true);
         BusyUntilDropped { front: self.clone(), client: client.clone() }
     }
 
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -18,6 +18,7 @@
 use super::admission::{Client, Stage};
 use super::answer::plain;
 use super::limits::{BUSY, CUT, GRACE, HEAD_SIZE, LINGER, READER, WHOLE};
+use crate::body::Answering;
 use crate::socket::Socket;
 
 impl Frontend {
@@ -39,13 +40,14 @@
                     front.respond(request, came, &client).await
                 };
                 client.head.borrow_mut().clear();
-                if client.answering.get() {
+                let long = matches!(response.body(), Answering::Long(..));
+                if long {
                     stream.wait_for_reader(READER);
                 }
                 // Where one request was wrong, nobody knows where the next one would begin.
                 if over || front.serving.sends_away() || response.status().is_client_error() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-                } else if !client.answering.get() {
+                } else if !long {
                     front.turn(&client, Stage::Idle);
                 }
                 Ok::<_, Infallible>(response)
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -168,7 +168,6 @@
                     accepted: now,
                     queued: Cell::new(Some(self.empty.get())),
                     ended: Cell::new(false),
-                    answering: Cell::new(false),
                     close: Notify::new(),
                     head: RefCell::default(),
                 });
--- a/crates/sandgap/src/front/receive.rs
+++ b/crates/sandgap/src/front/receive.rs
@@ -1,7 +1,5 @@
 //! Receiving a request's body: a short one whole, a long one's first part.
 
-use std::rc::Rc;
-
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
@@ -26,31 +24,23 @@
     }
 }
 
-/// Receives what has to be there before a request can go on.
-pub(super) async fn receive(mut body: Incoming) -> Result<Received, Trouble> {
-    let length = body.size_hint().exact();
-    if body.size_hint().lower() > body::LONGEST {
-        return Err(Trouble::TooLong);
-    }
+/// Receives what has to be there before a request can go on. One that is told to be too long never comes here.
+pub(super) async fn receive(mut incoming: Incoming) -> Result<Received, Trouble> {
+    let length = incoming.size_hint().exact();
     let mut pace = Pace::default();
     let mut have: Vec<Bytes> = Vec::new();
     loop {
         let until = pace.blocked(Instant::now());
-        let frame = timeout_at(until, body.frame()).await.map_err(|_| Trouble::TooSlow)?;
+        let frame = timeout_at(until, incoming.frame()).await.map_err(|_| Trouble::TooSlow)?;
         let Some(frame) = frame else {
-            return Ok(Received { body: Payload::Short(join(have)), late: pace.has_waited() });
+            return Ok(Received { body: Payload::Short(body::join(have)), late: pace.has_waited() });
         };
         let Ok(data) = frame.map_err(|_| Trouble::Malformed)?.into_data() else { continue };
         pace.moved(Instant::now(), data.len());
         have.push(data);
         if pace.passed() > body::WHOLE as u64 {
-            let upload = Upload::new(join(have), body, pace, length);
-            return Ok(Received { body: Payload::Long(Rc::clone(&upload)), late: pace.has_waited() });
+            let upload = Upload::new(body::join(have), incoming, pace, length);
+            return Ok(Received { body: Payload::Long(upload), late: pace.has_waited() });
         }
     }
 }
-
-/// Most bodies come in one piece, which is not copied.
-fn join(mut have: Vec<Bytes>) -> Bytes {
-    if have.len() > 1 { have.concat().into() } else { have.pop().unwrap_or_default() }
-}
--- a/crates/sandgap/src/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -544,10 +544,10 @@
 }
 
 /// Gathers a short answer whole, and of a long one no more than it takes to tell that it is long.
-async fn gather(mut body: Incoming, length: Option<u64>) -> Result<Gathered, Broken> {
+async fn gather(mut incoming: Incoming, length: Option<u64>) -> Result<Gathered, Broken> {
     match length {
         Some(length) if length <= body::WHOLE as u64 => {
-            return Ok(Gathered::Whole(body.collect().await?.to_bytes()));
+            return Ok(Gathered::Whole(incoming.collect().await?.to_bytes()));
         }
         Some(length) if length > body::LONGEST_ANSWER => return Err("the answer is too long".into()),
         _ => {}
@@ -559,16 +559,16 @@
     loop {
         let frame = tokio::select! {
             biased;
-            frame = body.frame() => frame,
-            () = &mut patience, if size > 0 => return Ok(Gathered::Begun(have.concat().into(), body)),
+            frame = incoming.frame() => frame,
+            () = &mut patience, if size > 0 => return Ok(Gathered::Begun(body::join(have), incoming)),
         };
-        let Some(frame) = frame else { return Ok(Gathered::Whole(have.concat().into())) };
+        let Some(frame) = frame else { return Ok(Gathered::Whole(body::join(have))) };
         if let Ok(data) = frame?.into_data() {
             size += data.len();
             have.push(data);
         }
         if size > body::WHOLE {
-            return Ok(Gathered::Begun(have.concat().into(), body));
+            return Ok(Gathered::Begun(body::join(have), incoming));
         }
     }
 }
--- a/crates/sandgap/tests/ops.rs
+++ b/crates/sandgap/tests/ops.rs
@@ -7,10 +7,6 @@
 
 use sockets::*;
 
-fn status(answer: Option<Message>) -> u16 {
-    answer.map_or(0, |m| m.status())
-}
-
 fn by_hand(backends: &[&Backend]) -> (Discovery, Proxy) {
     let discovery = Discovery::new();
     discovery.say(&all_up(backends));
--- a/crates/sandgap/tests/proxy.rs
+++ b/crates/sandgap/tests/proxy.rs
@@ -8,10 +8,6 @@
 
 use sockets::*;
 
-fn status(answer: Option<Message>) -> u16 {
-    answer.expect("an answer").status()
-}
-
 /// A proxy with these backends, all up.
 fn proxy_with(backends: &[&Backend]) -> (Discovery, Proxy) {
     let discovery = Discovery::new();
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -48,6 +48,11 @@
     }
 }
 
+/// An answer's status; there has to be one.
+pub fn status(answer: Option<Message>) -> u16 {
+    answer.expect("an answer").status()
+}
+
 /// Reads a message; `None` where the connection ends before one is whole.
 pub fn read_message(stream: &mut impl BufRead) -> Option<Message> {
     let mut message = Message::default();
--- a/crates/sandgap/tests/upgrade.rs
+++ b/crates/sandgap/tests/upgrade.rs
@@ -42,10 +42,6 @@
     Setup { admin: true, shared: Some(directory.0.clone()), listen, ..Setup::default() }
 }
 
-fn status(answer: Option<Message>) -> u16 {
-    answer.map_or(0, |m| m.status())
-}
-
 fn dial(path: &Path) -> UnixStream {
     let mut stream = None;
     wait_for("the socket of upgrades", || {
