--- /dev/null
+++ b/crates/sandgap-agree/src/agent.rs
@@ -0,0 +1,425 @@
+//! One proxy's whole part in agreed rules: its [`Follower`], its [`Voter`] if it is one, and whom it says what.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sandgap_fleet::Time;
+
+use crate::follower::{Follower, Span, Step, Taking};
+use crate::limits::{HOLD, RELAYED};
+use crate::log::{Damaged, Saved, Write};
+use crate::machine::Proposal;
+use crate::rulebook::{Rulebook, Version};
+use crate::voter::{Action, Voter};
+use crate::words::{Ask, Grant, Report, Seating, Standing, Status, Word};
+
+/// Questions for a lease in the span of one.
+const ASKS: u32 = 4;
+/// After so many questions in a row without an answer, others are asked to pass them on as well.
+const ALONE: u32 = 2;
+
+/// What the installation states.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// The stated time, and the drift of clocks.
+    pub span: Span,
+    /// Between two looks of a voter.
+    pub tick: Duration,
+    /// Contradicting versions are kept apart by waiting until old leases have ended, instead of letting them overlap
+    /// for T at the most.
+    pub apart: bool,
+    /// See [`HOLD`].
+    pub hold: Duration,
+}
+
+impl Terms {
+    /// Terms for a stated time: the voters' pace follows it, so that a lost leader is followed by another within
+    /// half of it, and leases do not lapse meanwhile.
+    pub fn new(span: Span, apart: bool) -> Self {
+        Terms { span, tick: (span.bound / 50).max(Duration::from_millis(5)), apart, hold: HOLD }
+    }
+
+    /// A proxy that has not been heard of for so long holds no lease: T, and as much again as a question may be on
+    /// its way.
+    pub fn live(&self) -> Duration {
+        self.span.drift.at_least(self.span.bound) + self.span.bound / 2
+    }
+}
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Output {
+    /// Send this to a proxy; its address, where it is known here.
+    Say(String, Option<SocketAddr>, Word),
+    /// Keep this on the voter's disk, and tell [`Agent::written`] its number.
+    Write(Write),
+    /// Say with [`Agent::checked`] whether this proxy can use the version.
+    Check(Version, Rc<Rulebook>),
+    /// Act on this version.
+    Act(Version, Rc<Rulebook>),
+    /// For the log.
+    Note(String),
+}
+
+/// See the module.
+pub struct Agent {
+    name: String,
+    terms: Terms,
+    follower: Follower,
+    voter: Option<Voter>,
+    /// Whom to ask, and where they are.
+    voters: Vec<(String, SocketAddr)>,
+    /// Others that might pass a question on.
+    others: Vec<String>,
+    /// Which voter is asked at present.
+    target: usize,
+    /// Questions in a row that nobody answered.
+    unanswered: u32,
+    asked: Time,
+    next_ask: Time,
+    /// Chance for whom to ask to pass a question on.
+    draw: u64,
+    /// Words to itself.
+    own: VecDeque<Word>,
+    /// Questions passed on since the last own one.
+    relayed: usize,
+    out: VecDeque<Output>,
+    /// A seat that this voter wants in place of its lost one.
+    rebuild: Option<(SocketAddr, Time)>,
+}
+
+impl Agent {
+    /// An agent that knows whom to ask, and nothing else. `chance` is drawn anew at each start.
+    pub fn new(now: Time, name: &str, terms: Terms, voters: Vec<(String, SocketAddr)>, chance: u64) -> Self {
+        let at = voters.iter().position(|(v, _)| v == name);
+        // Proxies spread over the voters; a voter asks itself first.
+        let target = at.unwrap_or_else(|| (chance >> 32) as usize % voters.len().max(1));
+        Agent {
+            name: name.to_owned(),
+            terms,
+            follower: Follower::new(terms.span, chance),
+            voter: None,
+            voters,
+            others: Vec::new(),
+            target,
+            unanswered: 0,
+            asked: now,
+            next_ask: now,
+            draw: chance,
+            own: VecDeque::new(),
+            relayed: 0,
+            out: VecDeque::new(),
+            rebuild: None,
+        }
+    }
+
+    /// Makes this proxy a voter that goes on from what its disk had.
+    ///
+    /// # Errors
+    /// Where that is damaged.
+    pub fn vote(&mut self, now: Time, saved: &Saved) -> Result<(), Damaged> {
+        self.voter = Some(Voter::new(now, &self.name, self.terms, saved, self.draw)?);
+        Ok(())
+    }
+
+    /// Makes this proxy a voter that has lost its disk: it takes no part until the others have given it a new seat.
+    ///
+    /// # Errors
+    /// Never in practice; a blank seat is whole.
+    pub fn rebuild(&mut self, now: Time, seat: u64, address: SocketAddr) -> Result<(), Damaged> {
+        self.vote(now, &Saved::blank(seat))?;
+        self.rebuild = Some((address, now));
+        Ok(())
+    }
+
+    /// What a proxy does with versions.
+    pub fn follower(&self) -> &Follower {
+        &self.follower
+    }
+
+    /// Counts a request that was refused for the want of a lease.
+    pub fn count_refused(&mut self) {
+        self.follower.count_refused();
+    }
+
+    /// The right to take a request now, see [`Follower::take`].
+    pub fn take(&self, now: Time) -> Option<Taking<'_>> {
+        self.follower.take(now)
+    }
+
+    /// The voter in this proxy, if there is one.
+    pub fn voter(&self) -> Option<&Voter> {
+        self.voter.as_ref()
+    }
+
+    /// Others that are there at present, who might pass a question on.
+    pub fn present(&mut self, others: Vec<String>) {
+        self.others = others;
+    }
+
+    /// What is to be done next.
+    pub fn poll(&mut self) -> Option<Output> {
+        self.out.pop_front()
+    }
+
+    /// When it is to be called next.
+    pub fn next_due(&self) -> Time {
+        let voter = self.voter.as_ref().map(Voter::next_due);
+        voter.map_or(self.next_ask, |at| at.min(self.next_ask))
+    }
+
+    /// Does what is due by now.
+    pub fn fire(&mut self, now: Time) {
+        if let Some(voter) = &mut self.voter {
+            let mut actions = Vec::new();
+            voter.fire(now, &mut actions);
+            self.carry_out(actions);
+        }
+        self.sit_down(now);
+        if now >= self.next_ask {
+            self.ask(now);
+        }
+        self.own_words(now);
+    }
+
+    /// Asks for the seat that takes the place of a lost one.
+    fn sit_down(&mut self, now: Time) {
+        let (Some((address, at)), Some(voter)) = (self.rebuild, &self.voter) else { return };
+        if voter.is_seated() {
+            self.rebuild = None;
+            return self.note("the voters have given this one a new seat".into());
+        }
+        if now < at {
+            return;
+        }
+        self.rebuild = Some((address, now + self.terms.span.bound));
+        let seating = Seating::Rebuild { name: self.name.clone(), address, id: voter.seat() };
+        for (name, address) in self.voters.clone() {
+            if name != self.name {
+                self.out.push_back(Output::Say(name, Some(address), Word::Seat(0, seating.clone())));
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Time) {
+        let each = self.terms.span.bound / ASKS;
+        self.next_ask = now + each;
+        self.relayed = 0;
+        if self.voters.is_empty() {
+            return;
+        }
+        // Questions out of turn have had no time to be answered.
+        if self.unanswered > 0 && now >= self.asked + each * 9 / 10 {
+            self.target = (self.target + 1) % self.voters.len();
+        }
+        if self.unanswered == 0 || now >= self.asked + each * 9 / 10 {
+            self.unanswered += 1;
+            self.asked = now;
+        }
+        let (number, report) = self.follower.ask(now);
+        let (voter, address) = self.voters[self.target % self.voters.len()].clone();
+        let ask = Ask { number, origin: None, report };
+        self.say(voter, Some(address), Word::Ask(ask.clone()));
+        if self.unanswered > ALONE && !self.others.is_empty() {
+            // The one that first brings an answer counts; the numbers are the same.
+            self.draw = self.draw.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+            let at = (self.draw >> 33) as usize % self.others.len();
+            let other = self.others[at].clone();
+            self.say(other, None, Word::Ask(ask));
+        }
+    }
+
+    fn say(&mut self, to: String, address: Option<SocketAddr>, word: Word) {
+        if to == self.name {
+            self.own.push_back(word);
+        } else {
+            let known = || self.voters.iter().find(|(name, _)| *name == to).map(|(_, a)| *a);
+            let address = address.or_else(known);
+            self.out.push_back(Output::Say(to, address, word));
+        }
+    }
+
+    fn note(&mut self, text: String) {
+        self.out.push_back(Output::Note(text));
+    }
+
+    /// Words that this proxy's parts say to each other.
+    fn own_words(&mut self, now: Time) {
+        let name = self.name.clone();
+        while let Some(word) = self.own.pop_front() {
+            self.take_in(now, &name, word);
+        }
+    }
+
+    /// A word from another proxy.
+    pub fn hear(&mut self, now: Time, from: &str, word: Word) {
+        self.take_in(now, from, word);
+        self.own_words(now);
+    }
+
+    fn take_in(&mut self, now: Time, from: &str, word: Word) {
+        match word {
+            Word::Raft(seat, bytes) => self.with_voter(|v, out| v.hear(now, from, seat, &bytes, out)),
+            Word::Ask(ask) => self.asked(now, from, ask),
+            Word::Grant(grant) => self.granted(now, from, grant),
+            Word::News(standing) => self.news(now, from, &standing),
+            Word::Fetch(version) => self.fetch(from, version),
+            Word::Book(version, bytes) => {
+                let steps = self.follower.book(version, &bytes);
+                self.follow(now, from, steps);
+            }
+            Word::Reports(all) => self.with_voter(|v, out| v.reports(now, all, out)),
+            Word::Publish(proposal) => self.published(now, from, proposal),
+            Word::Query(number) => {
+                if let Some(voter) = &self.voter {
+                    let status = voter.status(now);
+                    self.say(from.to_owned(), None, Word::Status(number, status));
+                }
+            }
+            Word::Seat(number, seating) => {
+                let mut why = "not a voter".to_owned();
+                self.with_voter(|v, out| why = v.seat_change(now, &seating, out));
+                self.say(from.to_owned(), None, Word::Seated(number, why));
+            }
+            // Answers to those that call by hand; a proxy asks none of these.
+            Word::Published(..) | Word::Unpublished(..) | Word::Status(..) | Word::Seated(..) => {}
+        }
+    }
+
+    fn with_voter(&mut self, act: impl FnOnce(&mut Voter, &mut Vec<Action>)) {
+        let Some(voter) = &mut self.voter else { return };
+        let mut actions = Vec::new();
+        act(voter, &mut actions);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Say(to, word) => self.say(to, None, word),
+                Action::Write(write) => self.out.push_back(Output::Write(write)),
+                Action::Note(text) => self.note(text),
+                Action::Standing => {
+                    let Some(voter) = &self.voter else { continue };
+                    let standing = voter.standing();
+                    let clients: Vec<String> = voter.clients().cloned().collect();
+                    for client in clients.into_iter().chain([self.name.clone()]) {
+                        self.say(client, None, Word::News(standing.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    fn asked(&mut self, now: Time, from: &str, ask: Ask) {
+        let Ask { number, origin, report } = ask;
+        if self.voter.is_some() {
+            return self.with_voter(|v, out| v.ask(now, from, origin, number, report, out));
+        }
+        // Not a voter: passed on to one that answers here, once, and within bounds.
+        if origin.is_none() && self.unanswered <= 1 && self.relayed < RELAYED && !self.voters.is_empty() {
+            self.relayed += 1;
+            let (voter, address) = self.voters[self.target % self.voters.len()].clone();
+            let ask = Ask { number, origin: Some(from.to_owned()), report };
+            self.say(voter, Some(address), Word::Ask(ask));
+        }
+    }
+
+    fn granted(&mut self, now: Time, from: &str, grant: Grant) {
+        if let Some(origin) = grant.origin.clone().filter(|o| *o != self.name) {
+            return self.say(origin, None, Word::Grant(Grant { origin: None, ..grant }));
+        }
+        self.unanswered = 0;
+        if !grant.voters.is_empty() && grant.voters != self.voters {
+            let asked = self.voters.get(self.target).map(|(name, _)| name.clone());
+            self.voters.clone_from(&grant.voters);
+            let at = |name: &String| self.voters.iter().position(|(v, _)| v == name);
+            self.target = asked.as_ref().and_then(at).unwrap_or(0);
+        }
+        let steps = self.follower.granted(now, &grant);
+        self.follow(now, from, steps);
+    }
+
+    fn news(&mut self, now: Time, from: &str, standing: &Standing) {
+        let steps = self.follower.heard(now, standing);
+        self.follow(now, from, steps);
+    }
+
+    fn fetch(&mut self, from: &str, version: Version) {
+        let kept = self.voter.as_ref().and_then(|v| v.machine().version(version)).map(|r| r.book().to_vec());
+        if let Some(bytes) = kept.or_else(|| self.follower.bytes(version)) {
+            self.say(from.to_owned(), None, Word::Book(version, bytes));
+        }
+    }
+
+    fn published(&mut self, now: Time, from: &str, proposal: Proposal) {
+        if self.voter.is_some() {
+            return self.with_voter(|v, out| v.publish(now, from, proposal, out));
+        }
+        let names: Vec<&str> = self.voters.iter().map(|(name, _)| name.as_str()).collect();
+        let why = format!("'{}' is no voter; voters are {}", self.name, names.join(", "));
+        self.say(from.to_owned(), None, Word::Unpublished(proposal.id, why));
+    }
+
+    fn follow(&mut self, now: Time, from: &str, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Fetch(version) => self.say(from.to_owned(), None, Word::Fetch(version)),
+                Step::Check(version, book) => self.out.push_back(Output::Check(version, book)),
+                Step::Act(version, book) => {
+                    self.out.push_back(Output::Act(version, book));
+                    self.next_ask = now; // voters may wait to hear it
+                }
+            }
+        }
+    }
+
+    /// Whether this proxy can use a version, and if not, why. It is told at once, as a switch may wait for it.
+    pub fn checked(&mut self, now: Time, version: Version, usable: Result<(), String>) {
+        let steps = self.follower.checked(now, version, usable);
+        let name = self.name.clone();
+        self.follow(now, &name, steps);
+        self.next_ask = now;
+        self.unanswered = 0;
+        self.fire(now);
+    }
+
+    /// The disk has kept all writes up to a number.
+    pub fn written(&mut self, now: Time, number: u64) {
+        self.with_voter(|v, out| v.written(now, number, out));
+        self.own_words(now);
+    }
+
+    /// The disk has failed: the voter in this proxy takes no part any more. The proxy goes on as one that asks others.
+    pub fn disk_failed(&mut self, why: &str) {
+        if let Some(voter) = &mut self.voter {
+            voter.halt();
+            self.voter = None;
+            self.note(format!(
+                "the voter's disk has failed ({why}): this proxy votes no more until it starts anew"
+            ));
+        }
+    }
+
+    /// Hands on what it leads, for a planned end.
+    pub fn retire(&mut self, now: Time) {
+        self.with_voter(|v, out| v.retire(now, out));
+    }
+
+    /// How the fleet stands, if this proxy is a voter.
+    pub fn status(&self, now: Time) -> Option<Status> {
+        self.voter.as_ref().map(|v| v.status(now))
+    }
+
+    /// How this proxy stands.
+    pub fn report(&self, now: Time) -> Report {
+        let lease = self.follower.lease_end().map_or(Duration::ZERO, |end| end.saturating_sub(now));
+        Report {
+            acting: self.follower.acting(),
+            lease_ms: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
+            ..Report::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandgap-agree/src/log.rs
@@ -0,0 +1,336 @@
+//! The log as the consensus engine reads it: in memory, small, with the last snapshot. What is in it beyond the last
+//! [`Write`] that the disk has acknowledged is promised to nobody.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
+use raft::{GetEntriesContext, RaftState, Storage, StorageError};
+
+use crate::limits::LAG;
+use crate::machine::{Machine, Seat};
+
+/// What a disk has to keep, in this order, before [`crate::Agent::written`] tells its number.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Write {
+    /// Counted up; a number acknowledged covers all before it.
+    pub number: u64,
+    /// Term, vote and commit index, encoded.
+    pub hard: Option<Vec<u8>>,
+    /// Index and entry, encoded. Whatever is kept from the first index on goes.
+    pub entries: Vec<(u64, Vec<u8>)>,
+    /// A snapshot, encoded; entries up to its index go, less a few.
+    pub snapshot: Option<(u64, Vec<u8>)>,
+    /// Entries up to this index go.
+    pub cut: Option<u64>,
+}
+
+/// What a disk had at the start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Saved {
+    /// The number of this voter's seat.
+    pub seat: u64,
+    /// See [`Write::hard`].
+    pub hard: Option<Vec<u8>>,
+    /// See [`Write::entries`].
+    pub entries: Vec<(u64, Vec<u8>)>,
+    /// See [`Write::snapshot`].
+    pub snapshot: Option<(u64, Vec<u8>)>,
+}
+
+/// Why what a disk had can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the voter's store is damaged: {0}")]
+pub struct Damaged(pub &'static str);
+
+impl Saved {
+    /// What each voter's disk has at the founding of a fleet: its seat, and who the voters are.
+    pub fn founding(seat: u64, seats: &BTreeMap<u64, Seat>) -> Self {
+        let snapshot = snapshot_of(&Machine::new(seats.clone()), 1, 1, conf(seats));
+        Saved { seat, snapshot: Some((1, encoded(&snapshot))), ..Saved::default() }
+    }
+
+    /// A seat without anything: of a voter that has lost its disk, until the others have rebuilt it.
+    pub fn blank(seat: u64) -> Self {
+        Saved { seat, ..Saved::default() }
+    }
+
+    /// Puts a write on top, as a disk does.
+    pub fn put(&mut self, write: &Write) {
+        if let Some(hard) = &write.hard {
+            self.hard = Some(hard.clone());
+        }
+        if let Some((index, snapshot)) = &write.snapshot {
+            self.snapshot = Some((*index, snapshot.clone()));
+            if self.entries.last().is_none_or(|(last, _)| last < index) {
+                self.entries.clear();
+            }
+        }
+        if let Some((first, _)) = write.entries.first() {
+            self.entries.retain(|(index, _)| index < first);
+            self.entries.extend(write.entries.iter().cloned());
+        }
+        if let Some(cut) = write.cut {
+            self.entries.retain(|(index, _)| *index > cut);
+        }
+    }
+}
+
+fn conf(seats: &BTreeMap<u64, Seat>) -> ConfState {
+    let voters: Vec<u64> = seats.keys().copied().collect();
+    ConfState::from((voters, Vec::new()))
+}
+
+/// The bytes of the engine's own records. They hold nothing that can't be encoded.
+pub(crate) fn encoded(message: &impl protobuf::Message) -> Vec<u8> {
+    message.write_to_bytes().unwrap_or_default()
+}
+
+pub(crate) fn decoded<M: protobuf::Message>(bytes: &[u8]) -> Option<M> {
+    M::parse_from_bytes(bytes).ok()
+}
+
+pub(crate) fn snapshot_of(machine: &Machine, index: u64, term: u64, conf: ConfState) -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    snapshot.set_data(postcard::to_stdvec(machine).unwrap_or_default().into());
+    let meta = snapshot.mut_metadata();
+    meta.index = index;
+    meta.term = term;
+    meta.set_conf_state(conf);
+    snapshot
+}
+
+/// The machine in a snapshot.
+pub(crate) fn machine_in(snapshot: &Snapshot) -> Option<Machine> {
+    match postcard::take_from_bytes(snapshot.get_data()) {
+        Ok((machine, [])) => Some(machine),
+        _ => None,
+    }
+}
+
+/// See the module.
+pub struct Log {
+    hard: HardState,
+    conf: ConfState,
+    entries: VecDeque<Entry>,
+    /// Index and term of the entry before the first.
+    before: (u64, u64),
+    snapshot: Snapshot,
+}
+
+impl Log {
+    /// The log that a disk had, and the machine of its snapshot.
+    pub fn load(saved: &Saved) -> Result<(Self, Machine), Damaged> {
+        let hard = match &saved.hard {
+            Some(bytes) => decoded(bytes).ok_or(Damaged("term and vote"))?,
+            None => HardState::default(),
+        };
+        let (snapshot, machine) = match &saved.snapshot {
+            Some((_, bytes)) => {
+                let snapshot: Snapshot = decoded(bytes).ok_or(Damaged("the snapshot"))?;
+                let machine = machine_in(&snapshot).ok_or(Damaged("the snapshot's contents"))?;
+                (snapshot, machine)
+            }
+            None => Default::default(),
+        };
+        let meta = snapshot.get_metadata();
+        let at = (meta.index, meta.term);
+        let mut log = Log {
+            hard,
+            conf: meta.get_conf_state().clone(),
+            entries: VecDeque::new(),
+            before: at,
+            snapshot: snapshot.clone(),
+        };
+        for (index, bytes) in &saved.entries {
+            let entry: Entry = decoded(bytes).ok_or(Damaged("an entry"))?;
+            if entry.index != *index {
+                return Err(Damaged("an entry's number"));
+            }
+            match log.entries.back().map(|e| e.index) {
+                None if *index <= at.0 => log.before = (index - 1, 0), // entries kept for those that lag
+                None if *index == at.0 + 1 => {}
+                Some(last) if last + 1 == *index => {}
+                _ => return Err(Damaged("a gap between entries")),
+            }
+            log.entries.push_back(entry);
+        }
+        if log.last() < at.0 {
+            log.entries.clear();
+            log.before = at;
+        }
+        log.hard.commit = log.hard.commit.max(at.0);
+        log.hard.term = log.hard.term.max(at.1);
+        if log.hard.commit > log.last() {
+            return Err(Damaged("entries that were acknowledged are missing"));
+        }
+        Ok((log, machine))
+    }
+
+    fn first(&self) -> u64 {
+        self.before.0 + 1
+    }
+
+    fn last(&self) -> u64 {
+        self.entries.back().map_or(self.before.0, |e| e.index)
+    }
+
+    pub(crate) fn set_hard(&mut self, hard: HardState) {
+        self.hard = hard;
+    }
+
+    pub(crate) fn set_conf(&mut self, conf: ConfState) {
+        self.conf = conf;
+    }
+
+    pub(crate) fn conf(&self) -> &ConfState {
+        &self.conf
+    }
+
+    /// Puts entries on top; what stood at their places goes.
+    pub(crate) fn append(&mut self, entries: &[Entry]) {
+        if let Some(first) = entries.first() {
+            self.entries.truncate((first.index - self.first()) as usize);
+            self.entries.extend(entries.iter().cloned());
+        }
+    }
+
+    /// Takes the place of all that is here.
+    pub(crate) fn install(&mut self, snapshot: Snapshot) {
+        let meta = snapshot.get_metadata();
+        self.before = (meta.index, meta.term);
+        self.hard.commit = meta.index;
+        self.hard.term = self.hard.term.max(meta.term);
+        self.conf = meta.get_conf_state().clone();
+        self.entries.clear();
+        self.snapshot = snapshot;
+    }
+
+    /// Keeps a snapshot of what has been applied, and cuts the log behind it. Returns the last index that went.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot) -> u64 {
+        let to = snapshot.get_metadata().index.saturating_sub(LAG);
+        self.snapshot = snapshot;
+        while self.entries.front().is_some_and(|e| e.index <= to) {
+            if let Some(e) = self.entries.pop_front() {
+                self.before = (e.index, e.term);
+            }
+        }
+        self.before.0
+    }
+
+    /// Entries that stand behind the snapshot.
+    pub(crate) fn behind_snapshot(&self, applied: u64) -> u64 {
+        applied.saturating_sub(self.snapshot.get_metadata().index)
+    }
+}
+
+impl Storage for Log {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        Ok(RaftState::new(self.hard.clone(), self.conf.clone()))
+    }
+
+    fn entries(
+        &self, low: u64, high: u64, max_size: impl Into<Option<u64>>, _: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        if low < self.first() {
+            return Err(raft::Error::Store(StorageError::Compacted));
+        }
+        let at = |index: u64| (index - self.first()) as usize;
+        let mut entries: Vec<Entry> = self.entries.range(at(low)..at(high)).cloned().collect();
+        raft::util::limit_size(&mut entries, max_size.into());
+        Ok(entries)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        let meta = self.snapshot.get_metadata();
+        if index == meta.index {
+            return Ok(meta.term);
+        }
+        if index == self.before.0 && self.before.1 > 0 {
+            return Ok(self.before.1);
+        }
+        if index < self.first() {
+            return Err(raft::Error::Store(StorageError::Compacted));
+        }
+        let entry = self.entries.get((index - self.first()) as usize);
+        entry.map(|e| e.term).ok_or(raft::Error::Store(StorageError::Unavailable))
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.first())
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.last())
+    }
+
+    fn snapshot(&self, request_index: u64, _: u64) -> raft::Result<Snapshot> {
+        if self.snapshot.get_metadata().index < request_index {
+            return Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable));
+        }
+        Ok(self.snapshot.clone())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(index: u64, term: u64) -> (u64, Vec<u8>) {
+        let entry = Entry { index, term, ..Entry::default() };
+        (index, encoded(&entry))
+    }
+
+    fn seats() -> BTreeMap<u64, Seat> {
+        let seat = |n: u16| Seat { name: format!("v{n}"), address: ([127, 0, 0, 1], n).into() };
+        (1..=3).map(|n| (u64::from(n), seat(n))).collect()
+    }
+
+    #[test]
+    fn a_founded_store_knows_the_voters() {
+        let (log, machine) = Log::load(&Saved::founding(2, &seats())).expect("good");
+        assert_eq!(machine.seats, seats());
+        assert_eq!(log.conf().get_voters(), [1, 2, 3]);
+        assert_eq!((log.first(), log.last()), (2, 1));
+    }
+
+    #[test]
+    fn writes_are_put_on_top_of_each_other() {
+        let mut saved = Saved::founding(1, &seats());
+        saved.put(&Write { entries: vec![entry(2, 1), entry(3, 1), entry(4, 1)], ..Write::default() });
+        saved.put(&Write { entries: vec![entry(3, 2)], ..Write::default() });
+        let (log, _) = Log::load(&saved).expect("good");
+        assert_eq!((log.last(), log.term(3).expect("there")), (3, 2));
+        saved.put(&Write { cut: Some(2), ..Write::default() });
+        assert!(Log::load(&saved).is_err(), "a gap behind the snapshot");
+    }
+
+    #[test]
+    fn missing_and_broken_pieces_are_found() {
+        let mut saved = Saved::founding(1, &seats());
+        saved.put(&Write { entries: vec![entry(2, 1), entry(3, 1)], ..Write::default() });
+        let hard = HardState { term: 1, vote: 1, commit: 3, ..HardState::default() };
+        saved.put(&Write { hard: Some(encoded(&hard)), ..Write::default() });
+        assert!(Log::load(&saved).is_ok());
+        let mut torn = saved.clone();
+        torn.entries.pop();
+        assert_eq!(Log::load(&torn).err(), Some(Damaged("entries that were acknowledged are missing")));
+        let mut swapped = saved.clone();
+        swapped.entries[0].0 = 3;
+        assert!(Log::load(&swapped).is_err());
+        saved.snapshot.as_mut().expect("founded").1[5] ^= 0xff;
+        assert!(Log::load(&saved).is_err());
+    }
+
+    #[test]
+    fn a_cut_log_still_tells_terms_at_its_edge() {
+        let mut saved = Saved::founding(1, &seats());
+        saved.put(&Write { entries: (2..200).map(|i| entry(i, 1)).collect(), ..Write::default() });
+        let (mut log, machine) = Log::load(&saved).expect("good");
+        let went = log.compact(snapshot_of(&machine, 150, 1, log.conf().clone()));
+        assert_eq!(went, 150 - LAG);
+        assert_eq!(log.term(went).expect("the edge"), 1);
+        assert!(log.term(went - 1).is_err());
+        assert_eq!(log.behind_snapshot(199), 49);
+    }
+}
--- /dev/null
+++ b/crates/sandgap-agree/src/store.rs
@@ -0,0 +1,383 @@
+//! A voter's disk: one `redb` database with its seat, term and vote, log and snapshot. The only part of this crate that
+//! does I/O.
+//!
+//! What is promised after a crash: a write that was acknowledged is there whole, one that was not is there whole or not
+//! at all (the engine commits copy-on-write with checksums and syncs each commit). Every value bears a BLAKE3 hash of
+//! itself and its key, and all are read at the start: a flipped bit, a swapped value or a missing piece makes the
+//! store [`Opened::Damaged`], and a voter must not go on from it under its old seat.
+
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+
+use crate::limits::WRITES;
+use crate::log::{Log, Saved, Write};
+
+const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
+const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
+
+const SEAT: &str = "seat";
+const HARD: &str = "hard";
+const SNAPSHOT: &str = "snapshot";
+const HASH: usize = 32;
+
+/// What went wrong with a store.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The disk or the engine said no.
+    #[error("{path}: {what}")]
+    Disk {
+        /// Where.
+        path: PathBuf,
+        /// What it said.
+        what: String,
+    },
+    /// There is a store already.
+    #[error("{0}: there is a store already; founding a fleet anew over it would forget what it has agreed")]
+    Exists(PathBuf),
+}
+
+/// What was found at the start.
+pub enum Opened {
+    /// All of it.
+    Sound(Store, Saved),
+    /// Nothing.
+    Missing,
+    /// Something that must not be gone on from.
+    Damaged(String),
+}
+
+/// See the module.
+pub struct Store {
+    db: Database,
+    path: PathBuf,
+}
+
+fn sealed(key: &[u8], value: &[u8]) -> Vec<u8> {
+    let hash = blake3::Hasher::new().update(key).update(&[0]).update(value).finalize();
+    [hash.as_bytes(), value].concat()
+}
+
+fn opened(key: &[u8], bytes: &[u8]) -> Option<Vec<u8>> {
+    let value = bytes.get(HASH..)?;
+    (sealed(key, value) == bytes).then(|| value.to_vec())
+}
+
+impl Store {
+    /// Makes a store for a seat.
+    ///
+    /// # Errors
+    /// Where there is one already, or the disk says no.
+    pub fn create(path: &Path, saved: &Saved) -> Result<Self, StoreError> {
+        if path.exists() {
+            return Err(StoreError::Exists(path.to_owned()));
+        }
+        let db = Database::create(path).map_err(|e| disk(path, e))?;
+        let store = Store { db, path: path.to_owned() };
+        let first = Write { snapshot: saved.snapshot.clone(), ..Write::default() };
+        store.commit(&first, Some(saved.seat)).map_err(|e| disk(path, e))?;
+        // The name of the file itself has to last as well.
+        if let Some(folder) = path.parent().filter(|p| !p.as_os_str().is_empty()) {
+            std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(|e| disk(path, e))?;
+        }
+        Ok(store)
+    }
+
+    /// Opens what is there and reads all of it.
+    pub fn open(path: &Path) -> Opened {
+        if !path.exists() {
+            return Opened::Missing;
+        }
+        // A file of which the engine can make nothing may make it fail in ways of its own.
+        let read = std::panic::catch_unwind(|| {
+            let mut db = Database::open(path).map_err(|e| e.to_string())?;
+            // Every page's checksum, and what the engine thinks of its free ones: it would fail over these later.
+            db.check_integrity().map_err(|e| e.to_string())?;
+            let store = Store { db, path: path.to_owned() };
+            let saved = store.read()?;
+            Log::load(&saved).map_err(|e| e.to_string())?;
+            Ok::<_, String>((store, saved))
+        });
+        match read {
+            Ok(Ok((store, saved))) => Opened::Sound(store, saved),
+            Ok(Err(why)) => Opened::Damaged(why),
+            Err(_) => Opened::Damaged("the engine could make nothing of it".into()),
+        }
+    }
+
+    /// Moves a damaged store out of the way, for whoever wants to look at it. Returns where it went.
+    ///
+    /// # Errors
+    /// The disk's.
+    pub fn set_aside(path: &Path) -> Result<PathBuf, StoreError> {
+        let free = (1..).map(|n| path.with_extension(format!("damaged-{n}"))).find(|p| !p.exists());
+        let aside = free.unwrap_or_else(|| path.with_extension("damaged"));
+        std::fs::rename(path, &aside).map_err(|e| disk(path, e))?;
+        Ok(aside)
+    }
+
+    fn read(&self) -> Result<Saved, String> {
+        let text = |e: &dyn std::fmt::Display| e.to_string();
+        let read = self.db.begin_read().map_err(|e| text(&e))?;
+        let state = read.open_table(STATE).map_err(|e| text(&e))?;
+        let piece = |key: &str| -> Result<Option<Vec<u8>>, String> {
+            let Some(bytes) = state.get(key).map_err(|e| text(&e))? else { return Ok(None) };
+            opened(key.as_bytes(), bytes.value())
+                .map(Some)
+                .ok_or_else(|| format!("'{key}' is not as it was written"))
+        };
+        let seat =
+            piece(SEAT)?.and_then(|b| b.try_into().ok()).map(u64::from_le_bytes).ok_or("it names no seat")?;
+        let hard = piece(HARD)?;
+        let snapshot = match piece(SNAPSHOT)? {
+            Some(bytes) => {
+                let (index, rest) = bytes.split_first_chunk::<8>().ok_or("a snapshot without a place")?;
+                Some((u64::from_le_bytes(*index), rest.to_vec()))
+            }
+            None => None,
+        };
+        let mut entries = Vec::new();
+        let table = read.open_table(ENTRIES).map_err(|e| text(&e))?;
+        for entry in table.iter().map_err(|e| text(&e))? {
+            let (index, bytes) = entry.map_err(|e| text(&e))?;
+            let index = index.value();
+            let value = opened(&index.to_le_bytes(), bytes.value());
+            entries.push((index, value.ok_or_else(|| format!("entry {index} is not as it was written"))?));
+        }
+        Ok(Saved { seat, hard, entries, snapshot })
+    }
+
+    /// Keeps a write: when this returns well, it is on the disk.
+    ///
+    /// # Errors
+    /// The disk's: full, gone, broken. Nothing is promised then.
+    pub fn keep(&self, write: &Write) -> Result<(), StoreError> {
+        self.commit(write, None).map_err(|e| disk(&self.path, e))
+    }
+
+    fn commit(&self, write: &Write, seat: Option<u64>) -> Result<(), redb::Error> {
+        let change = self.db.begin_write()?;
+        {
+            let mut state = change.open_table(STATE)?;
+            let mut put = |key: &str, value: &[u8]| {
+                state.insert(key, sealed(key.as_bytes(), value).as_slice()).map(drop)
+            };
+            if let Some(seat) = seat {
+                put(SEAT, &seat.to_le_bytes())?;
+            }
+            if let Some(hard) = &write.hard {
+                put(HARD, hard)?;
+            }
+            if let Some((index, snapshot)) = &write.snapshot {
+                put(SNAPSHOT, &[&index.to_le_bytes()[..], snapshot].concat())?;
+            }
+            let mut entries = change.open_table(ENTRIES)?;
+            if let Some((index, _)) = &write.snapshot {
+                // A snapshot beyond all that is here takes the place of all of it.
+                let last = entries.last()?.map(|(last, _)| last.value());
+                if last.is_some_and(|last| last < *index) {
+                    entries.retain(|_, _| false)?;
+                }
+            }
+            if let Some((first, _)) = write.entries.first() {
+                entries.retain_in::<u64, _>(*first.., |_, _| false)?;
+            }
+            for (index, entry) in &write.entries {
+                entries.insert(index, sealed(&index.to_le_bytes(), entry).as_slice())?;
+            }
+            if let Some(cut) = write.cut {
+                entries.retain_in::<u64, _>(..=cut, |_, _| false)?;
+            }
+        }
+        change.commit()?;
+        Ok(())
+    }
+}
+
+fn disk(path: &Path, e: impl std::fmt::Display) -> StoreError {
+    StoreError::Disk { path: path.to_owned(), what: e.to_string() }
+}
+
+/// A store behind a thread of its own, so that a slow disk holds up nobody.
+pub struct Keeper {
+    writes: SyncSender<Write>,
+}
+
+impl Keeper {
+    /// Starts the thread; `told` hears each write's number once it is on the disk, or why none will be any more.
+    ///
+    /// # Errors
+    /// Where the system gives no thread.
+    pub fn start(
+        store: Store, mut told: impl FnMut(Result<u64, String>) + Send + 'static,
+    ) -> std::io::Result<Self> {
+        // Twice what a voter leaves unacknowledged before it steps down.
+        let (writes, waiting) = sync_channel::<Write>(2 * WRITES);
+        std::thread::Builder::new().name("rules-disk".into()).spawn(move || {
+            while let Ok(write) = waiting.recv() {
+                let kept = store.keep(&write).map(|()| write.number).map_err(|e| e.to_string());
+                let failed = kept.is_err();
+                told(kept);
+                if failed {
+                    return;
+                }
+            }
+        })?;
+        Ok(Keeper { writes })
+    }
+
+    /// Hands a write over.
+    ///
+    /// # Errors
+    /// Where the disk is so far behind, or gone, that it can't be: the voter must take no further part.
+    pub fn keep(&self, write: Write) -> Result<(), &'static str> {
+        self.writes.try_send(write).map_err(|e| match e {
+            TrySendError::Full(_) => "it is far behind",
+            TrySendError::Disconnected(_) => "it has stopped",
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeMap;
+
+    use super::*;
+    use crate::log::encoded;
+    use crate::machine::Seat;
+
+    struct Folder(PathBuf);
+
+    impl Folder {
+        fn new(name: &str) -> Self {
+            let path = std::env::temp_dir().join(format!("sandgap-store-{name}-{}", std::process::id()));
+            let _ = std::fs::remove_dir_all(&path);
+            std::fs::create_dir_all(&path).expect("a folder");
+            Folder(path)
+        }
+
+        fn file(&self) -> PathBuf {
+            self.0.join("voter.redb")
+        }
+    }
+
+    impl Drop for Folder {
+        fn drop(&mut self) {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+
+    fn founding() -> Saved {
+        let seat = |n: u16| Seat { name: format!("v{n}"), address: ([127, 0, 0, 1], n).into() };
+        let seats: BTreeMap<u64, Seat> = (1..=3).map(|n| (u64::from(n), seat(n))).collect();
+        Saved::founding(2, &seats)
+    }
+
+    fn entries(range: std::ops::Range<u64>, term: u64) -> Vec<(u64, Vec<u8>)> {
+        let entry =
+            |index| raft::eraftpb::Entry { index, term, data: vec![7; 40].into(), ..Default::default() };
+        range.map(|i| (i, encoded(&entry(i)))).collect()
+    }
+
+    fn hard(term: u64, commit: u64) -> Option<Vec<u8>> {
+        Some(encoded(&raft::eraftpb::HardState { term, vote: 2, commit, ..Default::default() }))
+    }
+
+    /// Some writes, as a voter makes them.
+    fn writes() -> Vec<Write> {
+        vec![
+            Write { number: 1, hard: hard(1, 1), entries: entries(2..6, 1), ..Write::default() },
+            Write { number: 2, entries: entries(4..9, 2), hard: hard(2, 3), ..Write::default() },
+            Write { number: 3, hard: hard(3, 8), ..Write::default() },
+            Write {
+                number: 4,
+                cut: Some(3),
+                snapshot: founding().snapshot.map(|(_, s)| (1, s)),
+                ..Write::default()
+            },
+        ]
+    }
+
+    fn saved_at(path: &Path) -> Option<Saved> {
+        match Store::open(path) {
+            Opened::Sound(_, saved) => Some(saved),
+            _ => None,
+        }
+    }
+
+    #[test]
+    fn what_was_kept_is_there_after_each_write() {
+        let folder = Folder::new("kept");
+        let mut wanted = founding();
+        let mut store = Store::create(&folder.file(), &wanted).expect("made");
+        assert!(matches!(Store::create(&folder.file(), &wanted), Err(StoreError::Exists(_))));
+        for write in writes().into_iter().take(3) {
+            store.keep(&write).expect("kept");
+            wanted.put(&write);
+            drop(store);
+            store = match Store::open(&folder.file()) {
+                Opened::Sound(store, saved) => {
+                    assert_eq!(saved, wanted);
+                    store
+                }
+                _ => panic!("not sound after write {}", write.number),
+            };
+        }
+    }
+
+    #[test]
+    fn a_missing_store_is_missing_and_an_emptied_one_damaged() {
+        let folder = Folder::new("missing");
+        assert!(matches!(Store::open(&folder.file()), Opened::Missing));
+        std::fs::write(folder.file(), b"").expect("written");
+        assert!(!matches!(Store::open(&folder.file()), Opened::Sound(..)));
+        std::fs::write(folder.file(), vec![0x5a; 70_000]).expect("written");
+        assert!(matches!(Store::open(&folder.file()), Opened::Damaged(_)));
+        let aside = Store::set_aside(&folder.file()).expect("moved");
+        assert!(aside.exists() && !folder.file().exists());
+    }
+
+    /// A store with a flipped bit or a torn end is either found out or tells what it was told, nothing else.
+    #[test]
+    fn a_flipped_bit_or_a_torn_end_is_never_believed() {
+        let folder = Folder::new("flipped");
+        let store = Store::create(&folder.file(), &founding()).expect("made");
+        for write in writes().iter().take(3) {
+            store.keep(write).expect("kept");
+        }
+        drop(store);
+        let good = std::fs::read(folder.file()).expect("read");
+        let wanted = saved_at(&folder.file()).expect("sound");
+        let mut rng = fastrand::Rng::with_seed(3);
+        let written: Vec<usize> = (0..good.len()).filter(|i| good[*i] != 0).collect();
+        let mut found = 0;
+        for round in 0..150 {
+            let mut bad = good.clone();
+            let at = written[rng.usize(..written.len())];
+            match round % 3 {
+                0 | 1 => bad[at] ^= 1 << rng.u32(..8),
+                _ => bad.truncate(at),
+            }
+            std::fs::write(folder.file(), &bad).expect("written");
+            match saved_at(&folder.file()) {
+                Some(saved) => assert_eq!(saved, wanted, "round {round}, byte {at}"),
+                None => found += 1,
+            }
+        }
+        assert!(found > 50, "{found} of 150 found");
+    }
+
+    #[test]
+    fn a_disk_that_fails_says_so_once_and_a_thread_keeps_the_order() {
+        let folder = Folder::new("thread");
+        let store = Store::create(&folder.file(), &founding()).expect("made");
+        let (sender, told) = std::sync::mpsc::channel();
+        let keeper = Keeper::start(store, move |kept| drop(sender.send(kept))).expect("a thread");
+        for write in writes().into_iter().take(3) {
+            keeper.keep(write).expect("handed over");
+        }
+        let numbers: Vec<u64> = (0..3).map(|_| told.recv().expect("told").expect("kept")).collect();
+        assert_eq!(numbers, [1, 2, 3]);
+    }
+}
--- /dev/null
+++ b/crates/sandgap-agree/src/voter.rs
@@ -0,0 +1,750 @@
+//! A voter: the agreed log by the `raft` engine, which does no I/O, and what a leader does about versions.
+//!
+//! Leases are given after a read-index round (Ongaro's thesis, section 6.4): a majority confirms, after the question
+//! came, that its leader led. No voter's clock counts for that. Pre-vote and check-quorum are on, so that a voter that
+//! comes back disturbs nobody and a leader cut off steps down. Nothing is told before the disk has it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use raft::eraftpb::{
+    ConfChangeSingle, ConfChangeType, ConfChangeV2, EntryType, Message, MessageType, Snapshot,
+};
+use raft::{Config, RawNode, StateRole};
+use sandgap_fleet::Time;
+
+use crate::agent::Terms;
+use crate::limits::{ASKS, LOG, MEMBERS, PUBLISHERS, ROUNDS, WRITES};
+use crate::log::{Damaged, Log, Saved, Write, decoded, encoded, machine_in, snapshot_of};
+use crate::machine::{Entry, Machine, Proposal, Seat, Verdict};
+use crate::rulebook::Version;
+use crate::words::{Line, Report, Seating, Seen, Standing, Status, Word};
+
+/// Ticks without a leader until a vote is asked for; up to twice that, drawn.
+const ELECTION: usize = 10;
+/// Ticks between a leader's heartbeats.
+const HEARTBEAT: usize = 2;
+/// Ticks after which a leader's word about a version is said again, if it has not taken effect.
+const AGAIN: u64 = 10;
+/// Bytes of entries in one message between voters; one larger entry still goes.
+const MESSAGE: u64 = 256 << 10;
+
+/// What a voter wants done.
+#[derive(Debug, PartialEq)]
+pub enum Action {
+    /// Say something to a proxy.
+    Say(String, Word),
+    /// Keep this on the disk, then tell its number.
+    Write(Write),
+    /// Another version stands, or another is put forward: those that ask here should know.
+    Standing,
+    /// Something for the log.
+    Note(String),
+}
+
+/// A question that waits for a majority's confirmation.
+#[derive(Clone, Debug)]
+struct Asked {
+    from: String,
+    origin: Option<String>,
+    number: u64,
+}
+
+/// Questions under one confirmation.
+struct Round {
+    number: u64,
+    begun: Time,
+    /// The index that the leader had, once a majority has confirmed it.
+    index: Option<u64>,
+    asked: Vec<Asked>,
+}
+
+struct Known {
+    at: Time,
+    report: Report,
+}
+
+/// See the module.
+pub struct Voter {
+    seat: u64,
+    name: String,
+    terms: Terms,
+    node: RawNode<Log>,
+    machine: Machine,
+    applied: u64,
+    applied_term: u64,
+    /// Draws elections' waits.
+    seed: u64,
+    ticks: u64,
+    next_tick: Time,
+    /// Names behind seats, from those that spoke.
+    routes: BTreeMap<u64, String>,
+    waiting: Vec<Asked>,
+    rounds: VecDeque<Round>,
+    next_round: u64,
+    /// When each proxy asked here last: those are told of news.
+    clients: BTreeMap<String, Time>,
+    /// Reports on their way to the leader.
+    reports: BTreeMap<String, Report>,
+    /// Of a leader: how each proxy stands.
+    members: BTreeMap<String, Known>,
+    leading: Option<Time>,
+    /// When a version was first seen put forward, and closed.
+    pending: Option<(Version, Time)>,
+    closed: Option<(Version, Time)>,
+    /// The tick at which something about a version was last proposed.
+    proposed: u64,
+    publishers: VecDeque<(u64, String)>,
+    /// Writes that the disk has not acknowledged.
+    unwritten: VecDeque<(u64, Time)>,
+    /// A message each that may go once a write is acknowledged.
+    held: VecDeque<(u64, Vec<Message>)>,
+    written: u64,
+    /// The disk has failed for good: this voter takes no part until it is started anew.
+    halted: bool,
+}
+
+fn silent() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+fn mix(mut x: u64) -> u64 {
+    // SplitMix64 (Steele, Lea and Flood, OOPSLA 2014): chance that the seed alone decides.
+    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+impl Voter {
+    /// A voter that goes on from what its disk had. `seed` is drawn anew at each start.
+    ///
+    /// # Errors
+    /// Where that is damaged: then this voter must not take part under its old seat.
+    pub fn new(now: Time, name: &str, terms: Terms, saved: &Saved, seed: u64) -> Result<Self, Damaged> {
+        let (log, machine) = Log::load(saved)?;
+        let applied = saved.snapshot.as_ref().map_or(0, |(index, _)| *index);
+        let config = Config {
+            id: saved.seat,
+            election_tick: ELECTION,
+            heartbeat_tick: HEARTBEAT,
+            applied,
+            max_size_per_msg: MESSAGE,
+            max_inflight_msgs: 64,
+            check_quorum: true,
+            pre_vote: true,
+            max_uncommitted_size: 8 << 20,
+            ..Config::default()
+        };
+        let node = RawNode::new(&config, log, &silent()).map_err(|_| Damaged("it does not fit together"))?;
+        let mut voter = Voter {
+            seat: saved.seat,
+            name: name.to_owned(),
+            terms,
+            node,
+            machine,
+            applied,
+            applied_term: 0,
+            seed,
+            ticks: 0,
+            next_tick: now + terms.tick,
+            routes: BTreeMap::new(),
+            waiting: Vec::new(),
+            rounds: VecDeque::new(),
+            next_round: mix(seed) >> 8,
+            clients: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            members: BTreeMap::new(),
+            leading: None,
+            pending: None,
+            closed: None,
+            proposed: 0,
+            publishers: VecDeque::new(),
+            unwritten: VecDeque::new(),
+            held: VecDeque::new(),
+            written: 0,
+            halted: false,
+        };
+        voter.draw();
+        Ok(voter)
+    }
+
+    /// The number of this voter's seat.
+    pub fn seat(&self) -> u64 {
+        self.seat
+    }
+
+    /// What the log has built so far.
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// Whether this voter leads, as far as it knows.
+    pub fn leads(&self) -> bool {
+        self.node.raft.state == StateRole::Leader && !self.halted
+    }
+
+    /// Whether this seat is one of the voters', as far as is known here.
+    pub fn is_seated(&self) -> bool {
+        self.machine.seats.contains_key(&self.seat)
+    }
+
+    /// When it is to be called next.
+    pub fn next_due(&self) -> Time {
+        self.next_tick
+    }
+
+    /// The disk has failed for good. From here on this voter says nothing.
+    pub fn halt(&mut self) {
+        self.halted = true;
+    }
+
+    /// Hands the lead to another voter, for a planned end.
+    pub fn retire(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.leads() {
+            self.hand_over();
+        }
+        self.settle(now, out);
+    }
+
+    /// What stands, at what has been applied here. Only a confirmed round makes it an answer.
+    pub fn standing(&self) -> Standing {
+        let named = |v: Version| self.machine.version(v).map(|r| (v, r.digest));
+        let version = self.machine.standing();
+        Standing {
+            index: self.applied,
+            version,
+            digest: named(version).map_or_else(Default::default, |(_, digest)| digest),
+            closed: self.machine.is_closed(),
+            pending: self.machine.pending().and_then(named),
+        }
+    }
+
+    /// The voters' names and addresses.
+    pub fn voters(&self) -> Vec<(String, std::net::SocketAddr)> {
+        self.machine.seats.values().map(|s| (s.name.clone(), s.address)).collect()
+    }
+
+    fn leader(&self) -> Option<String> {
+        self.name_of(self.node.raft.leader_id)
+    }
+
+    fn name_of(&self, seat: u64) -> Option<String> {
+        let seated = self.machine.seats.get(&seat).map(|s| s.name.clone());
+        seated.or_else(|| self.routes.get(&seat).cloned())
+    }
+
+    /// Sets the wait for an election by the seed instead of the engine's own chance.
+    fn draw(&mut self) {
+        let round = self.ticks / (2 * ELECTION as u64);
+        let drawn = mix(self.seed ^ mix(self.node.raft.term ^ mix(round))) % ELECTION as u64;
+        self.node.raft.set_randomized_election_timeout(ELECTION + drawn as usize);
+    }
+
+    /// Whether the disk is so far behind that nothing more should be asked of it.
+    fn stalls(&self, now: Time) -> bool {
+        let limit = self.terms.tick * ELECTION as u32;
+        self.unwritten.len() > WRITES || self.unwritten.front().is_some_and(|(_, at)| *at + limit < now)
+    }
+
+    fn hand_over(&mut self) {
+        let me = self.seat;
+        let best = self.node.raft.prs().iter().filter(|(id, _)| **id != me).max_by_key(|(_, p)| p.matched);
+        if let Some(to) = best.map(|(id, _)| *id) {
+            self.node.transfer_leader(to);
+        }
+    }
+
+    /// Does what is due by now.
+    pub fn fire(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.halted || now < self.next_tick {
+            return;
+        }
+        // A process that stood still goes on at the next tick; it does not make up for those that it missed.
+        self.next_tick = now + self.terms.tick;
+        self.ticks += 1;
+        if self.stalls(now) {
+            // A voter whose disk stalls neither asks for votes nor leads on.
+            if self.leads() {
+                self.hand_over();
+            }
+        } else {
+            self.node.tick();
+        }
+        self.forget(now);
+        self.decide(now);
+        self.report(out);
+        self.settle(now, out);
+    }
+
+    fn forget(&mut self, now: Time) {
+        let old = |at: Time, span: Duration| at + span < now;
+        let live = self.terms.live();
+        self.clients.retain(|_, at| !old(*at, live));
+        self.members.retain(|_, known| !old(known.at, live * 20));
+        let bound = self.terms.span.bound;
+        self.rounds.retain(|round| !old(round.begun, bound));
+    }
+
+    /// Passes reports on to the leader.
+    fn report(&mut self, out: &mut Vec<Action>) {
+        let Some(leader) = self.leader().filter(|l| *l != self.name) else { return };
+        if !self.reports.is_empty() {
+            let all = std::mem::take(&mut self.reports).into_iter().collect();
+            out.push(Action::Say(leader, Word::Reports(all)));
+        }
+    }
+
+    /// Another voter's message.
+    pub fn hear(&mut self, now: Time, from: &str, seat: u64, bytes: &[u8], out: &mut Vec<Action>) {
+        let Some(message) = decoded::<Message>(bytes).filter(|_| seat == self.seat && !self.halted) else {
+            return;
+        };
+        if !self.routes.contains_key(&message.from) && self.routes.len() < MEMBERS {
+            self.routes.insert(message.from, from.to_owned());
+        }
+        // What a stalled disk can't keep is not taken in: its sender sends it again.
+        if !self.stalls(now) || message.get_msg_type() == MessageType::MsgHeartbeat {
+            let _ = self.node.step(message); // a message that does not fit is dropped, as if lost
+        }
+        self.settle(now, out);
+    }
+
+    /// A question for a lease.
+    pub fn ask(
+        &mut self, now: Time, from: &str, origin: Option<String>, number: u64, report: Report,
+        out: &mut Vec<Action>,
+    ) {
+        if self.halted {
+            return;
+        }
+        let who = origin.clone().unwrap_or_else(|| from.to_owned());
+        if origin.is_none() && (self.clients.len() < MEMBERS || self.clients.contains_key(&who)) {
+            self.clients.insert(who.clone(), now);
+        }
+        if self.leads() {
+            self.reported(now, who, report);
+        } else if self.reports.len() < MEMBERS {
+            self.reports.insert(who, report);
+            self.report(out);
+        }
+        if self.waiting.len() < ASKS {
+            self.waiting.push(Asked { from: from.to_owned(), origin, number });
+        }
+        self.settle(now, out);
+    }
+
+    /// Reports that another voter passes on.
+    pub fn reports(&mut self, now: Time, all: Vec<(String, Report)>, out: &mut Vec<Action>) {
+        if self.leads() {
+            all.into_iter().for_each(|(who, report)| self.reported(now, who, report));
+            self.settle(now, out);
+        }
+    }
+
+    fn reported(&mut self, now: Time, who: String, report: Report) {
+        // A report that was overtaken on the way must not unsay the later one; a new process's numbers begin anywhere,
+        // and are heard once the old one's are no longer fresh.
+        let overtaken = |k: &Known| report.serial < k.report.serial && now < k.at + self.terms.live() / 6;
+        if self.members.get(&who).is_some_and(overtaken) {
+            return;
+        }
+        if self.members.len() < MEMBERS || self.members.contains_key(&who) {
+            self.members.insert(who, Known { at: now, report });
+        }
+    }
+
+    /// Puts a rulebook forward; its publisher hears what that came to.
+    pub fn publish(&mut self, now: Time, from: &str, proposal: Proposal, out: &mut Vec<Action>) {
+        let id = proposal.id;
+        match self.propose(&Entry::Propose(proposal)) {
+            true => {
+                if self.publishers.len() == PUBLISHERS {
+                    self.publishers.pop_front();
+                }
+                self.publishers.push_back((id, from.to_owned()));
+            }
+            false => {
+                let why = "no leader is known here at present: the voters have no majority, or are choosing";
+                out.push(Action::Say(from.to_owned(), Word::Unpublished(id, why.into())));
+            }
+        }
+        self.settle(now, out);
+    }
+
+    fn propose(&mut self, entry: &Entry) -> bool {
+        let data = postcard::to_stdvec(entry).unwrap_or_default();
+        !self.halted && self.node.propose(Vec::new(), data).is_ok()
+    }
+
+    /// Another set of voters; empty for well, else why not.
+    pub fn seat_change(&mut self, now: Time, change: &Seating, out: &mut Vec<Action>) -> String {
+        if !self.leads() {
+            return match self.leader() {
+                Some(leader) => format!("'{leader}' leads: ask there"),
+                None => "nobody leads at present".into(),
+            };
+        }
+        let steps = match self.seating(change) {
+            Ok(steps) if steps.is_empty() => return String::new(),
+            Ok(steps) => steps,
+            Err(why) => return why,
+        };
+        let mut all = ConfChangeV2::default();
+        let mut seats = Vec::new();
+        for (id, seat) in steps {
+            let kind = if seat.is_some() { ConfChangeType::AddNode } else { ConfChangeType::RemoveNode };
+            let single = ConfChangeSingle { change_type: kind, node_id: id, ..Default::default() };
+            all.mut_changes().push(single);
+            seats.push((id, seat));
+        }
+        let context = postcard::to_stdvec(&seats).unwrap_or_default();
+        all.set_context(context.into());
+        let done = self.node.propose_conf_change(Vec::new(), all);
+        self.settle(now, out);
+        done.map_or_else(|e| format!("the voters can't change now: {e}"), |()| String::new())
+    }
+
+    /// The seats that a change fills or empties.
+    fn seating(&self, change: &Seating) -> Result<Vec<(u64, Option<Seat>)>, String> {
+        let of = |name: &str| self.machine.seats.iter().find(|(_, s)| s.name == name).map(|(id, _)| *id);
+        match change {
+            Seating::Add(name, _) if of(name).is_some() => Err(format!("'{name}' is a voter already")),
+            Seating::Add(name, address) => {
+                let seat = Seat { name: name.clone(), address: *address };
+                Ok(vec![(fresh_seat(name, self.applied), Some(seat))])
+            }
+            Seating::Remove(_) if self.machine.seats.len() == 1 => Err("this is the last voter".into()),
+            Seating::Remove(name) => {
+                of(name).map(|id| vec![(id, None)]).ok_or_else(|| format!("'{name}' is no voter"))
+            }
+            Seating::Rebuild { name, address, id } => match of(name) {
+                Some(old) if old == *id => Ok(Vec::new()),
+                Some(old) => {
+                    let seat = Seat { name: name.clone(), address: *address };
+                    Ok(vec![(*id, Some(seat)), (old, None)])
+                }
+                None => Err(format!("'{name}' is no voter")),
+            },
+        }
+    }
+
+    /// What the leader does about the version put forward.
+    fn decide(&mut self, now: Time) {
+        if !self.leads() {
+            self.leading = None;
+            return;
+        }
+        let led = *self.leading.get_or_insert(now);
+        let Some(version) = self.machine.pending() else { return };
+        // Who has not asked since this one leads may still be there: all that hold a lease have asked within its span.
+        if now < led + self.terms.live() || self.ticks < self.proposed + AGAIN && self.proposed > 0 {
+            return;
+        }
+        let Some(entry) = self.decision(now, version) else { return };
+        if self.propose(&entry) {
+            self.proposed = self.ticks;
+        }
+    }
+
+    fn decision(&self, now: Time, version: Version) -> Option<Entry> {
+        let live = self.members.iter().filter(|(_, k)| k.at + self.terms.live() >= now);
+        let (mut refused, mut missing) = (Vec::new(), Vec::new());
+        for (name, known) in live {
+            match &known.report.looked {
+                Some((looked, None)) if *looked == version => {}
+                Some((looked, Some(why))) if *looked == version => refused.push((name.clone(), why.clone())),
+                _ => missing.push((name.clone(), "has not said that it holds the version".to_owned())),
+            }
+        }
+        if !refused.is_empty() {
+            return Some(Entry::Abandon(version, refused));
+        }
+        if !missing.is_empty() {
+            let since = self.pending.filter(|(v, _)| *v == version).map_or(now, |(_, at)| at);
+            return (now >= since + self.terms.hold).then_some(Entry::Abandon(version, missing));
+        }
+        let apart = self.terms.apart && self.machine.version(version).is_some_and(|r| r.contradicts);
+        if !apart {
+            return Some(Entry::Switch(version));
+        }
+        if !self.machine.is_closed() {
+            return Some(Entry::Close(version));
+        }
+        // All leases asked for before the close have ended by then, on whichever clock.
+        let span = self.terms.span;
+        let closed = self.closed.filter(|(v, _)| *v == version)?.1;
+        (now > closed + span.drift.at_least(span.bound)).then_some(Entry::Switch(version))
+    }
+
+    /// The disk has kept all up to a number.
+    pub fn written(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
+        if self.halted {
+            return;
+        }
+        self.unwritten.retain(|(n, _)| *n > number);
+        self.written = self.written.max(number);
+        self.node.on_persist_ready(number);
+        while let Some((_, messages)) = self.held.pop_front_if(|(n, _)| *n <= number) {
+            self.say_all(messages, out);
+        }
+        self.settle(now, out);
+    }
+
+    fn say_all(&self, messages: Vec<Message>, out: &mut Vec<Action>) {
+        for message in messages {
+            if let Some(name) = self.name_of(message.to) {
+                out.push(Action::Say(name, Word::Raft(message.to, encoded(&message))));
+            }
+        }
+    }
+
+    /// Lets the engine say, write and apply what it has to, and begins confirmations.
+    fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.halted {
+            return;
+        }
+        self.draw();
+        self.decide_soon(now);
+        self.begin_round(now);
+        while self.node.has_ready() {
+            self.ready(now, out);
+        }
+        self.draw();
+        self.answer(out);
+    }
+
+    /// A leader that hears the last report decides at once instead of at its next tick.
+    fn decide_soon(&mut self, now: Time) {
+        if self.leads() && self.leading.is_some() {
+            self.decide(now);
+        }
+    }
+
+    fn ready(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut ready = self.node.ready();
+        let number = ready.number();
+        self.say_all(ready.take_messages(), out);
+        let mut write = Write { number, ..Write::default() };
+        if ready.snapshot().get_metadata().index > 0 {
+            self.install(ready.snapshot().clone(), &mut write, out);
+        }
+        let entries = ready.take_entries();
+        write.entries = entries.iter().map(|e| (e.index, encoded(e))).collect();
+        self.node.mut_store().append(&entries);
+        if let Some(hard) = ready.hs().cloned() {
+            // A commit index that moves alone need not be kept: it is learned again.
+            write.hard = ready.must_sync().then(|| encoded(&hard));
+            self.node.mut_store().set_hard(hard);
+        }
+        for read in ready.take_read_states() {
+            self.confirmed(&read.request_ctx, read.index);
+        }
+        let committed = ready.take_committed_entries();
+        let persisted = ready.take_persisted_messages();
+        let syncs = write.hard.is_some() || !write.entries.is_empty() || write.snapshot.is_some();
+        self.node.advance_append_async(ready);
+        if syncs {
+            self.unwritten.push_back((number, now));
+            if !persisted.is_empty() {
+                self.held.push_back((number, persisted));
+            }
+            out.push(Action::Write(write));
+        } else if self.unwritten.is_empty() {
+            self.say_all(persisted, out);
+            self.node.on_persist_ready(number);
+        } else if !persisted.is_empty() {
+            // In order: what is kept of earlier ones covers this one, too.
+            let last = self.unwritten.back().map_or(number, |(n, _)| *n);
+            self.held.push_back((last, persisted));
+        }
+        self.apply(now, committed, out);
+    }
+
+    /// Takes over a snapshot in place of all that is here.
+    fn install(&mut self, snapshot: Snapshot, write: &mut Write, out: &mut Vec<Action>) {
+        let meta = snapshot.get_metadata();
+        let (index, term) = (meta.index, meta.term);
+        let Some(machine) = machine_in(&snapshot) else {
+            self.halted = true; // of another version of the program: nothing can be told on this ground
+            return out.push(Action::Note("a snapshot that can't be read; this voter takes no part".into()));
+        };
+        self.machine = machine;
+        (self.applied, self.applied_term) = (index, term);
+        write.snapshot = Some((index, encoded(&snapshot)));
+        write.cut = Some(index);
+        self.node.mut_store().install(snapshot);
+        out.push(Action::Standing);
+    }
+
+    fn apply(&mut self, now: Time, committed: Vec<raft::eraftpb::Entry>, out: &mut Vec<Action>) {
+        if committed.is_empty() {
+            return;
+        }
+        let before = self.standing();
+        for entry in committed {
+            (self.applied, self.applied_term) = (entry.index, entry.term);
+            match entry.get_entry_type() {
+                EntryType::EntryNormal => self.apply_entry(&entry, out),
+                EntryType::EntryConfChange => {} // never proposed: changes are of the second form
+                EntryType::EntryConfChangeV2 => {
+                    let change: ConfChangeV2 = decoded(entry.get_data()).unwrap_or_default();
+                    let context = change.get_context().to_vec();
+                    self.apply_seats(&context, &change);
+                }
+            }
+        }
+        self.node.advance_apply_to(self.applied);
+        self.times(now);
+        let after = self.standing();
+        if (after.version, after.closed, &after.pending) != (before.version, before.closed, &before.pending) {
+            self.proposed = 0;
+            out.push(Action::Standing);
+        }
+        if self.node.store().behind_snapshot(self.applied) > LOG {
+            self.compact(now, out);
+        }
+    }
+
+    fn apply_entry(&mut self, entry: &raft::eraftpb::Entry, out: &mut Vec<Action>) {
+        // A leader begins its term with an empty entry.
+        let Ok(entry) = postcard::from_bytes::<Entry>(entry.get_data()) else { return };
+        let Some((id, verdict)) = self.machine.apply(entry) else { return };
+        if let Some(at) = self.publishers.iter().position(|(n, _)| *n == id)
+            && let Some((_, who)) = self.publishers.remove(at)
+        {
+            out.push(Action::Say(who, Word::Published(id, verdict.clone())));
+        }
+        if let Verdict::PutForward(version) = verdict {
+            out.push(Action::Note(format!("rules: version {version} is put forward")));
+        }
+    }
+
+    fn apply_seats(&mut self, context: &[u8], change: &ConfChangeV2) {
+        let seats: Vec<(u64, Option<Seat>)> = postcard::from_bytes(context).unwrap_or_default();
+        for (id, seat) in seats {
+            match seat {
+                Some(seat) => drop(self.machine.seats.insert(id, seat)),
+                None => drop(self.machine.seats.remove(&id)),
+            }
+        }
+        if let Ok(conf) = self.node.apply_conf_change(change) {
+            self.node.mut_store().set_conf(conf);
+        }
+    }
+
+    /// Notes when what is under way was first seen here.
+    fn times(&mut self, now: Time) {
+        let pending = self.machine.pending();
+        if self.pending.map(|(v, _)| v) != pending {
+            self.pending = pending.map(|v| (v, now));
+        }
+        let closed = pending.filter(|_| self.machine.is_closed());
+        if self.closed.map(|(v, _)| v) != closed {
+            self.closed = closed.map(|v| (v, now));
+        }
+    }
+
+    fn compact(&mut self, now: Time, out: &mut Vec<Action>) {
+        let conf = self.node.store().conf().clone();
+        let snapshot = snapshot_of(&self.machine, self.applied, self.applied_term, conf);
+        let bytes = encoded(&snapshot);
+        let cut = self.node.mut_store().compact(snapshot);
+        // It goes with the next number that the engine gives; the same disk keeps the order.
+        let number = self.unwritten.back().map_or(self.written, |(n, _)| *n);
+        self.unwritten.push_back((number, now));
+        out.push(Action::Write(Write {
+            number,
+            snapshot: Some((self.applied, bytes)),
+            cut: Some(cut),
+            ..Write::default()
+        }));
+    }
+
+    fn begin_round(&mut self, now: Time) {
+        if self.waiting.is_empty() || self.rounds.len() >= ROUNDS || self.node.raft.leader_id == 0 {
+            return;
+        }
+        // One round at a time serves all that came meanwhile, unless it is lost.
+        if self.rounds.back().is_some_and(|r| r.index.is_none() && now < r.begun + self.terms.tick) {
+            return;
+        }
+        let number = self.next_round;
+        self.next_round += 1;
+        let asked = std::mem::take(&mut self.waiting);
+        self.rounds.push_back(Round { number, begun: now, index: None, asked });
+        let context = [self.seat.to_le_bytes(), number.to_le_bytes()].concat();
+        self.node.read_index(context);
+    }
+
+    fn confirmed(&mut self, context: &[u8], index: u64) {
+        let Some((seat, number)) = context.split_first_chunk::<8>() else { return };
+        let Ok(number) = number.try_into().map(u64::from_le_bytes) else { return };
+        if u64::from_le_bytes(*seat) != self.seat {
+            return;
+        }
+        // Rounds that began earlier asked earlier: what is confirmed for this one serves them as well.
+        for round in self.rounds.iter_mut().filter(|r| r.number <= number) {
+            round.index.get_or_insert(index);
+        }
+    }
+
+    /// Answers what has been confirmed, once this voter has applied as much as the leader had.
+    fn answer(&mut self, out: &mut Vec<Action>) {
+        let applied = self.applied;
+        let is_due = |r: &Round| r.index.is_some_and(|index| index <= applied);
+        if !self.rounds.iter().any(is_due) {
+            return;
+        }
+        let (standing, voters) = (self.standing(), self.voters());
+        let (due, rest): (VecDeque<Round>, VecDeque<Round>) =
+            std::mem::take(&mut self.rounds).into_iter().partition(is_due);
+        self.rounds = rest;
+        for asked in due.into_iter().flat_map(|r| r.asked) {
+            let Asked { from, origin, number } = asked;
+            let grant =
+                crate::words::Grant { number, origin, standing: standing.clone(), voters: voters.clone() };
+            out.push(Action::Say(from, Word::Grant(grant)));
+        }
+    }
+
+    /// Those that are told of news.
+    pub fn clients(&self) -> impl Iterator<Item = &String> {
+        self.clients.keys()
+    }
+
+    /// How the fleet stands, as known here.
+    pub fn status(&self, now: Time) -> Status {
+        let ago = |at: Time| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
+        let members = if self.leads() { self.members.iter().collect() } else { Vec::new() };
+        let seen = |(name, known): (&String, &Known)| Seen {
+            name: name.clone(),
+            ago_ms: ago(known.at),
+            report: known.report.clone(),
+        };
+        let line = |(version, r): (Version, &crate::machine::Record)| Line {
+            version,
+            digest: r.digest,
+            fate: r.fate.clone(),
+            contradicts: r.contradicts,
+            by: r.by.clone(),
+            why: r.why.clone(),
+        };
+        Status {
+            voter: self.name.clone(),
+            leader: self.leader(),
+            standing: self.standing(),
+            voters: self.voters(),
+            members: members.into_iter().map(seen).collect(),
+            history: self.machine.versions().map(line).collect(),
+        }
+    }
+}
+
+/// The number of a seat that was never given: the name and where the log stands decide it, so that a repeated wish
+/// is the same wish.
+pub fn fresh_seat(name: &str, index: u64) -> u64 {
+    let hash = blake3::hash(format!("{index} {name}").as_bytes());
+    let bytes: [u8; 8] = hash.as_bytes()[..8].try_into().expect("eight of thirty-two");
+    u64::from_le_bytes(bytes).max(1)
+}
--- a/crates/sandgap-fleet/src/members/tests.rs
+++ b/crates/sandgap-fleet/src/members/tests.rs
@@ -4,10 +4,12 @@
 
 use super::*;
 
+/// Arrival, number, receiver, bytes.
+type UnderWay = Reverse<(Time, u64, usize, Vec<u8>)>;
+
 struct Net {
     all: Vec<Members>,
-    /// Arrival, number, receiver, bytes.
-    under_way: BinaryHeap<Reverse<(Time, u64, usize, Vec<u8>)>>,
+    under_way: BinaryHeap<UnderWay>,
     sent: u64,
     now: Time,
     rng: fastrand::Rng,
--- /dev/null
+++ b/crates/sandgap-lab/src/agree/world.rs
@@ -0,0 +1,590 @@
+//! The world of one run: processes, their clocks and disks, the net, publishers.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use sandgap_agree::follower::Span;
+use sandgap_agree::log::{Saved, Write};
+use sandgap_agree::machine::{Proposal, Seat, Verdict};
+use sandgap_agree::rulebook::{Class, Effect, Limits, OnLapse, digest};
+use sandgap_agree::voter::fresh_seat;
+use sandgap_agree::words::Word;
+use sandgap_agree::{Agent, Digest, Output, Rulebook, Terms, Version};
+use sandgap_fleet::{Drift, Time};
+
+use super::faults::{Fault, draw};
+use super::judge::{Findings, Judge};
+use super::{Flaw, Setup};
+use crate::calendar::{Calendar, MS, Nanos, SECOND};
+use crate::streams::{Stream, stream};
+
+/// The publisher, among the senders of words.
+const HAND: &str = "hand";
+/// How long all has to be well again after the last fault: elections, a rebuilt disk, members that are missed.
+const HEALED: Nanos = 15 * SECOND;
+/// What a disk takes for a write.
+const DISK: std::ops::Range<Nanos> = 100_000..4 * MS;
+/// What a word takes.
+const WAY: std::ops::Range<Nanos> = 100_000..3 * MS;
+/// Between two looks at who is there; the daemon's is its membership's.
+const LOOK: Nanos = 500 * MS;
+
+enum Event {
+    /// A word arrives at a process.
+    Word {
+        to: usize,
+        from: String,
+        word: Word,
+    },
+    /// A process's timer.
+    Timer {
+        node: usize,
+        life: u32,
+    },
+    /// A disk has kept a write.
+    Kept {
+        node: usize,
+        life: u32,
+        write: Write,
+    },
+    Fault(Fault),
+    Wake(usize),
+    Start(usize, bool),
+    Publish,
+    Look,
+}
+
+struct Node {
+    name: String,
+    address: SocketAddr,
+    /// Of its clock to true time, and where it began.
+    rate: f64,
+    offset: Nanos,
+    agent: Option<Agent>,
+    life: u32,
+    /// Its timer is set for this local time.
+    armed: Option<Time>,
+    paused: bool,
+    waiting: VecDeque<Event>,
+    disk: Option<Saved>,
+    /// When the disk has done what it was told.
+    busy: Nanos,
+    stalled: Nanos,
+    /// The version that it can act on, since when, and until when at the most.
+    right: Option<(Version, Nanos, Nanos)>,
+    /// When it last held none, once it has held one.
+    without: Option<Nanos>,
+    unusable: BTreeSet<u32>,
+}
+
+impl Node {
+    fn local(&self, now: Nanos) -> Time {
+        Duration::from_nanos(self.offset + (now as f64 * self.rate) as Nanos)
+    }
+
+    /// The first true time at which its clock shows a local one.
+    fn shown(&self, local: Time) -> Nanos {
+        let span = (local.as_nanos() as u64).saturating_sub(self.offset);
+        (span as f64 / self.rate).ceil() as Nanos
+    }
+}
+
+/// See the module.
+pub struct World {
+    setup: Setup,
+    seed: u64,
+    nodes: Vec<Node>,
+    events: Calendar<Event>,
+    cut: BTreeSet<(usize, usize)>,
+    lost: f64,
+    doubled: f64,
+    late: Nanos,
+    rng: Stream,
+    judge: Judge,
+    found: Findings,
+    published: BTreeMap<u64, (Nanos, Digest)>,
+    /// Publications by version, until all have switched.
+    open: BTreeMap<Version, Nanos>,
+    drawn: u64,
+}
+
+fn book(attempts: u32, worth: f64) -> Rulebook {
+    let class = Class {
+        name: "page".into(),
+        effect: Effect::Safe,
+        aim_ms: 500.0,
+        deadline_ms: 1000.0,
+        worth,
+        on_lapse: OnLapse::Refuse,
+    };
+    let limits = Limits {
+        max_attempts: attempts,
+        over_share_worth: 0.2,
+        cross_zone: 0.0,
+        start_capacity: 0.3,
+        warm_ms: 1e4,
+        fall_multiple: 2.0,
+        fall_ms: 1e3,
+    };
+    Rulebook { classes: vec![class], tenants: vec![], backends: None, drained: BTreeSet::new(), limits }
+}
+
+impl World {
+    /// A world in which nothing has happened.
+    pub fn new(setup: Setup, seed: u64) -> Self {
+        let mut rng = stream(seed, "agree", 0);
+        let part = f64::from(setup.ppm) / 1e6 * if setup.flaw == Some(Flaw::Drift) { 60.0 } else { 1.0 };
+        let nodes = (0..setup.voters + setup.observers).map(|n| Node {
+            name: format!("p{n}"),
+            address: ([127, 0, 0, 1], n as u16 + 1).into(),
+            rate: 1.0 + part * rng.random_range(-1.0..=1.0),
+            offset: rng.random_range(0..1000 * SECOND),
+            agent: None,
+            life: 0,
+            armed: None,
+            paused: false,
+            waiting: VecDeque::new(),
+            disk: None,
+            busy: 0,
+            stalled: 0,
+            right: None,
+            without: None,
+            unusable: BTreeSet::new(),
+        });
+        let mut world = World {
+            nodes: nodes.collect(),
+            setup,
+            seed,
+            events: Calendar::default(),
+            cut: BTreeSet::new(),
+            lost: 0.0,
+            doubled: 0.0,
+            late: 0,
+            rng,
+            judge: Judge::default(),
+            found: Findings { runs: 1, bound: setup.bound.as_nanos() as Nanos, ..Findings::default() },
+            published: BTreeMap::new(),
+            open: BTreeMap::new(),
+            drawn: 0,
+        };
+        world.found_fleet();
+        world
+    }
+
+    fn found_fleet(&mut self) {
+        let seats: BTreeMap<u64, Seat> = (0..self.setup.voters)
+            .map(|n| {
+                let node = &self.nodes[n];
+                (fresh_seat(&node.name, 0), Seat { name: node.name.clone(), address: node.address })
+            })
+            .collect();
+        for n in 0..self.setup.voters {
+            self.nodes[n].disk = Some(Saved::founding(fresh_seat(&self.nodes[n].name, 0), &seats));
+        }
+        for n in 0..self.nodes.len() {
+            self.events.push(0, Event::Start(n, true));
+        }
+        for (at, fault) in draw(&self.setup, &mut stream(self.seed, "agree faults", 0)) {
+            self.events.push(at, Event::Fault(fault));
+        }
+        self.events.push(self.setup.faulty, Event::Fault(Fault::Heal));
+        // A leader switches nothing before it knows who is there.
+        self.events.push(3 * SECOND, Event::Publish);
+        self.events.push(LOOK, Event::Look);
+    }
+
+    /// Plays to the end.
+    pub fn play(mut self) -> Findings {
+        let end = self.setup.faulty + HEALED;
+        while let Some((at, event)) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.happen(event);
+        }
+        self.close(end)
+    }
+
+    fn now(&self) -> Nanos {
+        self.events.now()
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Word { to, from, word } => self.word(to, from, word),
+            Event::Timer { node, life } => self.timer(node, life),
+            Event::Kept { node, life, write } => self.kept(node, life, write),
+            Event::Fault(fault) => self.fault(fault),
+            Event::Wake(n) => self.wake(n),
+            Event::Start(n, disk) => self.start(n, disk),
+            Event::Publish => self.publish(),
+            Event::Look => self.look(),
+        }
+    }
+
+    fn terms(&self, node: usize) -> Terms {
+        let terms = self.setup.terms();
+        let span = |bound, drift| Span { bound, drift };
+        match self.setup.flaw {
+            Some(Flaw::LongLease) => {
+                Terms { span: span(self.setup.bound * 3 / 2, terms.span.drift), ..terms }
+            }
+            Some(Flaw::NoWait) if node < self.setup.voters => {
+                Terms { span: span(self.setup.bound, Drift::ppm(0)), apart: false, ..terms }
+            }
+            _ => terms,
+        }
+    }
+
+    fn start(&mut self, n: usize, with_disk: bool) {
+        let terms = self.terms(n);
+        let voters: Vec<(String, SocketAddr)> =
+            self.nodes[..self.setup.voters].iter().map(|v| (v.name.clone(), v.address)).collect();
+        let now = self.now();
+        let chance = self.rng.random();
+        let node = &mut self.nodes[n];
+        if node.agent.is_some() {
+            return;
+        }
+        node.life += 1;
+        (node.armed, node.paused, node.busy) = (None, false, now);
+        node.waiting.clear();
+        let local = node.local(now);
+        let mut agent = Agent::new(local, &node.name, terms, voters, chance);
+        if !with_disk && node.disk.is_some() {
+            let seat = chance.max(1);
+            node.disk = Some(Saved::blank(seat));
+            let _ = agent.rebuild(local, seat, node.address);
+        } else if let Some(saved) = &node.disk
+            && let Err(e) = agent.vote(local, saved)
+        {
+            self.judge.broken.push(format!("p{n} can't start from its disk: {e}"));
+        }
+        self.nodes[n].agent = Some(agent);
+        self.after(n);
+    }
+
+    fn timer(&mut self, n: usize, life: u32) {
+        if self.nodes[n].life != life {
+            return;
+        }
+        if self.nodes[n].paused {
+            self.nodes[n].waiting.push_back(Event::Timer { node: n, life });
+            return;
+        }
+        self.nodes[n].armed = None;
+        self.with(n, |agent, now| agent.fire(now));
+    }
+
+    fn word(&mut self, to: usize, from: String, word: Word) {
+        if self.nodes[to].paused {
+            self.nodes[to].waiting.push_back(Event::Word { to, from, word });
+            return;
+        }
+        self.with(to, |agent, now| agent.hear(now, &from, word));
+    }
+
+    fn kept(&mut self, n: usize, life: u32, write: Write) {
+        if self.nodes[n].life != life {
+            return; // lost with the process, before it was on the disk
+        }
+        let number = write.number;
+        if self.setup.flaw != Some(Flaw::Unsynced)
+            && let Some(disk) = &mut self.nodes[n].disk
+        {
+            disk.put(&write);
+        }
+        if self.nodes[n].paused {
+            // The disk goes on while the process stands still; it hears of it when it wakes.
+            self.nodes[n].waiting.push_back(Event::Kept {
+                node: n,
+                life,
+                write: Write { number, ..Write::default() },
+            });
+            return;
+        }
+        self.with(n, |agent, now| agent.written(now, number));
+    }
+
+    fn with(&mut self, n: usize, act: impl FnOnce(&mut Agent, Time)) {
+        let now = self.now();
+        let node = &mut self.nodes[n];
+        let local = node.local(now);
+        if let Some(agent) = &mut node.agent {
+            act(agent, local);
+            self.after(n);
+        }
+    }
+
+    /// Carries out what a process wants done, and notes what it can do now.
+    fn after(&mut self, n: usize) {
+        while let Some(output) = self.nodes[n].agent.as_mut().and_then(Agent::poll) {
+            self.carry_out(n, output);
+        }
+        self.rights(n);
+        let (now, node) = (self.now(), &mut self.nodes[n]);
+        let Some(due) = node.agent.as_ref().map(Agent::next_due) else { return };
+        if node.armed.is_none_or(|at| due < at) {
+            node.armed = Some(due);
+            let at = node.shown(due).max(now);
+            let life = node.life;
+            self.events.push(at, Event::Timer { node: n, life });
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, output: Output) {
+        match output {
+            Output::Say(to, _, word) => self.send(n, &to, word),
+            Output::Write(write) => self.write(n, write),
+            Output::Check(version, book) => {
+                let usable = match self.nodes[n].unusable.contains(&book.limits.max_attempts) {
+                    true => Err("this one can't".to_owned()),
+                    false => Ok(()),
+                };
+                let now = self.nodes[n].local(self.now());
+                if let Some(agent) = &mut self.nodes[n].agent {
+                    agent.checked(now, version, usable);
+                }
+            }
+            Output::Act(version, book) => {
+                let name = digest(&book.encode().unwrap_or_default());
+                self.judge.content(version, name, &book);
+            }
+            Output::Note(_) => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, word: Word) {
+        if let Word::Published(id, verdict) = &word {
+            return self.heard_back(*id, verdict);
+        }
+        let Some(to) = self.nodes.iter().position(|node| node.name == to) else { return };
+        self.found.words += 1;
+        self.found.bytes += word.encode().len() as u64;
+        if self.cut.contains(&(from, to)) || self.lost > 0.0 && self.rng.random_bool(self.lost) {
+            return;
+        }
+        let copies = if self.doubled > 0.0 && self.rng.random_bool(self.doubled) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = if self.late > 0 { self.rng.random_range(0..=self.late) } else { 0 };
+            let at = self.now() + self.rng.random_range(WAY) + late;
+            let from = self.nodes[from].name.clone();
+            self.events.push(at, Event::Word { to, from, word: word.clone() });
+        }
+    }
+
+    fn write(&mut self, n: usize, write: Write) {
+        let took = self.rng.random_range(DISK);
+        let (now, node) = (self.now(), &mut self.nodes[n]);
+        node.busy = node.busy.max(now).max(node.stalled) + took;
+        let (at, life) = (node.busy, node.life);
+        if self.setup.flaw == Some(Flaw::Unsynced) {
+            // It says so at once, and keeps it when it comes to it.
+            let number = write.number;
+            let told = Write { number, ..Write::default() };
+            self.events.push(now + 1, Event::Kept { node: n, life, write: told });
+            let late = self.rng.random_range(0..50 * MS);
+            if late < 25 * MS
+                && let Some(disk) = &mut self.nodes[n].disk
+            {
+                disk.put(&write);
+            }
+            return;
+        }
+        self.events.push(at, Event::Kept { node: n, life, write });
+    }
+
+    /// What a process can do from now on; what it could do until now is told to the judge.
+    fn rights(&mut self, n: usize) {
+        let now = self.now();
+        let node = &mut self.nodes[n];
+        let local = node.local(now);
+        let right = node.agent.as_ref().and_then(|a| a.take(local)).map(|t| (t.version, t.right.until()));
+        let right = right.map(|(version, until)| (version, node.shown(until)));
+        let before = node.right.take();
+        if let Some((version, from, until)) = before {
+            self.judge.acted(version, from, until.min(now));
+        }
+        let held_until = before.map_or(now, |(_, _, until)| until.min(now));
+        let node = &mut self.nodes[n];
+        if before.is_some() && held_until < now {
+            self.found.lapsed += now - held_until;
+        }
+        match right {
+            Some((version, until)) => {
+                if let Some(since) = node.without.take() {
+                    self.found.lapsed += now - since;
+                }
+                self.judge.acted(version, now, now);
+                self.nodes[n].right = Some((version, now, until));
+                self.switched(version);
+            }
+            None => {
+                if before.is_some() {
+                    node.without = Some(now);
+                }
+            }
+        }
+    }
+
+    /// Once all that run act on a version, its publication is over.
+    fn switched(&mut self, version: Version) {
+        let Some(at) = self.open.get(&version).copied() else { return };
+        let all = self.nodes.iter().all(|n| n.right.is_some_and(|(v, ..)| v >= version));
+        if all {
+            self.found.delays.push(self.now() - at);
+            self.open.retain(|v, _| *v > version);
+        }
+    }
+
+    fn publish(&mut self) {
+        let now = self.now();
+        if now > self.setup.faulty {
+            return;
+        }
+        let every = self.setup.publish;
+        self.events.push(now + self.rng.random_range(every / 2..every * 3 / 2), Event::Publish);
+        let voter = self.rng.random_range(0..self.setup.voters);
+        let Some(parent) =
+            self.nodes[voter].agent.as_ref().and_then(|a| a.voter()).map(|v| v.machine().standing())
+        else {
+            return;
+        };
+        self.drawn += 1;
+        // Two of three contradict what was before.
+        let attempts = if self.rng.random_range(0..3) == 0 { 1 } else { 1 + self.drawn as u32 };
+        if self.setup.faults && self.rng.random_range(0..8) == 0 {
+            let n = self.rng.random_range(0..self.nodes.len());
+            self.nodes[n].unusable.insert(attempts);
+        }
+        let Ok(book) = book(attempts, self.drawn as f64).encode() else { return };
+        let id = self.drawn;
+        self.published.insert(id, (now, digest(&book)));
+        let proposal = Proposal { id, parent, book, by: HAND.into(), why: String::new() };
+        let word = Word::Publish(proposal);
+        self.events.push(now + MS, Event::Word { to: voter, from: HAND.into(), word });
+    }
+
+    fn heard_back(&mut self, id: u64, verdict: &Verdict) {
+        let Some((at, name)) = self.published.get(&id).copied() else { return };
+        if let Verdict::PutForward(version) = verdict {
+            self.judge.acknowledged(*version, name);
+            self.open.insert(*version, at);
+        }
+    }
+
+    fn look(&mut self) {
+        self.events.push(self.now() + LOOK, Event::Look);
+        let up: Vec<String> =
+            self.nodes.iter().filter(|n| n.agent.is_some() && !n.paused).map(|n| n.name.clone()).collect();
+        for node in &mut self.nodes {
+            let others = up.iter().filter(|name| **name != node.name).cloned().collect();
+            if let Some(agent) = &mut node.agent {
+                agent.present(others);
+            }
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        let now = self.now();
+        match fault {
+            Fault::Cut(pairs) => self.cut = pairs.into_iter().collect(),
+            Fault::Heal => {
+                self.cut.clear();
+                (self.lost, self.doubled, self.late) = (0.0, 0.0, 0);
+            }
+            Fault::Weather(lost, doubled, late) => {
+                (self.lost, self.doubled, self.late) = (lost, doubled, late)
+            }
+            Fault::Pause(n, span) if !self.nodes[n].paused && self.nodes[n].agent.is_some() => {
+                self.nodes[n].paused = true;
+                self.events.push(now + span, Event::Wake(n));
+            }
+            Fault::Kill(n, span) => self.kill(n, now + span, true),
+            Fault::Disk(n, span) => self.kill(n, now + span, false),
+            Fault::Stall(n, span) => self.nodes[n].stalled = now + span,
+            Fault::Pause(..) => {}
+        }
+    }
+
+    fn kill(&mut self, n: usize, back: Nanos, with_disk: bool) {
+        if self.nodes[n].agent.take().is_none() {
+            return;
+        }
+        self.rights(n);
+        let node = &mut self.nodes[n];
+        node.life += 1;
+        (node.paused, node.without) = (false, None);
+        node.waiting.clear();
+        self.events.push(back, Event::Start(n, with_disk));
+    }
+
+    fn wake(&mut self, n: usize) {
+        if !std::mem::take(&mut self.nodes[n].paused) {
+            return;
+        }
+        for event in std::mem::take(&mut self.nodes[n].waiting) {
+            self.happen(event);
+        }
+    }
+
+    fn close(mut self, end: Nanos) -> Findings {
+        for n in 0..self.nodes.len() {
+            self.rights(n);
+        }
+        let (longest, which) = self.judge.longest();
+        self.found.longest = longest;
+        let bound = self.setup.bound.as_nanos() as Nanos;
+        let allowed = if self.setup.apart { 0 } else { bound };
+        if longest > allowed {
+            let (v, w) = which.unwrap_or_default();
+            let text = format!("versions {v} and {w} could be acted on together for {longest} ns");
+            self.judge.broken.push(text);
+        }
+        self.recovered();
+        let seed = self.seed;
+        self.found.broken = std::mem::take(&mut self.judge.broken).into_iter().map(|b| (seed, b)).collect();
+        self.found.switches = self.judge.switches();
+        self.found.lived = end * self.nodes.len() as u64;
+        self.found.time = end;
+        self.found
+    }
+
+    /// Once all is healed, every proxy acts on the version in force, and every voter has what was acknowledged.
+    fn recovered(&mut self) {
+        let voters: Vec<&Agent> = self.nodes.iter().filter_map(|n| n.agent.as_ref()).collect();
+        let standing =
+            voters.iter().filter_map(|a| a.voter()).map(|v| v.machine().standing()).max().unwrap_or(0);
+        let mut wrong = Vec::new();
+        for (n, node) in self.nodes.iter().enumerate() {
+            let Some(agent) = &node.agent else {
+                wrong.push(format!("p{n} is not up"));
+                continue;
+            };
+            // One that can't use the version in force rightly acts on nothing.
+            let usable = agent.follower().unusable().is_none();
+            if usable && node.right.is_none_or(|(v, ..)| v != standing) {
+                let acting = agent.follower().acting();
+                let lease = node.right.is_some();
+                wrong.push(format!(
+                    "p{n} acts on {acting} (lease: {lease}), {standing} is in force, long after"
+                ));
+            }
+            if n < self.setup.voters {
+                let Some(voter) = agent.voter() else {
+                    wrong.push(format!("p{n} votes no more"));
+                    continue;
+                };
+                for (version, record) in voter.machine().versions() {
+                    self.judge.known(version, record.digest, &node.name);
+                }
+            }
+        }
+        if standing == 0 {
+            wrong.push("no version ever came into force".into());
+        }
+        self.judge.broken.extend(wrong);
+    }
+}
--- a/crates/sandgap-lab/src/lib.rs
+++ b/crates/sandgap-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! The same file and seed give the same output, bit for bit: no clock, thread or hash order is part of a result.
 //! Runs of several seeds go side by side; one run is one thread.
 
+pub mod agree;
 pub mod calendar;
 pub mod checks;
 pub mod cost;
--- a/crates/sandgap-lab/src/main.rs
+++ b/crates/sandgap-lab/src/main.rs
@@ -10,7 +10,7 @@
 use sandgap_lab::fleet::Plan;
 use sandgap_lab::rivals::PolicyKind;
 use sandgap_lab::run::MEASURES;
-use sandgap_lab::{checks, cost, hunt, limiters, report, run};
+use sandgap_lab::{agree, checks, cost, hunt, limiters, report, run};
 
 /// A file or a call that is wrong.
 const WRONG: u8 = 2;
@@ -111,6 +111,36 @@
         #[arg(long)]
         spread: bool,
     },
+    /// Plays agreed rules under faults; exits 1 where proxies could contradict each other for longer than stated
+    Agree {
+        /// How many seeds
+        #[arg(long, default_value_t = 200)]
+        seeds: u64,
+        /// The first of them
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// Voters
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..=9))]
+        voters: u16,
+        /// Other proxies
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(0..=1000))]
+        observers: u16,
+        /// The stated time, ms
+        #[arg(long, default_value_t = 1000, value_parser = clap::value_parser!(u64).range(100..=60_000))]
+        bound_ms: u64,
+        /// The stated drift, ppm
+        #[arg(long, default_value_t = 1000)]
+        ppm: u32,
+        /// Contradicting versions are kept apart by waiting
+        #[arg(long)]
+        apart: bool,
+        /// Nothing goes wrong
+        #[arg(long)]
+        calm: bool,
+        /// Something wrong by intent
+        #[arg(long, value_enum)]
+        flaw: Option<agree::Flaw>,
+    },
     /// Measures how fast the laboratory itself is
     Speed,
 }
@@ -243,6 +273,23 @@
             limiters::compare(seed, spread).iter().for_each(|f| println!("{f}"));
             Ok(true)
         }
+        Command::Agree { seeds, from, voters, observers, bound_ms, ppm, apart, calm, flaw } => {
+            let (voters, observers) = (voters.into(), observers.into());
+            let bound = std::time::Duration::from_millis(bound_ms);
+            let setup = agree::Setup {
+                voters,
+                observers,
+                bound,
+                ppm,
+                apart,
+                faults: !calm,
+                flaw,
+                ..Default::default()
+            };
+            let found = agree::hunt(&setup, from..from.saturating_add(seeds));
+            println!("{found}");
+            Ok(found.broken.is_empty())
+        }
         Command::Speed => {
             print!("{}", checks::speed().map_err(|e| e.to_string())?);
             Ok(true)
