--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -115,22 +115,14 @@
         }
     }
 
-    /// Makes this proxy a voter that goes on from what its disk had.
+    /// Makes this proxy a voter that goes on from what its disk had. From a blank store, see [`Saved::blank`], it takes
+    /// no part until the others have given it the seat in place of its lost one; `address` is where it is reached.
     ///
     /// # Errors
-    /// Where that is damaged.
-    pub fn vote(&mut self, now: Time, saved: &Saved) -> Result<(), Damaged> {
+    /// Where what the disk had is damaged.
+    pub fn vote(&mut self, now: Time, saved: &Saved, address: SocketAddr) -> Result<(), Damaged> {
         self.voter = Some(Voter::new(now, &self.name, self.terms, saved, self.draw)?);
-        Ok(())
-    }
-
-    /// Makes this proxy a voter that has lost its disk: it takes no part until the others have given it a new seat.
-    ///
-    /// # Errors
-    /// Never in practice; a blank seat is whole.
-    pub fn rebuild(&mut self, now: Time, seat: u64, address: SocketAddr) -> Result<(), Damaged> {
-        self.vote(now, &Saved::blank(seat))?;
-        self.rebuild = Some((address, now));
+        self.rebuild = saved.snapshot.is_none().then_some((address, now));
         Ok(())
     }
 
--- a/crates/sandgap-agree/src/voter.rs
+++ b/crates/sandgap-agree/src/voter.rs
@@ -10,7 +10,7 @@
 use raft::eraftpb::{
     ConfChangeSingle, ConfChangeType, ConfChangeV2, EntryType, Message, MessageType, Snapshot,
 };
-use raft::{Config, RawNode, StateRole};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole};
 use sandgap_fleet::Time;
 
 use crate::agent::Terms;
@@ -24,6 +24,8 @@
 const ELECTION: usize = 10;
 /// Ticks between a leader's heartbeats.
 const HEARTBEAT: usize = 2;
+/// Ticks after which a snapshot counts as lost, if nothing was heard of the voter's having it.
+const SNAPSHOT: u64 = 3 * ELECTION as u64;
 /// Ticks after which a leader's word about a version is said again, if it has not taken effect.
 const AGAIN: u64 = 10;
 /// Bytes of entries in one message between voters; one larger entry still goes.
@@ -89,6 +91,8 @@
     /// Of a leader: how each proxy stands.
     members: BTreeMap<String, Known>,
     leading: Option<Time>,
+    /// Voters to which a snapshot is on its way, and the tick at which that was first seen.
+    snapshots: BTreeMap<u64, u64>,
     /// When a version was first seen put forward, and closed.
     pending: Option<(Version, Time)>,
     closed: Option<(Version, Time)>,
@@ -100,6 +104,8 @@
     /// A message each that may go once a write is acknowledged.
     held: VecDeque<(u64, Vec<Message>)>,
     written: u64,
+    /// A snapshot that the disk does not have yet: the write's number, and the index up to which it goes.
+    installing: Option<(u64, u64)>,
     /// The disk has failed for good: this voter takes no part until it is started anew.
     halted: bool,
 }
@@ -156,6 +162,7 @@
             reports: BTreeMap::new(),
             members: BTreeMap::new(),
             leading: None,
+            snapshots: BTreeMap::new(),
             pending: None,
             closed: None,
             proposed: 0,
@@ -163,6 +170,7 @@
             unwritten: VecDeque::new(),
             held: VecDeque::new(),
             written: 0,
+            installing: None,
             halted: false,
         };
         voter.draw();
@@ -268,9 +276,11 @@
             if self.leads() {
                 self.hand_over();
             }
-        } else {
+        } else if self.installing.is_none() {
+            // In between, the engine has neither the entries before the snapshot nor those after it to campaign with.
             self.node.tick();
         }
+        self.give_up_snapshots();
         self.forget(now);
         self.decide(now);
         self.report(out);
@@ -286,6 +296,24 @@
         self.rounds.retain(|round| !old(round.begun, bound));
     }
 
+    /// A snapshot whose answer was lost would keep its voter waiting for ever: the engine leaves that to its caller.
+    fn give_up_snapshots(&mut self) {
+        let prs = self.node.raft.prs();
+        let under_way = |id: u64| prs.get(id).is_some_and(|p| p.state == ProgressState::Snapshot);
+        self.snapshots.retain(|id, _| under_way(*id));
+        for (id, progress) in prs.iter() {
+            if progress.state == ProgressState::Snapshot {
+                self.snapshots.entry(*id).or_insert(self.ticks);
+            }
+        }
+        let lost: Vec<u64> =
+            self.snapshots.iter().filter(|(_, at)| self.ticks > **at + SNAPSHOT).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.snapshots.remove(&id);
+            self.node.report_snapshot(id, SnapshotStatus::Failure);
+        }
+    }
+
     /// Passes reports on to the leader.
     fn report(&mut self, out: &mut Vec<Action>) {
         let Some(leader) = self.leader().filter(|l| *l != self.name) else { return };
@@ -304,7 +332,9 @@
             self.routes.insert(message.from, from.to_owned());
         }
         // What a stalled disk can't keep is not taken in: its sender sends it again.
-        if !self.stalls(now) || message.get_msg_type() == MessageType::MsgHeartbeat {
+        let kind = message.get_msg_type();
+        let may_lead = kind != MessageType::MsgTimeoutNow || self.installing.is_none();
+        if may_lead && (!self.stalls(now) || kind == MessageType::MsgHeartbeat) {
             let _ = self.node.step(message); // a message that does not fit is dropped, as if lost
         }
         self.settle(now, out);
@@ -485,6 +515,12 @@
         self.unwritten.retain(|(n, _)| *n > number);
         self.written = self.written.max(number);
         self.node.on_persist_ready(number);
+        if let Some((_, index)) = self.installing.take_if(|(n, _)| *n <= number) {
+            self.node.advance_apply_to(index);
+            if self.applied > index {
+                self.node.advance_apply_to(self.applied);
+            }
+        }
         while let Some((_, messages)) = self.held.pop_front_if(|(n, _)| *n <= number) {
             self.say_all(messages, out);
         }
@@ -573,6 +609,7 @@
         (self.applied, self.applied_term) = (index, term);
         write.snapshot = Some((index, encoded(&snapshot)));
         write.cut = Some(index);
+        self.installing = Some((write.number, index));
         self.node.mut_store().install(snapshot);
         out.push(Action::Standing);
     }
@@ -582,6 +619,7 @@
             return;
         }
         let before = self.standing();
+        let mut seats = false;
         for entry in committed {
             (self.applied, self.applied_term) = (entry.index, entry.term);
             match entry.get_entry_type() {
@@ -591,17 +629,21 @@
                     let change: ConfChangeV2 = decoded(entry.get_data()).unwrap_or_default();
                     let context = change.get_context().to_vec();
                     self.apply_seats(&context, &change);
+                    seats = true;
                 }
             }
         }
-        self.node.advance_apply_to(self.applied);
+        if self.installing.is_none() {
+            self.node.advance_apply_to(self.applied);
+        }
         self.times(now);
         let after = self.standing();
         if (after.version, after.closed, &after.pending) != (before.version, before.closed, &before.pending) {
             self.proposed = 0;
             out.push(Action::Standing);
         }
-        if self.node.store().behind_snapshot(self.applied) > LOG {
+        // A new voter is brought up by a snapshot, which has to know its seat.
+        if seats || self.node.store().behind_snapshot(self.applied) > LOG {
             self.compact(now, out);
         }
     }
--- a/crates/sandgap-lab/src/agree/world.rs
+++ b/crates/sandgap-lab/src/agree/world.rs
@@ -192,6 +192,8 @@
         self.events.push(self.setup.faulty, Event::Fault(Fault::Heal));
         // A leader switches nothing before it knows who is there.
         self.events.push(3 * SECOND, Event::Publish);
+        // The last one finds all healed, and has to come into force.
+        self.events.push(self.setup.faulty + HEALED / 2, Event::Publish);
         self.events.push(LOOK, Event::Look);
     }
 
@@ -254,11 +256,10 @@
         let local = node.local(now);
         let mut agent = Agent::new(local, &node.name, terms, voters, chance);
         if !with_disk && node.disk.is_some() {
-            let seat = chance.max(1);
-            node.disk = Some(Saved::blank(seat));
-            let _ = agent.rebuild(local, seat, node.address);
-        } else if let Some(saved) = &node.disk
-            && let Err(e) = agent.vote(local, saved)
+            node.disk = Some(Saved::blank(chance.max(1)));
+        }
+        if let Some(saved) = &node.disk
+            && let Err(e) = agent.vote(local, saved, node.address)
         {
             self.judge.broken.push(format!("p{n} can't start from its disk: {e}"));
         }
@@ -441,11 +442,12 @@
 
     fn publish(&mut self) {
         let now = self.now();
-        if now > self.setup.faulty {
-            return;
-        }
         let every = self.setup.publish;
-        self.events.push(now + self.rng.random_range(every / 2..every * 3 / 2), Event::Publish);
+        let faulty = now < self.setup.faulty;
+        let next = now + self.rng.random_range(every / 2..every * 3 / 2);
+        if next < self.setup.faulty {
+            self.events.push(next, Event::Publish);
+        }
         let voter = self.rng.random_range(0..self.setup.voters);
         let Some(parent) =
             self.nodes[voter].agent.as_ref().and_then(|a| a.voter()).map(|v| v.machine().standing())
@@ -454,8 +456,8 @@
         };
         self.drawn += 1;
         // Two of three contradict what was before.
-        let attempts = if self.rng.random_range(0..3) == 0 { 1 } else { 1 + self.drawn as u32 };
-        if self.setup.faults && self.rng.random_range(0..8) == 0 {
+        let attempts = if faulty && self.rng.random_range(0..3) == 0 { 1 } else { 1 + self.drawn as u32 };
+        if self.setup.faults && faulty && self.rng.random_range(0..8) == 0 {
             let n = self.rng.random_range(0..self.nodes.len());
             self.nodes[n].unusable.insert(attempts);
         }
@@ -577,13 +579,18 @@
                     wrong.push(format!("p{n} votes no more"));
                     continue;
                 };
+                if voter.machine().standing() != standing || !voter.is_seated() {
+                    wrong.push(format!("p{n} votes, but has not been brought up to {standing}"));
+                }
                 for (version, record) in voter.machine().versions() {
                     self.judge.known(version, record.digest, &node.name);
                 }
             }
         }
-        if standing == 0 {
-            wrong.push("no version ever came into force".into());
+        let last = self.published.last_key_value().map(|(_, (_, name))| *name);
+        let stands = voters.iter().filter_map(|a| a.voter()).any(|v| Some(v.standing().digest) == last);
+        if !stands {
+            wrong.push("what was published after all had healed never came into force".into());
         }
         self.judge.broken.extend(wrong);
     }
