Take requests by agreed rules: [fleet] settings, the shell, and sandgap fleet by hand

Change: [fleet], [[voter]], [[way]] and on_lapse in the settings; the front takes a request only under a live lease (or by a class that serves without), the driver asks again before each attempt and the first byte's gate once more; drains by hand lie over a list from discovery. Off unless [fleet] listen is set: then nothing of this is made.

--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -378,6 +378,11 @@
         self.fire(now);
     }
 
+    /// A version that was to be acted on can't be after all.
+    pub fn cannot_act(&mut self, version: Version, why: &str) {
+        self.follower.cannot_act(version, why);
+    }
+
     /// The disk has kept all writes up to a number.
     pub fn written(&mut self, now: Time, number: u64) {
         self.with_voter(|v, out| v.written(now, number, out));
--- a/crates/sandgap-agree/src/follower.rs
+++ b/crates/sandgap-agree/src/follower.rs
@@ -163,6 +163,18 @@
         self.next(now)
     }
 
+    /// A version could not be put in force after all: this proxy acts on nothing until another stands.
+    pub fn cannot_act(&mut self, version: Version, why: &str) {
+        if let Some(held) = self.held.get_mut(&version) {
+            held.usable = Some(Err(why.to_owned()));
+        }
+        if self.acting == version {
+            self.acting = 0;
+            self.lease.give_back();
+            self.unusable = Some(why.to_owned());
+        }
+    }
+
     /// What is to be done about what is known: books that are missing, a version to act on.
     fn next(&mut self, now: Time) -> Vec<Step> {
         let missing: Vec<Step> =
--- a/crates/sandgap-agree/src/log.rs
+++ b/crates/sandgap-agree/src/log.rs
@@ -10,6 +10,9 @@
 use crate::limits::LAG;
 use crate::machine::{Machine, Seat};
 
+/// Room between what one voter has and whatever a lost majority may have agreed on beyond it.
+const GAP: u64 = 1_000_000;
+
 /// What a disk has to keep, in this order, before [`crate::Agent::written`] tells its number.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Write {
@@ -55,6 +58,30 @@
         Saved { seat, ..Saved::default() }
     }
 
+    /// What this voter's disk has as the store of a fleet whose only voter it is: the last resort after a majority is
+    /// lost for good. What the lost ones had agreed on since is forgotten; if one of them comes back, two fleets may
+    /// contradict each other without end.
+    ///
+    /// # Errors
+    /// Where the store is damaged, or has no seat among the voters.
+    pub fn alone(&self) -> Result<Saved, Damaged> {
+        let (log, mut machine) = Log::load(self)?;
+        let seat = machine.seats.get(&self.seat).cloned().ok_or(Damaged("it has no seat among the voters"))?;
+        let from = self.snapshot.as_ref().map_or(0, |(index, _)| *index);
+        // What stands at the end may have been agreed on by others that are lost: it counts.
+        for entry in log.entries.iter().filter(|e| e.index > from) {
+            if let Ok(entry) = postcard::from_bytes(entry.get_data()) {
+                machine.apply(entry);
+            }
+        }
+        machine.seats = BTreeMap::from([(self.seat, seat)]);
+        machine.skip(GAP);
+        let term = log.entries.back().map_or(log.before.1, |e| e.term).max(log.hard.term);
+        let (index, term) = (log.last() + GAP, term + GAP);
+        let snapshot = snapshot_of(&machine, index, term, conf(&machine.seats));
+        Ok(Saved { seat: self.seat, snapshot: Some((index, encoded(&snapshot))), ..Saved::default() })
+    }
+
     /// Puts a write on top, as a disk does.
     pub fn put(&mut self, write: &Write) {
         if let Some(hard) = &write.hard {
@@ -305,6 +332,17 @@
         assert!(Log::load(&saved).is_err(), "a gap behind the snapshot");
     }
 
+    #[test]
+    fn a_voter_left_alone_goes_on_from_what_it_has() {
+        let mut saved = Saved::founding(2, &seats());
+        saved.put(&Write { entries: vec![entry(2, 5), entry(3, 5)], ..Write::default() });
+        let (log, machine) = Log::load(&saved.alone().expect("sound")).expect("sound");
+        assert_eq!(log.conf().get_voters(), [2]);
+        assert_eq!(machine.seats.len(), 1);
+        assert!(log.last() > 3 + GAP / 2 && log.term(log.last()).expect("there") > 5);
+        assert!(Saved::blank(9).alone().is_err());
+    }
+
     #[test]
     fn missing_and_broken_pieces_are_found() {
         let mut saved = Saved::founding(1, &seats());
--- a/crates/sandgap-agree/src/machine.rs
+++ b/crates/sandgap-agree/src/machine.rs
@@ -124,6 +124,11 @@
         Machine { seats, ..Machine::default() }
     }
 
+    /// Leaves room for numbers that a lost majority may have given since.
+    pub(crate) fn skip(&mut self, numbers: Version) {
+        self.last += numbers;
+    }
+
     /// The version in force; 0 before the first.
     pub fn standing(&self) -> Version {
         self.standing
--- a/crates/sandgap-agree/src/voter.rs
+++ b/crates/sandgap-agree/src/voter.rs
@@ -28,6 +28,8 @@
 const SNAPSHOT: u64 = 3 * ELECTION as u64;
 /// Ticks after which a leader's word about a version is said again, if it has not taken effect.
 const AGAIN: u64 = 10;
+/// Processes of other voters whose rounds are remembered: each voter's last dozen.
+const LIVES: usize = 64;
 /// Bytes of entries in one message between voters; one larger entry still goes.
 const MESSAGE: u64 = 256 << 10;
 
@@ -84,6 +86,10 @@
     waiting: Vec<Asked>,
     rounds: VecDeque<Round>,
     next_round: u64,
+    /// Tells this process's rounds from those of the one before.
+    life: u64,
+    /// Of a leader: the latest round of each process of another voter that asked here.
+    rounds_heard: VecDeque<((u64, u64), u64)>,
     /// When each proxy asked here last: those are told of news.
     clients: BTreeMap<String, Time>,
     /// Reports on their way to the leader.
@@ -122,6 +128,12 @@
     x ^ (x >> 31)
 }
 
+/// Whose round a context is, by seat and life, and its number.
+fn round_of(context: &[u8]) -> Option<((u64, u64), u64)> {
+    let mut parts = context.chunks_exact(8).filter_map(|c| c.try_into().ok().map(u64::from_le_bytes));
+    Some(((parts.next()?, parts.next()?), parts.next()?))
+}
+
 impl Voter {
     /// A voter that goes on from what its disk had. `seed` is drawn anew at each start.
     ///
@@ -157,7 +169,9 @@
             routes: BTreeMap::new(),
             waiting: Vec::new(),
             rounds: VecDeque::new(),
-            next_round: mix(seed) >> 8,
+            next_round: 1,
+            life: mix(seed),
+            rounds_heard: VecDeque::new(),
             clients: BTreeMap::new(),
             reports: BTreeMap::new(),
             members: BTreeMap::new(),
@@ -334,12 +348,33 @@
         // What a stalled disk can't keep is not taken in: its sender sends it again.
         let kind = message.get_msg_type();
         let may_lead = kind != MessageType::MsgTimeoutNow || self.installing.is_none();
+        if kind == MessageType::MsgReadIndex && !self.is_new_round(&message) {
+            return;
+        }
         if may_lead && (!self.stalls(now) || kind == MessageType::MsgHeartbeat) {
             let _ = self.node.step(message); // a message that does not fit is dropped, as if lost
         }
         self.settle(now, out);
     }
 
+    /// Whether another voter's round comes here for the first time. One that came twice would stand in the engine's
+    /// queue behind rounds that began later, and old answers to it would confirm those as well.
+    fn is_new_round(&mut self, message: &Message) -> bool {
+        let context = message.get_entries().first().map(|e| e.get_data());
+        let Some((who, number)) = context.and_then(round_of) else { return false };
+        match self.rounds_heard.iter_mut().find(|(w, _)| *w == who) {
+            Some((_, last)) if number <= *last => return false,
+            Some((_, last)) => *last = number,
+            None => {
+                if self.rounds_heard.len() == LIVES {
+                    self.rounds_heard.pop_front();
+                }
+                self.rounds_heard.push_back((who, number));
+            }
+        }
+        true
+    }
+
     /// A question for a lease.
     pub fn ask(
         &mut self, now: Time, from: &str, origin: Option<String>, number: u64, report: Report,
@@ -715,18 +750,17 @@
         self.next_round += 1;
         let asked = std::mem::take(&mut self.waiting);
         self.rounds.push_back(Round { number, begun: now, index: None, asked });
-        let context = [self.seat.to_le_bytes(), number.to_le_bytes()].concat();
+        let context = [self.seat, self.life, number].map(u64::to_le_bytes).concat();
         self.node.read_index(context);
     }
 
     fn confirmed(&mut self, context: &[u8], index: u64) {
-        let Some((seat, number)) = context.split_first_chunk::<8>() else { return };
-        let Ok(number) = number.try_into().map(u64::from_le_bytes) else { return };
-        if u64::from_le_bytes(*seat) != self.seat {
-            return;
-        }
+        // An answer to the process before this one says nothing of questions that came to this one.
+        let Some(number) = round_of(context).filter(|(who, _)| *who == (self.seat, self.life)) else { return };
+        let number = number.1;
+        let Some(at) = self.rounds.iter().position(|r| r.number == number) else { return };
         // Rounds that began earlier asked earlier: what is confirmed for this one serves them as well.
-        for round in self.rounds.iter_mut().filter(|r| r.number <= number) {
+        for round in self.rounds.iter_mut().take(at + 1) {
             round.index.get_or_insert(index);
         }
     }
--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -46,6 +46,10 @@
     fn attempt(&mut self, held: &Self::Held, attempt: Attempt);
     /// Gives a request its one final answer.
     fn answer(&mut self, held: &mut Self::Held, request: RequestId, answer: Answer<Self::Reply>);
+    /// Whether an attempt may begin now; asked at each. A request for which it may not is given up at once.
+    fn may_send(&self, _held: &Self::Held) -> bool {
+        true
+    }
     /// Whether a request can't be sent again, as a part of it has gone out and is kept nowhere.
     fn is_spent(&self, _held: &Self::Held) -> bool {
         false
@@ -151,6 +155,8 @@
     moot: VecDeque<(RequestId, u32)>,
     /// Uploads that have begun, to be told after the actions in hand.
     begun: Vec<RequestId>,
+    /// Requests that may not be sent any more, to be given up after the actions in hand.
+    unsent: Vec<RequestId>,
 }
 
 impl<D: Decide, O: Outside> Core<D, O> {
@@ -169,6 +175,7 @@
             now: Time::ZERO,
             moot: VecDeque::new(),
             begun: Vec::new(),
+            unsent: Vec::new(),
         }
     }
 
@@ -335,6 +342,15 @@
         true
     }
 
+    /// Answers a request that may not be sent any more: refused, if nothing was ever sent.
+    fn give_up(&mut self, now: Time, id: RequestId) {
+        let first = self.live.get(&id).is_some_and(|l| l.attempts <= 1);
+        let answer = if first { Answer::Refused(None) } else { Answer::Failed };
+        if self.close(id, |outside, held| outside.answer(held, id, answer)) {
+            self.handle(now, Event::Abandoned(id));
+        }
+    }
+
     fn forget(&mut self, id: RequestId) {
         if self.live.get(&id).is_some_and(|l| !l.open && l.out == 0) {
             self.live.remove(&id);
@@ -391,6 +407,9 @@
         while let Some(id) = self.begun.pop() {
             self.handle(now, Event::Uploading(id));
         }
+        while let Some(id) = self.unsent.pop() {
+            self.give_up(now, id);
+        }
         while let Some((request, attempt)) = self.moot.pop_front() {
             self.ended(now, request, attempt, 0.0, Outcome::Moot, None);
         }
@@ -421,6 +440,10 @@
         let number = live.attempts;
         live.attempts += 1;
         live.out += 1;
+        if !self.outside.may_send(&live.held) {
+            self.unsent.push(request);
+            return self.moot.push_back((request, number));
+        }
         let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.open && e.is_open()) else {
             return self.moot.push_back((request, number));
         };
--- a/crates/sandgap/src/config.rs
+++ b/crates/sandgap/src/config.rs
@@ -1,9 +1,14 @@
 //! What a proxy is told at its start, checked: one type, whichever file it came from. [`crate::platform`] and
 //! [`crate::settings`] read the two kinds of file, [`crate::load`] tells them apart.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use hyper::header::HeaderName;
+use sandgap_agree::Terms;
+use sandgap_agree::rulebook::OnLapse;
+use sandgap_fleet::frame::Key;
 use serde_json::Value;
 use wharfhitch::Settings;
 use wharfhitch::settings::{Connections, Names};
@@ -33,6 +38,38 @@
     Fixed(Vec<Host>),
 }
 
+/// A fleet of proxies that agree on their rules.
+#[derive(Clone)]
+pub struct Fleet {
+    /// This proxy's name among them.
+    pub name: String,
+    /// Where it stands.
+    pub zone: Option<String>,
+    /// Where other proxies reach it.
+    pub listen: SocketAddr,
+    /// The key that all share.
+    pub key: Key,
+    /// The stated time and what follows from it.
+    pub terms: Terms,
+    /// The voters at the start, by name.
+    pub voters: Vec<(String, SocketAddr)>,
+    /// Where others are dialled from here, if not where they say that they are.
+    pub ways: BTreeMap<String, SocketAddr>,
+    /// A voter's store.
+    pub store: Option<PathBuf>,
+    /// Where the version acted on is kept for the next start.
+    pub keep: Option<PathBuf>,
+    /// The header that tells backends the version.
+    pub header: Option<HeaderName>,
+}
+
+impl Fleet {
+    /// Whether this proxy is one of the voters that the settings name.
+    pub fn votes(&self) -> bool {
+        self.voters.iter().any(|(name, _)| *name == self.name)
+    }
+}
+
 /// All that the parts of the proxy need to know.
 pub struct Config {
     /// Its name, the same after a restart.
@@ -65,6 +102,10 @@
     pub shape: Value,
     /// Where metrics are written, if anywhere.
     pub metrics: Option<PathBuf>,
+    /// By class, what is done without a lease on the rules.
+    pub on_lapse: Vec<OnLapse>,
+    /// The fleet with which this proxy agrees on its rules, if any.
+    pub fleet: Option<Fleet>,
 }
 
 /// Requests that may be held unanswered with so many descriptors.
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::front::Frontend;
 use crate::generation::Generations;
 use crate::handover::{self, Taken, Upgrade};
+use crate::rules::{self, Rules};
 use crate::serving::Serving;
 use crate::upstream::Upstreams;
 use crate::{admin, body, change, discovery, front, load, note, peers};
@@ -45,6 +46,8 @@
     inbox: Inbox,
     front: Rc<Frontend>,
     upstreams: Rc<Upstreams>,
+    /// Rules are the fleet's to change, and no file's.
+    agreed: bool,
 }
 
 /// What stays as it was at the start.
@@ -88,6 +91,11 @@
         if matches!(config.source, Source::Discovery(_)) != self.discovery.is_some() {
             return Err("a change between discovery and a fixed list needs a new start".into());
         }
+        if self.agreed {
+            note!("the fleet agrees on rules: 'sandgap fleet publish' changes them; of the file connections' times count");
+            self.upstreams.change(&config.connections);
+            return Ok(());
+        }
         let change = self.front.change(&config.settings, &config.names)?;
         if Fixed::of(&config) != self.fixed {
             note!(warn: "listen, limits, number, zone, discovery's way, weights and peers need a new start; they stay");
@@ -173,6 +181,7 @@
         serving: serving.clone(),
         remembered: known_only.clone(),
     };
+    let (fleet, base) = (config.fleet, config.settings.clone());
     let generations = Generations::new(&config.settings, &config.names);
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
@@ -197,20 +206,34 @@
     let front =
         front::Frontend::new(inbox.clone(), generations, upstreams.clone(), budget, serving.clone(), uploads);
     let (shape, reloaded) = (config.shape, front.clone());
-    let reload = Reload { path, shape, fixed, discovery, inbox: inbox.clone(), front: reloaded, upstreams };
+    let agreed = fleet.is_some();
+    let from_discovery = discovery.is_some();
+    let reload = Reload { path, shape, fixed, discovery, inbox: inbox.clone(), front: reloaded, upstreams, agreed };
     spawn_local(reload.run(hup));
+    let agreed_inbox = inbox.clone();
     if let Some(directory) = config.upgrade {
         let path = handover::path(&directory, address);
         let front = front.clone();
         let upgrade = Upgrade { path, listener: shared, serving, inbox, peers, front, budget };
         spawn_local(upgrade.run(older));
     }
+    let rules = fleet.map(|fleet| {
+        let rules = Rules::new(rules::shell::agent(&fleet), fleet.terms.span.bound, fleet.header.clone());
+        front.agree(rules.clone());
+        let (inbox, front) = (agreed_inbox, front.clone());
+        let parts = rules::shell::Parts { rules: rules.clone(), front, inbox, base, discovery: from_discovery };
+        spawn_local(rules::shell::serve(parts, fleet));
+        rules
+    });
     note!("{} listens on {address}", config.name);
     let stop = async move {
         tokio::select! {
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
+        if let Some(rules) = rules {
+            spawn_local(async move { rules::shell::retire(&rules).await });
+        }
     };
     // Without its module a proxy could only fail everything: then it is better dead and started anew.
     // A task of its own: what is polled right here is polled whenever any task has run.
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -14,7 +14,8 @@
 
 use crate::beliefs::Beliefs;
 use crate::discovery;
-use crate::event::{Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Reply, Report};
+use crate::drains::Drains;
+use crate::event::{Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Licence, Reply, Report};
 use crate::note;
 use crate::peers::Peers;
 use crate::serving::Serving;
@@ -44,6 +45,7 @@
 /// What is kept with a request: the form in which it goes on, and whoever waits for its answer.
 struct Held {
     exchange: Rc<dyn Exchange>,
+    licence: Option<Rc<dyn Licence>>,
     answer: Option<oneshot::Sender<Answer>>,
 }
 
@@ -61,7 +63,12 @@
         let core::Attempt { request, number, endpoint, wanted, until } = attempt;
         let report = Report::new(self.parts.inbox.clone(), request, number);
         let until = self.start + until;
-        held.exchange.clone().attempt(Attempt { endpoint, wanted, until, report });
+        let licence = held.licence.clone();
+        held.exchange.clone().attempt(Attempt { endpoint, wanted, licence, until, report });
+    }
+
+    fn may_send(&self, held: &Held) -> bool {
+        held.licence.as_ref().is_none_or(|l| l.holds())
     }
 
     fn answer(&mut self, held: &mut Held, _: RequestId, answer: Answer) {
@@ -113,6 +120,8 @@
     core: Core<Balancer, Sockets>,
     start: Instant,
     beliefs: Beliefs,
+    /// Drains by hand over a list from discovery, where rules are agreed.
+    drains: Option<Drains>,
 }
 
 impl Driver {
@@ -121,7 +130,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let start = Instant::now();
         let core = Core::new(balancer, Sockets { parts, start }, names, unix.as_secs_f64() * 1000.0);
-        Driver { core, start, beliefs }
+        Driver { core, start, beliefs, drains: None }
     }
 
     /// Takes inputs and timers for as long as the process runs.
@@ -168,9 +177,9 @@
         let now = self.now();
         match input {
             Input::Request(arrival) => {
-                let Arrival { id, class, tenant, key, hint, deadline, upload, exchange, answer } = *arrival;
+                let Arrival { id, class, tenant, key, hint, deadline, upload, exchange, licence, answer } = *arrival;
                 let deadline = deadline.saturating_duration_since(self.start);
-                let held = Held { exchange, answer: Some(answer) };
+                let held = Held { exchange, licence, answer: Some(answer) };
                 let arrival = core::Arrival { id, class, tenant, key, hint, deadline, upload, held };
                 self.core.request(now, arrival);
             }
@@ -181,7 +190,16 @@
                 self.core.ended(now, request, attempt, latency, outcome, reply);
             }
             Input::Change(change) => self.core.change(now, *change),
-            Input::List(scope, hosts) => self.core.list(now, scope, hosts),
+            Input::List(scope, mut hosts) => {
+                if let Some(drains) = &mut self.drains {
+                    drains.overlay(scope, &mut hosts);
+                }
+                self.core.list(now, scope, hosts);
+            }
+            Input::Drains(names) => {
+                let lines = self.drains.get_or_insert_default().change(names);
+                self.core.list(now, Scope::Delta, lines);
+            }
             Input::Datagram { from, bytes } => self.core.message(now, from, bytes),
         }
     }
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -3,6 +3,7 @@
 //! protocols can feed one driver and obey one module.
 
 use std::any::Any;
+use std::collections::BTreeSet;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +47,8 @@
     Change(Box<wharfhitch::Change>),
     /// News of the list.
     List(Scope, Vec<Host>),
+    /// Backends that are drained by hand, whatever the list says of them.
+    Drains(BTreeSet<String>),
     /// Another proxy's message.
     Datagram {
         /// Its number.
@@ -73,10 +76,18 @@
     pub upload: Option<Duration>,
     /// What goes to backends.
     pub exchange: Rc<dyn Exchange>,
+    /// Asked before each attempt and at its first byte, where rules are agreed and the class wants it.
+    pub licence: Option<Rc<dyn Licence>>,
     /// Takes the one final answer.
     pub answer: oneshot::Sender<Answer>,
 }
 
+/// A right that may end at any moment by the clock alone.
+pub trait Licence {
+    /// Whether something may go out under it now.
+    fn holds(&self) -> bool;
+}
+
 /// A request in the form in which its protocol sends it on. It lives until its answer is given and its last
 /// attempt has ended.
 pub trait Exchange {
@@ -96,6 +107,8 @@
     pub endpoint: Rc<Endpoint>,
     /// Cleared once the request has its answer.
     pub wanted: Rc<Cell<bool>>,
+    /// See [`Arrival::licence`].
+    pub licence: Option<Rc<dyn Licence>>,
     /// When it is given up.
     pub until: Instant,
     /// Tells how it ended.
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -33,6 +33,10 @@
             Ok(asked) => asked,
             Err((status, text)) => return plain(status, text),
         };
+        let taken = match asked.taken.transpose() {
+            Ok(taken) => taken,
+            Err(wait) => return refused(Some(wait.as_secs_f64() * 1000.0)),
+        };
         // Its length lies or hides a second request where both are told, and hyper shows only one of them.
         if head.headers.contains_key(header::TRANSFER_ENCODING) && !client.is_plainly_chunked() {
             return plain(StatusCode::LENGTH_REQUIRED, "the length must be told once");
@@ -64,6 +68,13 @@
         let uploading = upload.as_ref().map(|_| Counted::new(self, |f| &f.uploading));
         let mut headers = head.headers;
         strip(&mut headers);
+        let licence = taken.and_then(|taken| {
+            // Whatever a client says of the version: the proxy tells it, or nobody does.
+            if let Some((name, version)) = taken.header {
+                headers.insert(name, version);
+            }
+            taken.licence
+        });
         let id = RequestId(self.number());
         let (answer, answered) = oneshot::channel();
         let Asked { class, tenant, key, hint, generation, patience, .. } = asked;
@@ -81,6 +92,7 @@
                 upstreams: self.upstreams.clone(),
                 hold: (open, generation, uploading),
             }),
+            licence,
             answer,
         })));
         // Hyper drops this future when the client leaves.
@@ -110,18 +122,21 @@
                 *response.headers_mut() = reply.headers;
                 response
             }
-            Ok(Answer::Refused(after)) => {
-                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again");
-                if let Some(after) = after.and_then(|ms| format!("{:.3}", ms / 1000.0).parse().ok()) {
-                    response.headers_mut().insert(header::RETRY_AFTER, after);
-                }
-                response
-            }
+            Ok(Answer::Refused(after)) => refused(after),
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
         }
     }
 }
 
+/// Told to come again, after so many ms if that is known.
+fn refused(after: Option<f64>) -> Response<Answering> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again");
+    if let Some(after) = after.and_then(|ms| format!("{:.3}", ms / 1000.0).parse().ok()) {
+        response.headers_mut().insert(header::RETRY_AFTER, after);
+    }
+    response
+}
+
 /// One more of something, for as long as it lives.
 struct Counted {
     front: Rc<Frontend>,
--- a/crates/sandgap/src/front/head.rs
+++ b/crates/sandgap/src/front/head.rs
@@ -12,6 +12,7 @@
 
 use super::Frontend;
 use crate::generation::Generation;
+use crate::rules::Taken;
 
 /// The ids of open requests. A second request under one of them could be taken for the first.
 pub(super) type OpenIds = Rc<RefCell<FxHashSet<Rc<str>>>>;
@@ -44,6 +45,8 @@
     pub(super) hint: Option<f64>,
     pub(super) patience: Duration,
     pub(super) generation: Rc<Generation>,
+    /// Where rules are agreed: whether it may be taken now, or how long its client should wait.
+    pub(super) taken: Option<Result<Taken, Duration>>,
 }
 
 impl Frontend {
@@ -77,7 +80,8 @@
         let sid = query.split('&').find_map(|p| p.strip_prefix("sid="));
         let hint = number(known.cost)?.map(|us| us / 1000.0);
         let key = sid.map(|s| Key(number_of(s)));
-        Ok(Asked { id, class, tenant, key, hint, patience, generation: generation.clone() })
+        let taken = self.rules.get().map(|rules| rules.take(name));
+        Ok(Asked { id, class, tenant, key, hint, patience, generation: generation.clone(), taken })
     }
 }
 
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -7,7 +7,7 @@
 mod limits;
 mod receive;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -23,6 +23,7 @@
 use crate::event::Inbox;
 use crate::generation::Generations;
 use crate::note;
+use crate::rules::Rules;
 use crate::serving::Serving;
 use crate::socket::Socket;
 use crate::upstream::Upstreams;
@@ -53,6 +54,8 @@
     standing: RefCell<[BTreeMap<u64, Rc<Client>>; SPARED.len()]>,
     ids: OpenIds,
     left: Notify,
+    /// Where rules are agreed: whether a request may be taken.
+    rules: OnceCell<Rc<Rules>>,
 }
 
 impl Frontend {
@@ -78,9 +81,23 @@
             standing: RefCell::default(),
             ids: OpenIds::default(),
             left: Notify::new(),
+            rules: OnceCell::new(),
         })
     }
 
+    /// From now on a request is taken only by agreed rules.
+    pub fn agree(&self, rules: Rc<Rules>) {
+        let _ = self.rules.set(rules); // once, at the start
+    }
+
+    /// Whether other settings could be put in force now.
+    ///
+    /// # Errors
+    /// Where open requests hold too many classes.
+    pub fn would_change(&self, settings: &Settings, names: &Names) -> Result<(), String> {
+        self.generations.borrow().fits(settings, names)
+    }
+
     /// Accepts and serves until `stop`, then finishes what has been taken.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         let sweeper = self.clone();
--- a/crates/sandgap/src/generation.rs
+++ b/crates/sandgap/src/generation.rs
@@ -77,6 +77,15 @@
         self.longest
     }
 
+    /// Whether other settings could be put in force now.
+    ///
+    /// # Errors
+    /// See [`Generations::change`].
+    pub fn fits(&self, settings: &Settings, names: &Names) -> Result<(), String> {
+        self.number(settings, names).map(drop)?;
+        self.room_for_tenants(names)
+    }
+
     /// Puts other settings in force and returns what the module has to be told.
     ///
     /// # Errors
@@ -131,13 +140,18 @@
         Ok((classes, fresh))
     }
 
-    fn number_tenants(
-        &mut self, settings: &Settings, names: &Names,
-    ) -> Result<Vec<(String, TenantId)>, String> {
+    fn room_for_tenants(&self, names: &Names) -> Result<(), String> {
         let new = names.tenants.iter().filter(|name| !self.tenants.iter().any(|(n, _)| n == *name)).count();
         if self.tenants.len() + new > TENANTS {
             return Err(format!("more than {TENANTS} tenants have been named since the start; start anew"));
         }
+        Ok(())
+    }
+
+    fn number_tenants(
+        &mut self, settings: &Settings, names: &Names,
+    ) -> Result<Vec<(String, TenantId)>, String> {
+        self.room_for_tenants(names)?;
         let mut tenants = Vec::new();
         for (name, tenant) in names.tenants.iter().zip(&settings.tenants) {
             let id = self.tenants.iter().position(|(n, _)| n == name).unwrap_or_else(|| {
--- a/crates/sandgap/src/platform.rs
+++ b/crates/sandgap/src/platform.rs
@@ -74,6 +74,8 @@
         connections: settings::connections(&file.settings),
         shape,
         metrics: None,
+        on_lapse: Vec::new(),
+        fleet: None,
         settings,
         names,
     })
--- /dev/null
+++ b/crates/sandgap/src/rules/shell.rs
@@ -0,0 +1,336 @@
+//! Drives the agent of agreed rules: links and members on sockets, the voter's disk on a thread of its own, switches
+//! into the daemon.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sandgap_agree::log::Saved;
+use sandgap_agree::store::{Keeper, Opened, Store};
+use sandgap_agree::words::Word;
+use sandgap_agree::{Agent, Output, Rulebook, Version};
+use sandgap_fleet::link::{Incoming, Links};
+use sandgap_fleet::members::{Gossip, Pace};
+use sandgap_fleet::{Identity, Members};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use wharfhitch::{Scope, Settings};
+
+use super::{Rules, book, now};
+use crate::config::Fleet;
+use crate::event::{Inbox, Input};
+use crate::front::Frontend;
+use crate::note;
+
+/// The channel of membership on the links.
+pub const MEMBERS: u8 = 1;
+/// The channel of rules.
+pub const RULES: u8 = 2;
+/// Words that wait to be taken in; links wait beyond it.
+const INCOMING: usize = 256;
+/// Words taken in between two looks at the timers.
+const BATCH: usize = 64;
+/// How long a leader that ends waits for another to lead.
+const RETIRE: Duration = Duration::from_millis(100);
+/// Between two tries to take a place that is not free, and between two lines about it.
+const AGAIN: Duration = Duration::from_millis(100);
+const TELL: Duration = Duration::from_secs(10);
+/// The longest wait between two looks at the timers, whatever is due.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// What the shell needs of the process.
+#[derive(Clone)]
+pub struct Parts {
+    /// Whether requests may be taken.
+    pub rules: Rc<Rules>,
+    /// Whose settings change.
+    pub front: Rc<Frontend>,
+    /// Where the module hears of it.
+    pub inbox: Inbox,
+    /// What this proxy was started with, where rules say nothing.
+    pub base: Settings,
+    /// Whether its backends come from discovery.
+    pub discovery: bool,
+}
+
+/// See the module.
+pub struct Shell {
+    parts: Parts,
+    fleet: Fleet,
+    members: Members,
+    links: Rc<Links>,
+    incoming: mpsc::Receiver<Incoming>,
+    keeper: Option<Keeper>,
+    kept: mpsc::UnboundedReceiver<Result<u64, String>>,
+    keeps: mpsc::UnboundedSender<Result<u64, String>>,
+}
+
+/// Chance for names of questions and elections.
+fn chance() -> u64 {
+    let mut bytes = [0; 8];
+    match getrandom::fill(&mut bytes) {
+        Ok(()) => u64::from_le_bytes(bytes),
+        Err(_) => now().as_nanos() as u64 ^ u64::from(std::process::id()) << 40,
+    }
+}
+
+/// An agent of this fleet that knows nothing yet.
+pub fn agent(fleet: &Fleet) -> Agent {
+    Agent::new(now(), &fleet.name, fleet.terms, fleet.voters.clone(), chance())
+}
+
+impl Shell {
+    /// Listens, and takes up a voter's part if this proxy has one.
+    ///
+    /// # Errors
+    /// Where the address or the disk can't be used.
+    pub async fn start(parts: Parts, fleet: Fleet) -> Result<Self, String> {
+        let on = fleet.listen;
+        let listener = TcpListener::bind(on).await.map_err(|e| format!("fleet on {on}: {e}"))?;
+        let (sender, incoming) = mpsc::channel(INCOMING);
+        let links = Links::new(fleet.key.clone(), fleet.name.clone(), sender);
+        spawn_local(links.clone().serve(listener));
+        let incarnation = now().as_millis() as u64;
+        let me = Identity { name: fleet.name.clone(), address: on, incarnation, zone: fleet.zone.clone() };
+        let members = Members::new(me, Pace::default(), chance());
+        let (keeps, kept) = mpsc::unbounded_channel(); // one word a write, and writes are bounded
+        let mut shell = Shell { parts, fleet, members, links, incoming, keeper: None, kept, keeps };
+        if let Some(path) = shell.fleet.store.clone().filter(|_| shell.fleet.votes()) {
+            shell.vote(&path)?;
+        }
+        shell.take_up_kept();
+        Ok(shell)
+    }
+
+    /// Opens the voter's store. One that is missing or damaged is replaced by a blank one, under another seat.
+    fn vote(&mut self, path: &Path) -> Result<(), String> {
+        let (store, saved) = match Store::open(path) {
+            Opened::Sound(store, saved) => (store, saved),
+            Opened::Missing => {
+                note!(warn:
+                    "{}: no store; the other voters are asked for a new seat. A new fleet is founded with \
+                     'sandgap fleet found'", path.display()
+                );
+                blank(path)?
+            }
+            Opened::Damaged(why) => {
+                let aside = Store::set_aside(path).map_err(|e| e.to_string())?;
+                note!(error:
+                    "{}: {why}; moved to {}. This voter takes no part until the others have rebuilt it",
+                    path.display(), aside.display()
+                );
+                blank(path)?
+            }
+        };
+        let told = self.keeps.clone();
+        let keeper = Keeper::start(store, move |kept| drop(told.send(kept))).map_err(|e| e.to_string())?;
+        self.keeper = Some(keeper);
+        let address = self.fleet.listen;
+        let mut agent = self.parts.rules.agent.borrow_mut();
+        agent.vote(now(), &saved, address).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// The version acted on before the start serves what may be served without a lease.
+    fn take_up_kept(&mut self) {
+        let Some(path) = &self.fleet.keep else { return };
+        let Ok(bytes) = std::fs::read(path) else { return };
+        let kept = bytes.split_first_chunk::<8>();
+        let kept = kept.map(|(version, book)| (u64::from_le_bytes(*version), Rulebook::decode(book)));
+        match kept {
+            Some((version, Ok(book))) => match self.put_in_force(&book) {
+                Ok(()) => {
+                    note!("rules: version {version} was kept; classes that serve without a lease go by it");
+                    self.parts.rules.note(&book);
+                    self.parts.rules.kept.set(version);
+                }
+                Err(e) => note!(warn: "rules: the kept version {version} can't be used: {e}"),
+            },
+            _ => note!(warn: "{}: no kept version can be read there", path.display()),
+        }
+    }
+
+    /// Runs for as long as the process does.
+    pub async fn run(mut self) {
+        for (name, address) in self.fleet.voters.clone() {
+            if name != self.fleet.name {
+                let gossip = self.members.join(now(), &name, address);
+                self.gossip(gossip);
+            }
+        }
+        loop {
+            let due = self.parts.rules.agent.borrow().next_due();
+            let due = self.members.next_due().map_or(due, |at| at.min(due));
+            let wait = due.saturating_sub(now()).min(LOOK);
+            tokio::select! {
+                Some(incoming) = self.incoming.recv() => {
+                    self.heard(incoming);
+                    for _ in 0..BATCH {
+                        let Ok(more) = self.incoming.try_recv() else { break };
+                        self.heard(more);
+                    }
+                }
+                Some(kept) = self.kept.recv() => self.kept(kept),
+                () = sleep(wait) => {}
+            }
+            self.fire();
+        }
+    }
+
+    fn fire(&mut self) {
+        let at = now();
+        let gossip = self.members.fire(at);
+        self.gossip(gossip);
+        if self.parts.rules.agent.borrow().next_due() <= at {
+            let others = self.members.present().into_iter().map(|m| m.name);
+            let others = others.filter(|name| *name != self.fleet.name).collect();
+            let mut agent = self.parts.rules.agent.borrow_mut();
+            agent.present(others);
+            agent.fire(at);
+        }
+        self.carry_out();
+    }
+
+    fn heard(&mut self, incoming: Incoming) {
+        let Incoming { from, channel, body } = incoming;
+        match channel {
+            MEMBERS => {
+                let gossip = self.members.hear(now(), &body);
+                self.gossip(gossip);
+            }
+            RULES => {
+                if let Some(word) = Word::decode(&body) {
+                    self.parts.rules.agent.borrow_mut().hear(now(), &from, word);
+                    self.carry_out();
+                }
+            }
+            _ => {} // of a later version of the program
+        }
+    }
+
+    fn kept(&mut self, kept: Result<u64, String>) {
+        let mut agent = self.parts.rules.agent.borrow_mut();
+        match kept {
+            Ok(number) => agent.written(now(), number),
+            Err(why) => agent.disk_failed(&why),
+        }
+    }
+
+    fn gossip(&mut self, all: Vec<Gossip>) {
+        for Gossip { to, bytes } in all {
+            let address = self.way(&to.name, Some(to.address));
+            self.links.send(&to.name, address, MEMBERS, bytes);
+        }
+    }
+
+    /// Where a proxy is dialled from here.
+    fn way(&self, name: &str, told: Option<SocketAddr>) -> Option<SocketAddr> {
+        self.fleet.ways.get(name).copied().or(told)
+    }
+
+    fn carry_out(&mut self) {
+        loop {
+            let output = self.parts.rules.agent.borrow_mut().poll();
+            let Some(output) = output else { return };
+            match output {
+                Output::Say(to, address, word) => {
+                    let known = address.or_else(|| self.members.find(&to).map(|m| m.address));
+                    self.links.send(&to, self.way(&to, known), RULES, word.encode());
+                }
+                Output::Write(write) => {
+                    let kept = self.keeper.as_ref().map_or(Err("there is none"), |k| k.keep(write));
+                    if let Err(why) = kept {
+                        self.parts.rules.agent.borrow_mut().disk_failed(why);
+                    }
+                }
+                Output::Check(version, rules) => {
+                    let usable = self.check(&rules);
+                    if let Err(why) = &usable {
+                        note!(warn: "rules: version {version} can't be used here: {why}");
+                    }
+                    self.parts.rules.agent.borrow_mut().checked(now(), version, usable);
+                }
+                Output::Act(version, rules) => self.act(version, &rules),
+                Output::Note(text) => note!("{text}"),
+            }
+        }
+    }
+
+    fn check(&self, rules: &Rulebook) -> Result<(), String> {
+        book::check(rules, self.parts.discovery)?;
+        let (settings, names) = book::settings(rules, &self.parts.base);
+        self.parts.front.would_change(&settings, &names)
+    }
+
+    fn act(&mut self, version: Version, rules: &Rulebook) {
+        // It has been checked a moment ago; should requests hold too many classes by now, this one acts on nothing.
+        match self.put_in_force(rules) {
+            Ok(()) => {
+                self.parts.rules.note(rules);
+                note!("rules: version {version} in force");
+                self.keep(version, rules);
+            }
+            Err(why) => {
+                note!(error: "rules: version {version} can't be put in force: {why}");
+                self.parts.rules.agent.borrow_mut().cannot_act(version, &why);
+            }
+        }
+    }
+
+    fn put_in_force(&self, rules: &Rulebook) -> Result<(), String> {
+        let (settings, names) = book::settings(rules, &self.parts.base);
+        let change = self.parts.front.change(&settings, &names)?;
+        self.parts.inbox.put(Input::Change(Box::new(change)));
+        match book::hosts(rules) {
+            Some(hosts) => self.parts.inbox.put(Input::List(Scope::Full, hosts)),
+            None => self.parts.inbox.put(Input::Drains(rules.drained.clone())),
+        }
+        Ok(())
+    }
+
+    /// Keeps the version for the next start, off the loop: a slow disk holds up nobody.
+    fn keep(&self, version: Version, rules: &Rulebook) {
+        let (Some(path), Ok(bytes)) = (self.fleet.keep.clone(), rules.encode()) else { return };
+        let bytes = [&version.to_le_bytes()[..], &bytes].concat();
+        let _ = std::thread::Builder::new().name("rules-keep".into()).spawn(move || {
+            let new = path.with_extension("new");
+            if let Err(e) = std::fs::write(&new, bytes).and_then(|()| std::fs::rename(&new, &path)) {
+                note!(warn: "{}: {e}; the version in force is not kept for the next start", path.display());
+            }
+        });
+    }
+}
+
+/// Takes this proxy's place in the fleet, as soon as its address and store are free: the process before it may still
+/// hold them.
+pub async fn serve(parts: Parts, fleet: Fleet) {
+    let mut told: Option<Instant> = None;
+    loop {
+        match Shell::start(parts.clone(), fleet.clone()).await {
+            Ok(shell) => return shell.run().await,
+            Err(e) => {
+                if told.is_none_or(|at| at.elapsed() >= TELL) {
+                    note!(warn: "rules: {e}; trying on. Until then this proxy has no lease");
+                    told = Some(Instant::now());
+                }
+                sleep(AGAIN).await;
+            }
+        }
+    }
+}
+
+/// What a proxy that ends does: a leader hands the lead on, so that nobody waits for another to be chosen.
+pub async fn retire(rules: &Rules) {
+    let leads = rules.agent.borrow().voter().is_some_and(|v| v.leads());
+    if leads {
+        rules.agent.borrow_mut().retire(now());
+        sleep(RETIRE).await;
+    }
+}
+
+fn blank(path: &Path) -> Result<(Store, Saved), String> {
+    let saved = Saved::blank(chance().max(1));
+    Ok((Store::create(path, &saved).map_err(|e| e.to_string())?, saved))
+}
--- a/crates/sandgap/src/settings/mod.rs
+++ b/crates/sandgap/src/settings/mod.rs
@@ -1,18 +1,20 @@
 //! sandgap's own settings file, for installations without the platform: `deploy/sandgap.toml` is one.
 
 mod check;
+mod fleet;
 pub mod schema;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
+use sandgap_agree::rulebook::OnLapse;
 use serde::Deserialize;
 use serde_json::Value as Json;
 use wharfhitch::settings::{Connections, Names, index_of, number_of};
 use wharfhitch::{Class, Discovery, Effect, Group, Limits, Prices, Rating, Settings, Tenant, ZoneId};
 
-use crate::config::{Config, Source, held};
+use crate::config::{Config, Fleet, Source, held};
 use crate::event::Host;
 use check::Reader;
 pub use sandgap_problem::Problem;
@@ -27,6 +29,33 @@
     limits: LimitsTable,
     cold: Cold,
     metrics: Metrics,
+    fleet: FleetTable,
+    voter: Vec<Voter>,
+    way: Vec<Way>,
+}
+
+#[derive(Deserialize)]
+struct FleetTable {
+    listen: Option<SocketAddr>,
+    key: Option<String>,
+    bound_ms: f64,
+    drift_ppm: u32,
+    order: String,
+    store: Option<PathBuf>,
+    keep: Option<PathBuf>,
+    header: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Voter {
+    name: String,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Way {
+    to: String,
+    address: SocketAddr,
 }
 
 #[derive(Deserialize)]
@@ -67,6 +96,7 @@
     worth: f64,
     group: String,
     window_ms: f64,
+    on_lapse: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -117,8 +147,9 @@
         match values.try_into::<File>() {
             Ok(file) => {
                 relations(&file, &mut reader);
+                let fleet = fleet::read(&file, &mut reader);
                 if reader.problems.is_empty() {
-                    return Ok(config(file));
+                    return Ok(config(file, fleet));
                 }
             }
             Err(e) => reader.missing(e.message().to_owned()),
@@ -191,6 +222,14 @@
     }
 }
 
+/// What is not said is safe: only what may run again is served by rules that may be old.
+fn on_lapse(c: &ClassTable) -> OnLapse {
+    match (c.on_lapse.as_deref(), c.effect.as_str()) {
+        (Some("serve"), _) | (None, "safe") => OnLapse::Serve,
+        _ => OnLapse::Refuse,
+    }
+}
+
 fn host(b: Backend) -> Host {
     Host {
         host: b.name,
@@ -204,7 +243,8 @@
     }
 }
 
-fn config(file: File) -> Config {
+fn config(file: File, fleet: Option<Fleet>) -> Config {
+    let on_lapse = file.class.iter().map(on_lapse).collect();
     let mut names = Names {
         classes: file.class.iter().map(|c| c.name.clone()).collect(),
         tenants: file.tenant.iter().map(|t| t.name.clone()).collect(),
@@ -259,6 +299,8 @@
         names,
         shape: Json::Null,
         metrics: file.metrics.file.map(Into::into),
+        on_lapse,
+        fleet,
     }
 }
 
--- a/crates/sandgap/src/settings/schema.rs
+++ b/crates/sandgap/src/settings/schema.rs
@@ -166,6 +166,12 @@
                 Default::Number(0.0),
                 "keyed: for how long they do, ms",
             ),
+            key(
+                "on_lapse",
+                Kind::Word(&["refuse", "serve"]),
+                Default::None,
+                "without a lease on the fleet's rules: safe classes serve, others refuse if left out",
+            ),
         ],
     },
     Table {
@@ -239,6 +245,54 @@
             ),
         ],
     },
+    Table {
+        name: "fleet",
+        most: 0,
+        about: "proxies that agree on their rules; off without 'listen'",
+        keys: &[
+            key("listen", Kind::Address, Default::None, "where other proxies reach this one"),
+            key("key", Kind::Text, Default::None, "file with the key that all share, 64 hexadecimal digits"),
+            key(
+                "bound_ms",
+                Kind::Number(100.0, 60_000.0),
+                Default::Number(1000.0),
+                "T: contradicting rules are acted on together no longer than this, ms",
+            ),
+            key(
+                "drift_ppm",
+                Kind::Whole(0, 50_000),
+                Default::Whole(1000),
+                "how far a proxy's clock may drift, parts per million",
+            ),
+            key(
+                "order",
+                Kind::Word(&["overlap", "apart"]),
+                Default::Text("overlap"),
+                "versions overlap for T at most, or are kept apart by waiting for T",
+            ),
+            key("store", Kind::Text, Default::None, "file of a voter's log; voters need one"),
+            key("keep", Kind::Text, Default::None, "file that keeps the rules in force for the next start"),
+            key("header", Kind::Text, Default::None, "header that tells backends the version of the rules"),
+        ],
+    },
+    Table {
+        name: "voter",
+        most: 9,
+        about: "a proxy of the fleet that votes; three or five of them",
+        keys: &[
+            key("name", Kind::Text, Default::Required, "its [proxy] name"),
+            key("address", Kind::Address, Default::Required, "its [fleet] listen"),
+        ],
+    },
+    Table {
+        name: "way",
+        most: 1000,
+        about: "another proxy of the fleet that is dialled elsewhere from here: over a tunnel, a translated address",
+        keys: &[
+            key("to", Kind::Text, Default::Required, "its [proxy] name"),
+            key("address", Kind::Address, Default::Required, "where it is dialled"),
+        ],
+    },
     Table {
         name: "metrics",
         most: 0,
--- a/crates/sandgap/src/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -25,7 +25,7 @@
 use wharfhitch::Outcome;
 
 use crate::body::{self, Answering, Broken, End, Progress, Sending, Stream, Upload};
-use crate::event::{self, Attempt, Back, Endpoint, Exchange};
+use crate::event::{self, Attempt, Back, Endpoint, Exchange, Licence};
 use crate::socket::Socket;
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
@@ -131,6 +131,7 @@
 struct Gate {
     endpoint: Rc<Endpoint>,
     wanted: Rc<Cell<bool>>,
+    licence: Option<Rc<dyn Licence>>,
 }
 
 const BLANK: &[u8] = b"\r\n\r\n";
@@ -189,7 +190,8 @@
 
     /// Whether a write may go on.
     fn admit(&self) -> bool {
-        let fits = |g: &Gate| g.endpoint.is_open() && g.wanted.get();
+        let licensed = |g: &Gate| g.licence.as_ref().is_none_or(|l| l.holds());
+        let fits = |g: &Gate| g.endpoint.is_open() && g.wanted.get() && licensed(g);
         let go = self.begun.get() || self.gate.borrow().as_ref().is_some_and(fits);
         self.denied.set(!go);
         go
@@ -359,7 +361,7 @@
 
     /// Makes one attempt and tells how it ended; the report gets that before the connection is pooled.
     async fn attempt(&self, message: &Outgoing, attempt: Attempt) {
-        let Attempt { endpoint, wanted, mut until, mut report } = attempt;
+        let Attempt { endpoint, wanted, licence, mut until, mut report } = attempt;
         let mut uploads = match &message.body {
             Payload::Long(upload) if upload.is_spent() => return report.tell(Outcome::Moot, None),
             body => matches!(body, Payload::Long(_)),
@@ -374,7 +376,7 @@
         }
         let Some(request) = message.request(until) else { return report.tell(Outcome::Moot, None) };
         let meter = connection.meter.clone();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted }, &message.body);
+        meter.start(Gate { endpoint: endpoint.clone(), wanted, licence }, &message.body);
         let sender = &mut connection.sender;
         let answer = async {
             tokio::select! {
@@ -630,7 +632,7 @@
         let wanted = Rc::new(Cell::new(true));
         let meter = Meter::default();
         meter.start(
-            Gate { endpoint: endpoint.clone(), wanted: wanted.clone() },
+            Gate { endpoint: endpoint.clone(), wanted: wanted.clone(), licence: None },
             &Payload::Short(Bytes::from_static(body)),
         );
         (meter, endpoint, wanted)
