Judge agreement of real processes in the rig, with a net between them that breaks

Change: sandgap-rig fleet starts voters and other proxies, lets each pair talk through a relay that cuts one or both ways, delays, throttles and breaks connections, stops, kills and restarts processes with and without their disks, publishes all the while, and loads every proxy. sandgap-rules judges agreement from the versions that backends saw.

--- a/crates/sandgap-agree/src/log.rs
+++ b/crates/sandgap-agree/src/log.rs
@@ -66,7 +66,8 @@
     /// Where the store is damaged, or has no seat among the voters.
     pub fn alone(&self) -> Result<Saved, Damaged> {
         let (log, mut machine) = Log::load(self)?;
-        let seat = machine.seats.get(&self.seat).cloned().ok_or(Damaged("it has no seat among the voters"))?;
+        let seat =
+            machine.seats.get(&self.seat).cloned().ok_or(Damaged("it has no seat among the voters"))?;
         let from = self.snapshot.as_ref().map_or(0, |(index, _)| *index);
         // What stands at the end may have been agreed on by others that are lost: it counts.
         for entry in log.entries.iter().filter(|e| e.index > from) {
--- a/crates/sandgap-agree/src/voter.rs
+++ b/crates/sandgap-agree/src/voter.rs
@@ -756,7 +756,9 @@
 
     fn confirmed(&mut self, context: &[u8], index: u64) {
         // An answer to the process before this one says nothing of questions that came to this one.
-        let Some(number) = round_of(context).filter(|(who, _)| *who == (self.seat, self.life)) else { return };
+        let Some(number) = round_of(context).filter(|(who, _)| *who == (self.seat, self.life)) else {
+            return;
+        };
         let number = number.1;
         let Some(at) = self.rounds.iter().position(|r| r.number == number) else { return };
         // Rounds that began earlier asked earlier: what is confirmed for this one serves them as well.
--- a/crates/sandgap-rig/src/lib.rs
+++ b/crates/sandgap-rig/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod demo;
 pub mod discovery;
 pub mod export;
+pub mod fleet;
 pub mod http;
 pub mod limits;
 pub mod machine;
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -2,10 +2,12 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 use sandgap_rig::bench::{self, compare};
 use sandgap_rig::capacity::{self, Setup, Shares};
+use sandgap_rig::fleet;
 use sandgap_rig::proxy::Program;
 use sandgap_rig::relay::{self, Kind};
 use sandgap_rig::run;
@@ -142,6 +144,33 @@
         #[arg(long, default_value_t = 12)]
         backends: usize,
     },
+    /// Plays a fleet that agrees on its rules under faults between its processes; exits 1 on what is broken.
+    Fleet {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Further seeds, counted up from it.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Proxies that vote.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=9))]
+        voters: u16,
+        /// Others.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(0..=40))]
+        observers: u16,
+        /// The stated time, ms.
+        #[arg(long, default_value_t = 1000)]
+        bound_ms: u64,
+        /// How long faults go on, s; 0 for none.
+        #[arg(long, default_value_t = 12.0)]
+        seconds: f64,
+        /// Instead of all faults so many kills of voters, while much is published.
+        #[arg(long)]
+        kills: Option<usize>,
+        /// The proxy's program; where none is given, `sandgap` beside this one.
+        #[arg(long, env = "SANDGAP")]
+        proxy: Option<PathBuf>,
+    },
     /// Is a relay; its configuration is named by NODE_CONFIG.
     #[command(hide = true)]
     Relay {
@@ -219,6 +248,33 @@
             }
             Ok(held)
         }
+        Command::Fleet { seed, seeds, voters, observers, bound_ms, seconds, kills, proxy: path } => {
+            let mut size = fleet::plan::Size {
+                voters: voters.into(),
+                observers: observers.into(),
+                bound: Duration::from_millis(bound_ms),
+                faulty: Duration::from_secs_f64(seconds.clamp(0.0, 3600.0)),
+                ..Default::default()
+            };
+            let program = proxy(path)?.path;
+            let mut held = true;
+            for seed in seed..seed.saturating_add(seeds) {
+                let plan = match kills {
+                    Some(count) => {
+                        size.publish = Duration::from_millis(200);
+                        fleet::plan::kills(&size, count, seed)
+                    }
+                    None => fleet::plan::draw(&size, seed),
+                };
+                let (report, folder) = fleet::run_plan(&program, size, seed, plan)?;
+                println!("{report}");
+                if !report.broken.is_empty() {
+                    held = false;
+                    eprintln!("logs: {}", folder.path.display());
+                }
+            }
+            Ok(held)
+        }
         Command::Export { scenario: name, folder, seed, requests, rate, proxies, backends } => {
             let plan = named(&name)?.plan(seed, Size { requests, rate, proxies, backends });
             sandgap_rig::export::write(&plan, &folder)?;
--- a/crates/sandgap-rig/src/world.rs
+++ b/crates/sandgap-rig/src/world.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use tokio::sync::Notify;
 
@@ -104,11 +105,16 @@
     next: Cell<u32>,
 }
 
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
 impl Default for Addresses {
     fn default() -> Self {
         // 127.64.0.0 to 127.127.255.255 holds 2^14 blocks of 256.
         let block = std::process::id().wrapping_mul(0x9E37_79B1) >> 18;
-        Addresses { base: (127 << 24) | (64 << 16) | (block << 8), next: Cell::new(1) }
+        // Runs side by side in one process begin at different IPs.
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let next = run.wrapping_mul(37) % 250 + 1;
+        Addresses { base: (127 << 24) | (64 << 16) | (block << 8), next: Cell::new(next) }
     }
 }
 
--- a/crates/sandgap-rules/src/lib.rs
+++ b/crates/sandgap-rules/src/lib.rs
@@ -6,6 +6,7 @@
 //! and proves that none was lost; [`stream`] judges a request soon after its end and forgets it, so that a run
 //! may be as long as one likes. No I/O and no clock: the same lines give the same verdict.
 
+pub mod agreement;
 pub mod judge;
 pub mod latencies;
 pub mod ledger;
@@ -13,6 +14,7 @@
 pub mod record;
 pub mod stream;
 
+pub use agreement::{Acted, Agreement, Overlap};
 pub use judge::{Asking, History, Judge, Sent, Terms};
 pub use latencies::Latencies;
 pub use ledger::Ledger;
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -92,7 +92,9 @@
             return Err("a change between discovery and a fixed list needs a new start".into());
         }
         if self.agreed {
-            note!("the fleet agrees on rules: 'sandgap fleet publish' changes them; of the file connections' times count");
+            note!(
+                "the fleet agrees on rules: 'sandgap fleet publish' changes them; of the file connections' times count"
+            );
             self.upstreams.change(&config.connections);
             return Ok(());
         }
@@ -208,7 +210,8 @@
     let (shape, reloaded) = (config.shape, front.clone());
     let agreed = fleet.is_some();
     let from_discovery = discovery.is_some();
-    let reload = Reload { path, shape, fixed, discovery, inbox: inbox.clone(), front: reloaded, upstreams, agreed };
+    let reload =
+        Reload { path, shape, fixed, discovery, inbox: inbox.clone(), front: reloaded, upstreams, agreed };
     spawn_local(reload.run(hup));
     let agreed_inbox = inbox.clone();
     if let Some(directory) = config.upgrade {
@@ -221,7 +224,8 @@
         let rules = Rules::new(rules::shell::agent(&fleet), fleet.terms.span.bound, fleet.header.clone());
         front.agree(rules.clone());
         let (inbox, front) = (agreed_inbox, front.clone());
-        let parts = rules::shell::Parts { rules: rules.clone(), front, inbox, base, discovery: from_discovery };
+        let parts =
+            rules::shell::Parts { rules: rules.clone(), front, inbox, base, discovery: from_discovery };
         spawn_local(rules::shell::serve(parts, fleet));
         rules
     });
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -15,7 +15,9 @@
 use crate::beliefs::Beliefs;
 use crate::discovery;
 use crate::drains::Drains;
-use crate::event::{Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Licence, Reply, Report};
+use crate::event::{
+    Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Licence, Reply, Report,
+};
 use crate::note;
 use crate::peers::Peers;
 use crate::serving::Serving;
@@ -177,7 +179,8 @@
         let now = self.now();
         match input {
             Input::Request(arrival) => {
-                let Arrival { id, class, tenant, key, hint, deadline, upload, exchange, licence, answer } = *arrival;
+                let Arrival { id, class, tenant, key, hint, deadline, upload, exchange, licence, answer } =
+                    *arrival;
                 let deadline = deadline.saturating_duration_since(self.start);
                 let held = Held { exchange, licence, answer: Some(answer) };
                 let arrival = core::Arrival { id, class, tenant, key, hint, deadline, upload, held };
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -3,8 +3,8 @@
 //! protocols can feed one driver and obey one module.
 
 use std::any::Any;
-use std::collections::BTreeSet;
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/crates/sandgap/src/rules/book.rs
+++ b/crates/sandgap/src/rules/book.rs
@@ -165,12 +165,14 @@
     let own = "[proxy]\nlisten = \"127.0.0.1:1\"\n";
     let from = if discovery { "[discovery]\naddress = \"127.0.0.1:2\"\n" } else { "" };
     let read = settings::parse(&format!("{own}{from}{}", text(book)));
-    let told = |all: Vec<settings::Problem>| all.iter().map(|p| p.text.clone()).collect::<Vec<_>>().join("; ");
+    let told =
+        |all: Vec<settings::Problem>| all.iter().map(|p| p.text.clone()).collect::<Vec<_>>().join("; ");
     let again = of(&read.map_err(told)?)?;
     // What the file can't say would be lost without a word.
     let said = Rulebook { drained: BTreeSet::new(), ..book.clone() };
     let same = Limits { cross_zone: said.limits.cross_zone, ..again.limits } == said.limits
-        && (&again.classes, &again.tenants, &again.backends) == (&said.classes, &said.tenants, &said.backends);
+        && (&again.classes, &again.tenants, &again.backends)
+            == (&said.classes, &said.tenants, &said.backends);
     if same { Ok(()) } else { Err("it holds what this version of sandgap has no settings for".into()) }
 }
 
@@ -263,10 +265,18 @@
         let config = config();
         let (settings, names) = settings(&of(&config).expect("whole"), &config.settings);
         let by_name = |names: &Names, s: &Settings| {
-            names.classes.iter().cloned().zip(s.classes.iter().cloned()).collect::<std::collections::BTreeMap<_, _>>()
+            names
+                .classes
+                .iter()
+                .cloned()
+                .zip(s.classes.iter().cloned())
+                .collect::<std::collections::BTreeMap<_, _>>()
         };
         assert_eq!(by_name(&names, &settings), by_name(&config.names, &config.settings));
-        assert_eq!(settings.limits.most_held, config.settings.limits.most_held, "what is this proxy's own stays");
+        assert_eq!(
+            settings.limits.most_held, config.settings.limits.most_held,
+            "what is this proxy's own stays"
+        );
     }
 
     #[test]
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -193,10 +193,13 @@
 fn act(whose: &Whose, call: Call) -> Result<()> {
     let config = load::read(&whose.settings).map_err(Failed::Wrong)?;
     let path = whose.settings.display();
-    let fleet = config.fleet.clone().ok_or_else(|| Failed::Wrong(format!("{path}: [fleet] listen is not set")))?;
+    let fleet =
+        config.fleet.clone().ok_or_else(|| Failed::Wrong(format!("{path}: [fleet] listen is not set")))?;
     match call {
         Call::Found => return found(&fleet),
-        Call::LastResort { i_know_that_the_others_never_come_back: sure } => return last_resort(&fleet, sure),
+        Call::LastResort { i_know_that_the_others_never_come_back: sure } => {
+            return last_resort(&fleet, sure);
+        }
         _ => {}
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -350,7 +353,9 @@
                 sleep(LOOK).await;
             }
         }
-        Err(Failed::Nobody("the voters that answer have no leader: a majority of them is lost or cut off".into()))
+        Err(Failed::Nobody(
+            "the voters that answer have no leader: a majority of them is lost or cut off".into(),
+        ))
     }
 
     async fn or_standing(&mut self, version: Option<Version>) -> Result<Version> {
@@ -432,11 +437,14 @@
         let version = match self.ask(Some(&leader.voter), word, take).await? {
             Verdict::PutForward(version) | Verdict::Again(version) => version,
             Verdict::Lost { standing } => {
-                let text = format!("version {standing} is in force, not {parent}: look at it, and publish anew");
+                let text =
+                    format!("version {standing} is in force, not {parent}: look at it, and publish anew");
                 return Err(Failed::Overtaken(text));
             }
             Verdict::Busy(other) => {
-                return Err(Failed::Overtaken(format!("version {other} is under way: wait for it, and publish anew")));
+                return Err(Failed::Overtaken(format!(
+                    "version {other} is under way: wait for it, and publish anew"
+                )));
             }
             Verdict::Unreadable(why) => return Err(Failed::Wrong(why)),
         };
@@ -521,7 +529,10 @@
                 // Without a leader one voter's own word is better than none.
                 self.end = Instant::now() + 2 * ANSWER;
                 let status = self.one_status(None).await.map_err(|_| e)?;
-                eprintln!("sandgap: no leader: nothing can change; what follows is {}'s word alone", status.voter);
+                eprintln!(
+                    "sandgap: no leader: nothing can change; what follows is {}'s word alone",
+                    status.voter
+                );
                 status
             }
         };
@@ -533,11 +544,17 @@
         let bound = config.fleet.as_ref().map_or(Duration::ZERO, |f| f.terms.span.bound);
         println!("version {} ({}) in force, T {} ms", s.version, s.digest, bound.as_millis());
         if let Some((version, digest)) = &s.pending {
-            println!("version {version} ({digest}) is put forward{}", if s.closed { ", the old one closed" } else { "" });
+            println!(
+                "version {version} ({digest}) is put forward{}",
+                if s.closed { ", the old one closed" } else { "" }
+            );
         }
         let names: Vec<&str> = status.voters.iter().map(|(name, _)| name.as_str()).collect();
         println!("voters {}; leader {}", names.join(", "), status.leader.as_deref().unwrap_or("none"));
-        println!("{:<20} {:>8} {:>10} {:>8} {:>8}  {}", "proxy", "version", "lease ms", "heard", "refused", "why");
+        println!(
+            "{:<20} {:>8} {:>10} {:>8} {:>8}  {}",
+            "proxy", "version", "lease ms", "heard", "refused", "why"
+        );
         for m in &status.members {
             let why = match &m.report.looked {
                 Some((version, Some(why))) => format!("{version}: {why}"),
@@ -565,7 +582,8 @@
                 return Ok(());
             }
             if Instant::now() + LOOK >= self.end {
-                let text = format!("version {} is in force; behind: {}", status.standing.version, behind.join(", "));
+                let text =
+                    format!("version {} is in force; behind: {}", status.standing.version, behind.join(", "));
                 return Err(Failed::Refused(text));
             }
             sleep(LOOK).await;
@@ -587,7 +605,9 @@
     /// Asks for another set of voters until the leader has it.
     async fn seat(&mut self, change: Seating) -> Result<()> {
         let there = |status: &Status| match &change {
-            Seating::Add(name, _) | Seating::Rebuild { name, .. } => status.voters.iter().any(|(v, _)| v == name),
+            Seating::Add(name, _) | Seating::Rebuild { name, .. } => {
+                status.voters.iter().any(|(v, _)| v == name)
+            }
             Seating::Remove(name) => status.voters.iter().all(|(v, _)| v != name),
         };
         let mut why = String::new();
--- a/crates/sandgap/src/settings/fleet.rs
+++ b/crates/sandgap/src/settings/fleet.rs
@@ -32,10 +32,13 @@
     }
     match file.voter.iter().find(|v| v.name == name) {
         Some(own) if own.address != listen => {
-            reader.missing(format!("voter '{name}' is this proxy: its address must be [fleet] listen, {listen}"));
+            reader.missing(format!(
+                "voter '{name}' is this proxy: its address must be [fleet] listen, {listen}"
+            ));
         }
         Some(_) if file.fleet.store.is_none() => {
-            reader.missing(format!("voter '{name}' is this proxy: [fleet] needs 'store', the file of its log"));
+            reader
+                .missing(format!("voter '{name}' is this proxy: [fleet] needs 'store', the file of its log"));
         }
         _ => {}
     }
