Keep a lease through an upgrade, and show staff's calls, a lost majority and kept rules

Change: while the process before still has the place, the new one asks for leases as a guest, and goes over once it has one under its own name. A store that another process has open is not taken for damaged. The laboratory plays one partition of a shape alone.

Measured: six tests of processes pass; through an upgrade with a switch in its middle all of 20 unsafe requests are served.

--- a/crates/sandgap-agree/src/store.rs
+++ b/crates/sandgap-agree/src/store.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, StorageError, TableDefinition};
 
 use crate::limits::WRITES;
 use crate::log::{Log, Saved, Write};
@@ -46,6 +46,8 @@
     Missing,
     /// Something that must not be gone on from.
     Damaged(String),
+    /// It can't be told now: another process has it open, or the system denies it.
+    Unavailable(String),
 }
 
 /// See the module.
@@ -91,16 +93,24 @@
         }
         // A file of which the engine can make nothing may make it fail in ways of its own.
         let read = std::panic::catch_unwind(|| {
-            let mut db = Database::open(path).map_err(|e| e.to_string())?;
+            let mut db = match Database::open(path) {
+                Ok(db) => db,
+                // The process before this one may not have ended yet: its store is no less sound for that.
+                Err(e @ DatabaseError::DatabaseAlreadyOpen) => return Ok(Opened::Unavailable(e.to_string())),
+                Err(DatabaseError::Storage(StorageError::Io(e))) if is_denied(&e) => {
+                    return Ok(Opened::Unavailable(e.to_string()));
+                }
+                Err(e) => return Err(e.to_string()),
+            };
             // Every page's checksum, and what the engine thinks of its free ones: it would fail over these later.
             db.check_integrity().map_err(|e| e.to_string())?;
             let store = Store { db, path: path.to_owned() };
             let saved = store.read()?;
             Log::load(&saved).map_err(|e| e.to_string())?;
-            Ok::<_, String>((store, saved))
+            Ok::<_, String>(Opened::Sound(store, saved))
         });
         match read {
-            Ok(Ok((store, saved))) => Opened::Sound(store, saved),
+            Ok(Ok(opened)) => opened,
             Ok(Err(why)) => Opened::Damaged(why),
             Err(_) => Opened::Damaged("the engine could make nothing of it".into()),
         }
@@ -195,6 +205,11 @@
     }
 }
 
+fn is_denied(e: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{NotFound, PermissionDenied, ReadOnlyFilesystem, ResourceBusy, WouldBlock};
+    matches!(e.kind(), NotFound | PermissionDenied | ReadOnlyFilesystem | ResourceBusy | WouldBlock)
+}
+
 fn disk(path: &Path, e: impl std::fmt::Display) -> StoreError {
     StoreError::Disk { path: path.to_owned(), what: e.to_string() }
 }
@@ -368,6 +383,15 @@
         assert!(found > 50, "{found} of 150 found");
     }
 
+    #[test]
+    fn a_store_that_another_has_open_is_not_taken_for_damaged() {
+        let folder = Folder::new("busy");
+        let store = Store::create(&folder.file(), &founding()).expect("made");
+        assert!(matches!(Store::open(&folder.file()), Opened::Unavailable(_)));
+        drop(store);
+        assert!(matches!(Store::open(&folder.file()), Opened::Sound(..)));
+    }
+
     #[test]
     fn a_disk_that_fails_says_so_once_and_a_thread_keeps_the_order() {
         let folder = Folder::new("thread");
--- a/crates/sandgap-lab/src/agree/faults.rs
+++ b/crates/sandgap-lab/src/agree/faults.rs
@@ -25,6 +25,32 @@
     Stall(usize, Nanos),
 }
 
+/// Shapes of partitions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Shape {
+    /// Two halves, whoever falls into which.
+    Halves,
+    /// The same with one that reaches both.
+    Bridge,
+    /// One alone.
+    Alone,
+    /// A voter that reaches no voter, but all who ask.
+    LoneVoter,
+    /// One that is heard and hears nothing.
+    Deaf,
+    /// A voter that hears and is not heard.
+    Mute,
+    /// Each reaches its neighbours alone.
+    Ring,
+    /// A majority of the voters reaches nobody.
+    Majority,
+}
+
+impl Shape {
+    const ALL: [Shape; 7] =
+        [Shape::Halves, Shape::Bridge, Shape::Alone, Shape::LoneVoter, Shape::Deaf, Shape::Mute, Shape::Ring];
+}
+
 /// Draws when what goes wrong.
 pub fn draw(setup: &Setup, rng: &mut Stream) -> Vec<(Nanos, Fault)> {
     let mut all = Vec::new();
@@ -32,6 +58,10 @@
         return all;
     }
     let nodes = setup.voters + setup.observers;
+    if let Some(only) = setup.only {
+        // One partition for most of the time, and nothing else.
+        return vec![(4 * SECOND, Fault::Cut(pairs(setup, only, nodes, rng)))];
+    }
     let mut at = SECOND;
     let mut lost_disks = 0;
     while at < setup.faulty {
@@ -65,30 +95,34 @@
 
 /// The shape of a partition: which ways are cut.
 fn shape(setup: &Setup, nodes: usize, rng: &mut Stream) -> Vec<(usize, usize)> {
+    let kind = Shape::ALL[rng.random_range(0..Shape::ALL.len())];
+    pairs(setup, setup.only.unwrap_or(kind), nodes, rng)
+}
+
+/// The ways that a partition of a shape cuts.
+fn pairs(setup: &Setup, shape: Shape, nodes: usize, rng: &mut Stream) -> Vec<(usize, usize)> {
     let pairs = || (0..nodes).flat_map(|a| (0..nodes).filter(move |b| *b != a).map(move |b| (a, b)));
     let one = rng.random_range(0..nodes);
     let voter = rng.random_range(0..setup.voters);
-    match rng.random_range(0..7) {
-        // Two halves, whoever falls into which.
-        0 => {
+    match shape {
+        Shape::Halves => {
             let side: Vec<bool> = (0..nodes).map(|_| rng.random()).collect();
             pairs().filter(|(a, b)| side[*a] != side[*b]).collect()
         }
-        // The same with one that reaches both.
-        1 => {
+        Shape::Bridge => {
             let side: Vec<bool> = (0..nodes).map(|_| rng.random()).collect();
             pairs().filter(|(a, b)| side[*a] != side[*b] && *a != one && *b != one).collect()
         }
-        // One alone.
-        2 => pairs().filter(|(a, b)| *a == one || *b == one).collect(),
-        // A voter that reaches no voter, but all who ask.
-        3 => pairs()
+        Shape::Alone => pairs().filter(|(a, b)| *a == one || *b == one).collect(),
+        Shape::LoneVoter => pairs()
             .filter(|(a, b)| (*a == voter || *b == voter) && *a < setup.voters && *b < setup.voters)
             .collect(),
-        // One that is heard and hears nothing, or the other way round.
-        4 => pairs().filter(|(_, b)| *b == one).collect(),
-        5 => pairs().filter(|(a, _)| *a == voter).collect(),
-        // A ring: each reaches its neighbours alone.
-        _ => pairs().filter(|(a, b)| (a + 1) % nodes != *b && (b + 1) % nodes != *a).collect(),
+        Shape::Deaf => pairs().filter(|(_, b)| *b == one).collect(),
+        Shape::Mute => pairs().filter(|(a, _)| *a == voter).collect(),
+        Shape::Ring => pairs().filter(|(a, b)| (a + 1) % nodes != *b && (b + 1) % nodes != *a).collect(),
+        Shape::Majority => {
+            let lost = setup.voters / 2 + 1;
+            pairs().filter(|(a, b)| *a < lost || *b < lost).collect()
+        }
     }
 }
--- a/crates/sandgap-lab/src/agree/mod.rs
+++ b/crates/sandgap-lab/src/agree/mod.rs
@@ -52,6 +52,8 @@
     pub publish: Nanos,
     /// Whether there are faults at all.
     pub faults: bool,
+    /// One partition of this shape for most of the time, in place of all faults.
+    pub only: Option<faults::Shape>,
     /// Something wrong by intent.
     pub flaw: Option<Flaw>,
 }
@@ -67,6 +69,7 @@
             faulty: 12 * SECOND,
             publish: 400 * MS,
             faults: true,
+            only: None,
             flaw: None,
         }
     }
--- a/crates/sandgap-lab/src/main.rs
+++ b/crates/sandgap-lab/src/main.rs
@@ -137,6 +137,9 @@
         /// Nothing goes wrong
         #[arg(long)]
         calm: bool,
+        /// One partition of this shape in place of all faults
+        #[arg(long, value_enum)]
+        only: Option<agree::faults::Shape>,
         /// Something wrong by intent
         #[arg(long, value_enum)]
         flaw: Option<agree::Flaw>,
@@ -273,7 +276,7 @@
             limiters::compare(seed, spread).iter().for_each(|f| println!("{f}"));
             Ok(true)
         }
-        Command::Agree { seeds, from, voters, observers, bound_ms, ppm, apart, calm, flaw } => {
+        Command::Agree { seeds, from, voters, observers, bound_ms, ppm, apart, calm, only, flaw } => {
             let (voters, observers) = (voters.into(), observers.into());
             let bound = std::time::Duration::from_millis(bound_ms);
             let setup = agree::Setup {
@@ -283,6 +286,7 @@
                 ppm,
                 apart,
                 faults: !calm,
+                only,
                 flaw,
                 ..Default::default()
             };
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -234,7 +234,9 @@
     let saved = match Store::open(path) {
         Opened::Sound(_, saved) => saved,
         Opened::Missing => return Err(Failed::Wrong(format!("{}: there is no store", path.display()))),
-        Opened::Damaged(why) => return Err(Failed::Wrong(format!("{}: {why}", path.display()))),
+        Opened::Damaged(why) | Opened::Unavailable(why) => {
+            return Err(Failed::Wrong(format!("{}: {why}", path.display())));
+        }
     };
     if !sure {
         let word = format!("only {} is left", fleet.name);
--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -38,9 +38,13 @@
     pub header: Option<(HeaderName, HeaderValue)>,
 }
 
+/// An agent that its shell drives and the front asks.
+pub type Shared = Rc<RefCell<Agent>>;
+
 /// Says under which version a request may be taken now.
 pub struct Rules {
-    agent: RefCell<Agent>,
+    /// Another one while an upgrade ends, see [`shell`].
+    agent: RefCell<Shared>,
     bound: Duration,
     header: Option<HeaderName>,
     /// Classes that are served without a lease, by the rules known last.
@@ -53,7 +57,17 @@
     /// Rules by an agent that knows nothing yet.
     pub fn new(agent: Agent, bound: Duration, header: Option<HeaderName>) -> Rc<Self> {
         let (serve, kept) = Default::default();
-        Rc::new(Rules { agent: RefCell::new(agent), bound, header, serve, kept })
+        Rc::new(Rules { agent: RefCell::new(Rc::new(RefCell::new(agent))), bound, header, serve, kept })
+    }
+
+    /// The agent that counts.
+    fn agent(&self) -> Shared {
+        self.agent.borrow().clone()
+    }
+
+    /// Goes by another agent from now on.
+    fn adopt(&self, agent: Shared) {
+        *self.agent.borrow_mut() = agent;
     }
 
     /// Whether a request of this class may be taken now; if not, how long its client should wait.
@@ -61,13 +75,14 @@
     /// # Errors
     /// The wait: the lease has lapsed or there is nothing to act on, and the class is refused then.
     pub fn take(self: &Rc<Self>, class: &str) -> Result<Taken, Duration> {
-        let leased = self.agent.borrow().take(now()).map(|taking| taking.version);
+        let agent = self.agent();
+        let leased = agent.borrow().take(now()).map(|taking| taking.version);
         let serves = self.serve.borrow().contains(class);
         let version = match leased {
             Some(version) => version,
             None if serves && self.last() > 0 => self.last(),
             None => {
-                self.agent.borrow_mut().count_refused();
+                agent.borrow_mut().count_refused();
                 return Err(self.bound / RETRY);
             }
         };
@@ -78,7 +93,7 @@
 
     /// The version that this proxy acted on last.
     fn last(&self) -> Version {
-        match self.agent.borrow().follower().acting() {
+        match self.agent().borrow().follower().acting() {
             0 => self.kept.get(),
             version => version,
         }
@@ -93,6 +108,6 @@
 
 impl Licence for Rules {
     fn holds(&self) -> bool {
-        self.agent.borrow().take(now()).is_some()
+        self.agent.borrow().borrow().take(now()).is_some()
     }
 }
--- a/crates/sandgap/src/rules/shell.rs
+++ b/crates/sandgap/src/rules/shell.rs
@@ -1,6 +1,7 @@
 //! Drives the agent of agreed rules: links and members on sockets, the voter's disk on a thread of its own, switches
 //! into the daemon.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -15,11 +16,11 @@
 use sandgap_fleet::{Identity, Members};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 use wharfhitch::{Scope, Settings};
 
-use super::{Rules, book, now};
+use super::{Rules, Shared, book, now};
 use crate::config::Fleet;
 use crate::event::{Inbox, Input};
 use crate::front::Frontend;
@@ -59,6 +60,8 @@
 /// See the module.
 pub struct Shell {
     parts: Parts,
+    /// What it drives: the one that counts, or the one that will.
+    agent: Shared,
     fleet: Fleet,
     members: Members,
     links: Rc<Links>,
@@ -83,32 +86,47 @@
 }
 
 impl Shell {
-    /// Listens, and takes up a voter's part if this proxy has one.
+    /// Takes this proxy's place in the fleet, and takes up a voter's part if it has one.
     ///
     /// # Errors
     /// Where the address or the disk can't be used.
-    pub async fn start(parts: Parts, fleet: Fleet) -> Result<Self, String> {
+    async fn member(parts: Parts, fleet: Fleet) -> Result<Self, String> {
         let on = fleet.listen;
         let listener = TcpListener::bind(on).await.map_err(|e| format!("fleet on {on}: {e}"))?;
-        let (sender, incoming) = mpsc::channel(INCOMING);
-        let links = Links::new(fleet.key.clone(), fleet.name.clone(), sender);
-        spawn_local(links.clone().serve(listener));
-        let incarnation = now().as_millis() as u64;
-        let me = Identity { name: fleet.name.clone(), address: on, incarnation, zone: fleet.zone.clone() };
-        let members = Members::new(me, Pace::default(), chance());
-        let (keeps, kept) = mpsc::unbounded_channel(); // one word a write, and writes are bounded
-        let mut shell = Shell { parts, fleet, members, links, incoming, keeper: None, kept, keeps };
+        let agent = Rc::new(RefCell::new(agent(&fleet)));
+        let mut shell = Self::new(parts, fleet, agent);
         if let Some(path) = shell.fleet.store.clone().filter(|_| shell.fleet.votes()) {
             shell.vote(&path)?;
         }
+        spawn_local(shell.links.clone().serve(listener));
         shell.take_up_kept();
         Ok(shell)
     }
 
+    /// Asks for leases under a name of its own, while the process before this one still has the place.
+    fn guest(parts: Parts, mut fleet: Fleet) -> Self {
+        fleet.name = format!("{:.40}~{}", fleet.name, std::process::id());
+        let agent = Rc::new(RefCell::new(agent(&fleet)));
+        parts.rules.adopt(agent.clone());
+        Self::new(parts, fleet, agent)
+    }
+
+    fn new(parts: Parts, fleet: Fleet, agent: Shared) -> Self {
+        let (sender, incoming) = mpsc::channel(INCOMING);
+        let links = Links::new(fleet.key.clone(), fleet.name.clone(), sender);
+        let incarnation = now().as_millis() as u64;
+        let (name, zone) = (fleet.name.clone(), fleet.zone.clone());
+        let me = Identity { name, address: fleet.listen, incarnation, zone };
+        let members = Members::new(me, Pace::default(), chance());
+        let (keeps, kept) = mpsc::unbounded_channel(); // one word a write, and writes are bounded
+        Shell { parts, agent, fleet, members, links, incoming, keeper: None, kept, keeps }
+    }
+
     /// Opens the voter's store. One that is missing or damaged is replaced by a blank one, under another seat.
     fn vote(&mut self, path: &Path) -> Result<(), String> {
         let (store, saved) = match Store::open(path) {
             Opened::Sound(store, saved) => (store, saved),
+            Opened::Unavailable(why) => return Err(format!("{}: {why}", path.display())),
             Opened::Missing => {
                 note!(warn:
                     "{}: no store; the other voters are asked for a new seat. A new fleet is founded with \
@@ -129,7 +147,7 @@
         let keeper = Keeper::start(store, move |kept| drop(told.send(kept))).map_err(|e| e.to_string())?;
         self.keeper = Some(keeper);
         let address = self.fleet.listen;
-        let mut agent = self.parts.rules.agent.borrow_mut();
+        let mut agent = self.agent.borrow_mut();
         agent.vote(now(), &saved, address).map_err(|e| format!("{}: {e}", path.display()))
     }
 
@@ -152,16 +170,23 @@
         }
     }
 
-    /// Runs for as long as the process does.
-    pub async fn run(mut self) {
+    /// Makes this proxy known to the others.
+    fn join(&mut self) {
         for (name, address) in self.fleet.voters.clone() {
             if name != self.fleet.name {
                 let gossip = self.members.join(now(), &name, address);
                 self.gossip(gossip);
             }
         }
+    }
+
+    /// Runs for as long as the process does, or, `until_right`, until its agent has a right.
+    async fn run(&mut self, until_right: bool) {
         loop {
-            let due = self.parts.rules.agent.borrow().next_due();
+            if until_right && self.agent.borrow().take(now()).is_some() {
+                return;
+            }
+            let due = self.agent.borrow().next_due();
             let due = self.members.next_due().map_or(due, |at| at.min(due));
             let wait = due.saturating_sub(now()).min(LOOK);
             tokio::select! {
@@ -183,10 +208,10 @@
         let at = now();
         let gossip = self.members.fire(at);
         self.gossip(gossip);
-        if self.parts.rules.agent.borrow().next_due() <= at {
+        if self.agent.borrow().next_due() <= at {
             let others = self.members.present().into_iter().map(|m| m.name);
             let others = others.filter(|name| *name != self.fleet.name).collect();
-            let mut agent = self.parts.rules.agent.borrow_mut();
+            let mut agent = self.agent.borrow_mut();
             agent.present(others);
             agent.fire(at);
         }
@@ -202,7 +227,7 @@
             }
             RULES => {
                 if let Some(word) = Word::decode(&body) {
-                    self.parts.rules.agent.borrow_mut().hear(now(), &from, word);
+                    self.agent.borrow_mut().hear(now(), &from, word);
                     self.carry_out();
                 }
             }
@@ -211,7 +236,7 @@
     }
 
     fn kept(&mut self, kept: Result<u64, String>) {
-        let mut agent = self.parts.rules.agent.borrow_mut();
+        let mut agent = self.agent.borrow_mut();
         match kept {
             Ok(number) => agent.written(now(), number),
             Err(why) => agent.disk_failed(&why),
@@ -232,7 +257,7 @@
 
     fn carry_out(&mut self) {
         loop {
-            let output = self.parts.rules.agent.borrow_mut().poll();
+            let output = self.agent.borrow_mut().poll();
             let Some(output) = output else { return };
             match output {
                 Output::Say(to, address, word) => {
@@ -242,7 +267,7 @@
                 Output::Write(write) => {
                     let kept = self.keeper.as_ref().map_or(Err("there is none"), |k| k.keep(write));
                     if let Err(why) = kept {
-                        self.parts.rules.agent.borrow_mut().disk_failed(why);
+                        self.agent.borrow_mut().disk_failed(why);
                     }
                 }
                 Output::Check(version, rules) => {
@@ -250,7 +275,7 @@
                     if let Err(why) = &usable {
                         note!(warn: "rules: version {version} can't be used here: {why}");
                     }
-                    self.parts.rules.agent.borrow_mut().checked(now(), version, usable);
+                    self.agent.borrow_mut().checked(now(), version, usable);
                 }
                 Output::Act(version, rules) => self.act(version, &rules),
                 Output::Note(text) => note!("{text}"),
@@ -274,7 +299,7 @@
             }
             Err(why) => {
                 note!(error: "rules: version {version} can't be put in force: {why}");
-                self.parts.rules.agent.borrow_mut().cannot_act(version, &why);
+                self.agent.borrow_mut().cannot_act(version, &why);
             }
         }
     }
@@ -303,29 +328,46 @@
     }
 }
 
-/// Takes this proxy's place in the fleet, as soon as its address and store are free: the process before it may still
-/// hold them.
+/// Takes this proxy's place in the fleet. While the process before it still holds the address, as in an upgrade, this
+/// one asks for leases as a guest; once the place is free it takes it, and goes over when it has a lease there.
 pub async fn serve(parts: Parts, fleet: Fleet) {
+    let mut guest: Option<JoinHandle<()>> = None;
     let mut told: Option<Instant> = None;
-    loop {
-        match Shell::start(parts.clone(), fleet.clone()).await {
-            Ok(shell) => return shell.run().await,
+    let mut member = loop {
+        match Shell::member(parts.clone(), fleet.clone()).await {
+            Ok(shell) => break shell,
             Err(e) => {
                 if told.is_none_or(|at| at.elapsed() >= TELL) {
-                    note!(warn: "rules: {e}; trying on. Until then this proxy has no lease");
+                    note!(warn: "rules: {e}; this process asks as a guest until the place is free");
                     told = Some(Instant::now());
                 }
+                let visit = || {
+                    let mut shell = Shell::guest(parts.clone(), fleet.clone());
+                    spawn_local(async move { shell.run(false).await })
+                };
+                guest.get_or_insert_with(visit);
                 sleep(AGAIN).await;
             }
         }
+    };
+    member.join();
+    if let Some(guest) = guest {
+        member.run(true).await;
+        parts.rules.adopt(member.agent.clone());
+        guest.abort();
+        note!("rules: the place in the fleet is this process's now");
+    } else {
+        parts.rules.adopt(member.agent.clone());
     }
+    member.run(false).await;
 }
 
 /// What a proxy that ends does: a leader hands the lead on, so that nobody waits for another to be chosen.
 pub async fn retire(rules: &Rules) {
-    let leads = rules.agent.borrow().voter().is_some_and(|v| v.leads());
+    let agent = rules.agent();
+    let leads = agent.borrow().voter().is_some_and(|v| v.leads());
     if leads {
-        rules.agent.borrow_mut().retire(now());
+        agent.borrow_mut().retire(now());
         sleep(RETIRE).await;
     }
 }
--- /dev/null
+++ b/crates/sandgap/tests/agreed.rs
@@ -0,0 +1,256 @@
+//! Agreed rules as staff and clients meet them: calls by hand, a lost majority, a start from what was kept, an upgrade.
+
+mod sockets;
+
+use std::fmt::Write as _;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use sockets::*;
+
+/// A folder that goes with the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("sandgap-agreed-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).expect("a folder");
+        std::fs::write(path.join("key"), "7c".repeat(32)).expect("a file");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+/// A fleet of which each proxy votes.
+struct Fleet<'a> {
+    folder: &'a Path,
+    addresses: Vec<SocketAddr>,
+    backend: SocketAddr,
+}
+
+impl<'a> Fleet<'a> {
+    fn new(folder: &'a Folder, size: usize, backend: &Backend) -> Self {
+        Fleet { folder: &folder.0, addresses: (0..size).map(|_| free()).collect(), backend: backend.address }
+    }
+
+    fn rules(&self, attempts: u32) -> String {
+        format!(
+            "[[backend]]\nname = \"b\"\naddress = \"{}\"\ncell = 1\n[[class]]\nname = \"page\"\neffect = \"safe\"\n\
+             deadline_ms = 5000\n[[class]]\nname = \"submit\"\neffect = \"unsafe\"\ndeadline_ms = 5000\n\
+             [limits]\nmax_attempts = {attempts}\n",
+            self.backend
+        )
+    }
+
+    fn settings(&self, n: usize, listen: SocketAddr, source: &str) -> String {
+        let file = |name: String| self.folder.join(name);
+        let mut text = format!(
+            "[proxy]\nname = \"v{n}\"\nlisten = \"{listen}\"\nupgrade = {:?}\n[fleet]\nlisten = \"{}\"\nkey = {:?}\n\
+             bound_ms = 500\nstore = {:?}\nkeep = {:?}\nheader = \"X-Version\"\n",
+            self.folder,
+            self.addresses[n],
+            file("key".into()),
+            file(format!("v{n}.redb")),
+            file(format!("v{n}.kept")),
+        );
+        for (v, address) in self.addresses.iter().enumerate() {
+            let _ = write!(text, "[[voter]]\nname = \"v{v}\"\naddress = \"{address}\"\n");
+        }
+        text + source
+    }
+
+    /// Starts a proxy; founds its store if there is none.
+    fn start(&self, n: usize) -> Proxy {
+        self.start_at(n, "127.0.0.1:0".parse().expect("an address"), &self.rules(1))
+    }
+
+    fn start_at(&self, n: usize, listen: SocketAddr, source: &str) -> Proxy {
+        let text = self.settings(n, listen, source);
+        std::fs::write(self.folder.join(format!("v{n}.toml")), &text).expect("a file");
+        if !self.folder.join(format!("v{n}.redb")).exists() {
+            let founded = self.call(n, &["found"]);
+            assert!(founded.status.success(), "{founded:?}");
+        }
+        Proxy::serve(&text)
+    }
+
+    /// A call by hand with the settings of a proxy.
+    fn call(&self, n: usize, words: &[&str]) -> Output {
+        let settings = self.folder.join(format!("v{n}.toml"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
+        command.arg("fleet").args(words).arg("--settings").arg(settings);
+        if !words.contains(&"--patience") {
+            command.args(["--patience", "25"]);
+        }
+        command.output().expect("the program runs")
+    }
+
+    fn publication(&self, attempts: u32) -> String {
+        let path = self.folder.join(format!("rules-{attempts}.toml"));
+        let text = format!("[proxy]\nlisten = \"127.0.0.1:1\"\n{}", self.rules(attempts));
+        std::fs::write(&path, text).expect("a file");
+        path.to_string_lossy().into_owned()
+    }
+
+    fn publish(&self, attempts: u32) {
+        let done = self.call(0, &["publish", &self.publication(attempts)]);
+        assert!(done.status.success(), "{done:?}");
+    }
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+fn ask(proxy: &Proxy, class: &str, id: &str) -> Message {
+    let method = if class == "page" { "GET" } else { "POST" };
+    let text = format!(
+        "{method} /{class}/x HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Timeout: 5\r\nContent-Length: 0\r\n\r\n"
+    );
+    Client::new(proxy).ask(&text).expect("an answer")
+}
+
+#[test]
+fn nothing_is_taken_before_a_lease_and_then_by_its_version() {
+    let (folder, backend) = (Folder::new("first"), Backend::new(Deed::Write(ok("served"))));
+    let fleet = Fleet::new(&folder, 1, &backend);
+    let proxy = fleet.start(0);
+    let refused = ask(&proxy, "page", "r1");
+    assert_eq!(refused.status(), 503);
+    assert!(refused.header("retry-after").is_some());
+    assert!(backend.seen().is_empty());
+    fleet.publish(2);
+    wait_for("a lease", || ask(&proxy, "submit", "r2").status() == 200);
+    fleet.publish(3);
+    assert_eq!(ask(&proxy, "submit", "r3").status(), 200);
+    let versions: Vec<Message> = backend.seen();
+    let last = versions.last().expect("one came");
+    assert_eq!(last.header("x-version"), Some("2"));
+}
+
+#[test]
+fn staff_publish_compare_drain_and_go_back() {
+    let (folder, backend) = (Folder::new("hand"), Backend::new(Deed::Write(ok("served"))));
+    let fleet = Fleet::new(&folder, 1, &backend);
+    let proxy = fleet.start(0);
+    fleet.publish(2);
+    let dry = fleet.call(0, &["publish", &fleet.publication(3), "--dry-run"]);
+    assert!(said(&dry).contains("contradicts  limits: max_attempts: 2 and 3"), "{dry:?}");
+    assert!(said(&dry).contains("+max_attempts = 3"), "{dry:?}");
+    fleet.publish(3);
+    // Whoever looked at version 1 before is told that somebody was faster.
+    let late = fleet.call(0, &["publish", &fleet.publication(4), "--parent", "1"]);
+    assert_eq!(late.status.code(), Some(3), "{late:?}");
+    assert!(said(&late).contains("version 2 is in force, not 1"));
+    let drained = fleet.call(0, &["drain", "b"]);
+    assert!(drained.status.success(), "{drained:?}");
+    let unknown = fleet.call(0, &["drain", "nobody"]);
+    assert_eq!(unknown.status.code(), Some(2), "{unknown:?}");
+    let diff = fleet.call(0, &["diff", "2"]);
+    assert!(said(&diff).contains("drain by hand of 'b': in use and drained"), "{diff:?}");
+    assert!(fleet.call(0, &["undrain", "b"]).status.success());
+    assert!(fleet.call(0, &["rollback", "1"]).status.success());
+    let history = said(&fleet.call(0, &["history"]));
+    assert!(history.contains("in force") && history.contains("rollback to 1"), "{history}");
+    assert!(said(&fleet.call(0, &["show"])).contains("max_attempts = 2"));
+    assert!(fleet.call(0, &["wait", "5"]).status.success());
+    let status = fleet.call(0, &["status", "--json"]);
+    let status: serde_json::Value = serde_json::from_slice(&status.stdout).expect("JSON");
+    assert_eq!(status["standing"]["version"], 5);
+    assert_eq!(status["members"][0]["name"], "v0");
+    assert_eq!(ask(&proxy, "page", "r1").status(), 200);
+    let again = fleet.call(0, &["found"]);
+    assert_eq!(again.status.code(), Some(2), "a store is never founded over");
+}
+
+#[test]
+fn a_version_that_one_proxy_can_t_use_is_not_switched_to() {
+    let (folder, backend) = (Folder::new("one"), Backend::new(Deed::Write(ok("served"))));
+    let fleet = Fleet::new(&folder, 3, &backend);
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    // Its backends come from discovery: a fixed list is nothing that it can use.
+    let source = fleet.rules(1);
+    let classes = source.split_once("[[class]]").map(|(_, rest)| rest.to_owned()).expect("classes");
+    let other = format!("[discovery]\naddress = \"{}\"\n[[class]]{classes}", discovery.address);
+    let _proxies = [fleet.start(0), fleet.start(1), fleet.start_at(2, any, &other)];
+    let refused = fleet.call(0, &["publish", &fleet.publication(2)]);
+    assert_eq!(refused.status.code(), Some(1), "{refused:?}");
+    assert!(said(&refused).contains("v2: a change between discovery and a fixed list"), "{refused:?}");
+}
+
+#[test]
+fn without_a_majority_only_what_may_be_served_so_is_served_by_what_was_kept() {
+    let (folder, backend) = (Folder::new("kept"), Backend::new(Deed::Write(ok("served"))));
+    let fleet = Fleet::new(&folder, 3, &backend);
+    {
+        let proxies = [fleet.start(0), fleet.start(1), fleet.start(2)];
+        fleet.publish(2);
+        for (n, proxy) in proxies.iter().enumerate() {
+            wait_for("a lease", || ask(proxy, "submit", &format!("a{n}")).status() == 200);
+        }
+        wait_for("what is kept", || folder.0.join("v0.kept").exists());
+    }
+    let before = backend.seen().len();
+    let alone = fleet.start(0);
+    wait_for("the kept version", || ask(&alone, "page", "b1").status() == 200);
+    let refused = ask(&alone, "submit", "b2");
+    assert_eq!(refused.status(), 503);
+    assert!(refused.header("retry-after").is_some());
+    assert!(backend.seen()[before..].iter().all(|m| m.header("x-version") == Some("1")));
+    let status = fleet.call(0, &["publish", &fleet.publication(3), "--patience", "2"]);
+    assert_eq!(status.status.code(), Some(4), "nothing changes without a majority: {status:?}");
+}
+
+#[test]
+fn the_last_resort_asks_and_then_goes_on_alone() {
+    let (folder, backend) = (Folder::new("resort"), Backend::new(Deed::Write(ok("served"))));
+    let fleet = Fleet::new(&folder, 3, &backend);
+    {
+        let _proxies = [fleet.start(0), fleet.start(1), fleet.start(2)];
+        fleet.publish(2);
+    }
+    let asked = fleet.call(0, &["last-resort"]);
+    assert_eq!(asked.status.code(), Some(1), "{asked:?}");
+    assert!(said(&asked).contains("only v0 is left"));
+    let done = fleet.call(0, &["last-resort", "--i-know-that-the-others-never-come-back"]);
+    assert!(done.status.success(), "{done:?}");
+    let alone = fleet.start(0);
+    wait_for("a lease", || ask(&alone, "submit", "c1").status() == 200);
+    fleet.publish(3);
+}
+
+#[test]
+fn an_upgrade_keeps_a_lease_through_both_processes() {
+    let (folder, backend) = (Folder::new("upgrade"), Backend::new(Deed::Write(ok("served"))));
+    let fleet = Fleet::new(&folder, 3, &backend);
+    let listen = free();
+    let mut old = fleet.start_at(0, listen, &fleet.rules(1));
+    let _others = [fleet.start(1), fleet.start(2)];
+    fleet.publish(2);
+    wait_for("a lease", || ask(&old, "submit", "d0").status() == 200);
+    let new = fleet.start_at(0, listen, &fleet.rules(1));
+    wait_for("the guest's lease", || new.said("as a guest") && new.said("in force"));
+    // A switch while both are there, and one after.
+    fleet.publish(3);
+    old.terminate();
+    old.wait();
+    wait_for("its place", || new.said("this process's now"));
+    for n in 0..20 {
+        assert_eq!(ask(&new, "submit", &format!("d{}", n + 1)).status(), 200, "request {n}");
+    }
+    fleet.publish(4);
+    assert_eq!(ask(&new, "submit", "d99").status(), 200);
+}
