--- a/crates/sandgap-rig/src/fleet/mod.rs
+++ b/crates/sandgap-rig/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet of real processes that agree on their rules, with a net between them that breaks, processes that stand still
 //! and die, publications all the while, and load on every proxy; judged by what the backends saw.
 
+pub mod cost;
 pub mod net;
 pub mod plan;
 pub mod site;
--- a/crates/sandgap-rig/src/fleet/site.rs
+++ b/crates/sandgap-rig/src/fleet/site.rs
@@ -119,6 +119,23 @@
         Ok(())
     }
 
+    /// Takes the fleet out of a proxy's settings.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn without_fleet(&self, n: usize) -> std::io::Result<()> {
+        let own = format!("[proxy]\nname = \"p{n}\"\nlisten = \"{}\"\n", self.listen[n]);
+        std::fs::write(self.path(&format!("p{n}.toml")), own + &self.rules(2))
+    }
+
+    /// Processor time that a proxy has used so far, µs.
+    pub fn cpu_us(&self, n: usize) -> f64 {
+        let children = self.children.borrow();
+        let Some(child) = &children[n] else { return 0.0 };
+        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", child.id())).unwrap_or_default();
+        text.split(' ').next().and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0) / 1e3
+    }
+
     /// Starts a proxy.
     ///
     /// # Errors
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -171,6 +171,21 @@
         #[arg(long, env = "SANDGAP")]
         proxy: Option<PathBuf>,
     },
+    /// Measures what agreed rules cost a proxy, against the same proxy without a fleet, in turn.
+    FleetCost {
+        /// Requests a second.
+        #[arg(long, default_value_t = 2500.0)]
+        rate: f64,
+        /// Length of each run, s.
+        #[arg(long, default_value_t = 6.0)]
+        seconds: f64,
+        /// Pairs of runs.
+        #[arg(long, default_value_t = 5)]
+        pairs: usize,
+        /// The proxy's program; where none is given, `sandgap` beside this one.
+        #[arg(long, env = "SANDGAP")]
+        proxy: Option<PathBuf>,
+    },
     /// Is a relay; its configuration is named by NODE_CONFIG.
     #[command(hide = true)]
     Relay {
@@ -275,6 +290,27 @@
             }
             Ok(held)
         }
+        Command::FleetCost { rate, seconds, pairs, proxy: path } => {
+            let mut all = fleet::cost::measure(&proxy(path)?.path, rate, seconds, pairs)?;
+            for p in &all {
+                println!(
+                    "off {:.1} us, on {:.1} us a request ({:.3}); p50, p99 off {:.0}, {:.0} us, on {:.0}, {:.0} us",
+                    p.off_us,
+                    p.on_us,
+                    p.ratio(),
+                    p.off_latency.0,
+                    p.off_latency.1,
+                    p.on_latency.0,
+                    p.on_latency.1
+                );
+            }
+            all.sort_by(|a, b| a.ratio().total_cmp(&b.ratio()));
+            if let (Some(least), Some(middle), Some(most)) = (all.first(), all.get(all.len() / 2), all.last())
+            {
+                println!("ratio {:.3} ({:.3} to {:.3})", middle.ratio(), least.ratio(), most.ratio());
+            }
+            Ok(true)
+        }
         Command::Export { scenario: name, folder, seed, requests, rate, proxies, backends } => {
             let plan = named(&name)?.plan(seed, Size { requests, rate, proxies, backends });
             sandgap_rig::export::write(&plan, &folder)?;
