Bound what waits for all links together, keep versions in order, test the follower

Need: each link's queue had a bound, all of them together none; two threads that kept versions for the next start could end in the wrong order.

Change: 32 MiB for all links together; one thread at a time writes the kept version, the latest last. Tests of the follower's rules and of requests whose licence ends.

--- a/crates/sandgap-agree/src/follower.rs
+++ b/crates/sandgap-agree/src/follower.rs
@@ -268,3 +268,130 @@
         self.held.get(&version).and_then(|h| h.book.encode().ok())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::rulebook::example;
+
+    const T: u64 = 1000;
+
+    fn ms(ms: u64) -> Time {
+        Duration::from_millis(ms)
+    }
+
+    fn book(attempts: u32) -> (Vec<u8>, Digest) {
+        let mut book = example();
+        book.limits.max_attempts = attempts;
+        let bytes = book.encode().expect("small");
+        let name = digest(&bytes);
+        (bytes, name)
+    }
+
+    fn standing(index: u64, version: Version) -> Standing {
+        Standing { index, version, digest: book(version as u32).1, closed: false, pending: None }
+    }
+
+    fn follower() -> Follower {
+        Follower::new(Span { bound: ms(T), drift: Drift::ppm(0) }, 40)
+    }
+
+    fn grant(f: &mut Follower, asked: u64, now: u64, standing: Standing) -> Vec<Step> {
+        let (number, _) = f.ask(ms(asked));
+        f.granted(ms(now), &Grant { number, origin: None, standing, voters: Vec::new() })
+    }
+
+    /// Fetches, checks and acts on a version that it has heard of.
+    fn act(f: &mut Follower, now: u64, version: Version) {
+        assert!(matches!(f.book(version, &book(version as u32).0)[..], [Step::Check(v, _)] if v == version));
+        assert!(matches!(f.checked(ms(now), version, Ok(()))[..], [Step::Act(v, _)] if v == version));
+    }
+
+    fn version(f: &Follower, now: u64) -> Option<Version> {
+        f.take(ms(now)).map(|t| t.version)
+    }
+
+    #[test]
+    fn it_takes_nothing_before_it_has_rules_and_a_lease_on_them() {
+        let mut f = follower();
+        assert_eq!(version(&f, 0), None);
+        assert_eq!(grant(&mut f, 0, 5, standing(1, 1)), [Step::Fetch(1)]);
+        assert_eq!(version(&f, 6), None);
+        act(&mut f, 10, 1);
+        // The lease counts from the question, not from when the rules had come.
+        assert_eq!((version(&f, 999), version(&f, 1000)), (Some(1), None));
+    }
+
+    #[test]
+    fn an_answer_that_tells_of_newer_rules_does_not_renew_the_older() {
+        let mut f = follower();
+        grant(&mut f, 0, 5, standing(1, 1));
+        act(&mut f, 10, 1);
+        assert_eq!(grant(&mut f, 500, 505, standing(7, 2)), [Step::Fetch(2)]);
+        assert_eq!((version(&f, 999), version(&f, 1001)), (Some(1), None));
+        // Once it holds them, the same answer counts for them.
+        act(&mut f, 1100, 2);
+        assert_eq!((version(&f, 1499), version(&f, 1500)), (Some(2), None));
+    }
+
+    #[test]
+    fn a_lease_is_good_for_what_is_heard_of_later() {
+        let mut f = follower();
+        grant(&mut f, 0, 5, standing(1, 1));
+        act(&mut f, 10, 1);
+        assert_eq!(f.heard(ms(20), &standing(7, 2)), [Step::Fetch(2)]);
+        act(&mut f, 30, 2);
+        assert_eq!((version(&f, 999), version(&f, 1000)), (Some(2), None));
+    }
+
+    #[test]
+    fn words_from_earlier_in_the_log_unsay_nothing() {
+        let mut f = follower();
+        grant(&mut f, 0, 5, standing(1, 1));
+        act(&mut f, 10, 1);
+        f.heard(ms(20), &Standing { closed: true, ..standing(9, 1) });
+        assert_eq!(version(&f, 21), None);
+        f.heard(ms(30), &standing(8, 1));
+        grant(&mut f, 31, 32, standing(8, 1));
+        assert_eq!(version(&f, 33), None, "it was closed after that");
+        grant(&mut f, 40, 45, standing(10, 1));
+        assert_eq!(version(&f, 46), Some(1), "what was to follow has been abandoned");
+    }
+
+    #[test]
+    fn rules_of_another_content_or_that_it_can_t_use_are_not_acted_on() {
+        let mut f = follower();
+        grant(&mut f, 0, 5, standing(1, 1));
+        assert!(f.book(1, &book(9).0).is_empty());
+        assert!(f.book(3, &book(3).0).is_empty(), "nobody asked for it");
+        assert!(matches!(f.book(1, &book(1).0)[..], [Step::Check(1, _)]));
+        assert!(f.checked(ms(9), 1, Err("no such zone".into())).is_empty());
+        assert_eq!((version(&f, 10), f.unusable()), (None, Some("no such zone")));
+        assert_eq!(f.ask(ms(11)).1.looked, Some((1, Some("no such zone".into()))));
+    }
+
+    #[test]
+    fn a_version_that_could_not_be_put_in_force_gives_no_right() {
+        let mut f = follower();
+        grant(&mut f, 0, 5, standing(1, 1));
+        act(&mut f, 10, 1);
+        f.cannot_act(1, "too many classes are held");
+        grant(&mut f, 20, 25, standing(1, 1));
+        assert_eq!(version(&f, 26), None);
+        grant(&mut f, 30, 35, standing(5, 2));
+        act(&mut f, 40, 2);
+        assert_eq!(version(&f, 41), Some(2));
+    }
+
+    #[test]
+    fn books_that_are_held_are_bounded() {
+        let mut f = follower();
+        for v in 1..40 {
+            f.heard(ms(v), &Standing { pending: Some((v + 1, book(v as u32 + 1).1)), ..standing(v, v) });
+            f.book(v, &book(v as u32).0);
+            f.checked(ms(v), v, Ok(()));
+        }
+        assert!(f.held.len() <= HELD);
+        assert!(f.acting_book().is_some());
+    }
+}
--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -24,6 +24,8 @@
     answers: Vec<(RequestId, String)>,
     retired: Vec<u64>,
     odd: usize,
+    /// Nothing may be sent any more.
+    lapsed: bool,
 }
 
 impl Outside for Seen {
@@ -38,6 +40,10 @@
         self.answers.push((request, format!("{answer:?}")));
     }
 
+    fn may_send(&self, (): &()) -> bool {
+        !self.lapsed
+    }
+
     fn retire(&mut self, endpoint: &Endpoint) {
         self.retired.push(endpoint.number);
     }
@@ -220,3 +226,29 @@
         assert_eq!(core.held(), 0, "seed {seed}");
     }
 }
+
+#[test]
+fn without_a_licence_nothing_goes_out_and_the_client_is_told_at_once() {
+    let mut core = core();
+    core.outside.lapsed = true;
+    core.decider.says = [vec![send(1, "a")]].into();
+    core.request(at(1), arrival(1, at(900)));
+    assert!(core.outside.attempts.is_empty());
+    assert_eq!(core.outside.answers, [(RequestId(1), "Refused(None)".to_owned())]);
+    assert_eq!(core.held(), 0);
+    let ended = |e: &Event| matches!(e, Event::Ended { outcome: Outcome::Moot, closed: true, .. });
+    assert!(core.decider.heard.iter().any(ended), "the module hears the end of what it wanted sent");
+    assert!(core.decider.heard.iter().any(|e| matches!(e, Event::Abandoned(RequestId(1)))));
+}
+
+#[test]
+fn what_may_have_run_before_the_licence_ended_has_failed_and_is_not_sent_again() {
+    let mut core = core();
+    core.decider.says = [vec![send(1, "a")]].into();
+    core.request(at(1), arrival(1, at(900)));
+    core.outside.lapsed = true;
+    core.decider.says = [vec![send(1, "b")]].into();
+    core.ended(at(9), RequestId(1), 0, 8.0, Outcome::Reset, None);
+    assert_eq!(core.outside.attempts.len(), 1);
+    assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
+}
--- a/crates/sandgap-fleet/src/limits.rs
+++ b/crates/sandgap-fleet/src/limits.rs
@@ -10,6 +10,8 @@
 pub const QUEUE: usize = 1024;
 /// Bytes that wait for one link; a peer that reads slowly must not fill the memory. Room for two largest frames.
 pub const QUEUED: usize = 2 * BODY;
+/// Bytes that wait for all links together: what a cut from everybody may hold.
+pub const QUEUED_ALL: usize = 32 << 20;
 /// Links at once, both ways: a few hundred proxies, each twice while it restarts.
 pub const LINKS: usize = 1024;
 /// Connections that have not proved the key yet. Strangers share these and nothing else.
--- a/crates/sandgap-fleet/src/link.rs
+++ b/crates/sandgap-fleet/src/link.rs
@@ -19,7 +19,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::frame::{FrameError, Hello, Key, Opener, Sealer, Side, session};
-use crate::limits::{BACKOFF, BACKOFF_MOST, BODY, IDLE, LINKS, NAME, PROOF, QUEUE, QUEUED, STUCK, UNPROVED};
+use crate::limits::{
+    BACKOFF, BACKOFF_MOST, BODY, IDLE, LINKS, NAME, PROOF, QUEUE, QUEUED, QUEUED_ALL, STUCK, UNPROVED,
+};
 
 /// Bytes read at once.
 const READ: usize = 16 << 10;
@@ -60,6 +62,8 @@
     address: Cell<Option<SocketAddr>>,
     queue: RefCell<VecDeque<(u8, Rc<[u8]>)>>,
     queued: Cell<usize>,
+    /// The same of all peers together.
+    all: Rc<Cell<usize>>,
     more: Notify,
     /// Links that are up.
     links: Cell<usize>,
@@ -72,24 +76,30 @@
 impl Peer {
     fn put(&self, channel: u8, body: Rc<[u8]>) {
         let mut queue = self.queue.borrow_mut();
-        self.queued.set(self.queued.get() + body.len());
+        self.count(body.len() as isize);
         queue.push_back((channel, body));
-        while queue.len() > QUEUE || self.queued.get() > QUEUED {
+        while queue.len() > QUEUE || self.queued.get() > QUEUED || self.all.get() > QUEUED_ALL {
             let Some((_, old)) = queue.pop_front() else { break };
-            self.queued.set(self.queued.get() - old.len());
+            self.count(-(old.len() as isize));
         }
         self.more.notify_one();
     }
 
+    fn count(&self, bytes: isize) {
+        for count in [&self.queued, &self.all] {
+            count.set(count.get().saturating_add_signed(bytes));
+        }
+    }
+
     fn clear(&self) {
         self.queue.borrow_mut().clear();
-        self.queued.set(0);
+        self.count(-(self.queued.get() as isize));
     }
 
     fn take(&self, sealer: &mut Sealer, out: &mut Vec<u8>) -> Result<(), FrameError> {
         while out.len() < READ {
             let Some((channel, body)) = self.queue.borrow_mut().pop_front() else { break };
-            self.queued.set(self.queued.get() - body.len());
+            self.count(-(body.len() as isize));
             sealer.seal(channel, &body, out)?;
         }
         Ok(())
@@ -113,6 +123,8 @@
     name: String,
     incoming: mpsc::Sender<Incoming>,
     peers: RefCell<FxHashMap<String, Rc<Peer>>>,
+    /// Bytes that wait for all peers together.
+    queued: Rc<Cell<usize>>,
     unproved: Cell<usize>,
     links: Cell<usize>,
     counts: Cell<Counts>,
@@ -127,6 +139,7 @@
             name,
             incoming,
             peers: RefCell::default(),
+            queued: Rc::default(),
             unproved: Cell::default(),
             links: Cell::default(),
             counts: Cell::default(),
@@ -177,12 +190,19 @@
     fn peer(&self, name: &str) -> Option<Rc<Peer>> {
         let mut peers = self.peers.borrow_mut();
         if peers.len() >= LINKS && !peers.contains_key(name) {
-            peers.retain(|_, p| p.links.get() > 0 || p.dialling.get());
+            peers.retain(|_, p| {
+                let stays = p.links.get() > 0 || p.dialling.get();
+                if !stays {
+                    p.clear();
+                }
+                stays
+            });
             if peers.len() >= LINKS {
                 return None;
             }
         }
-        Some(peers.entry(name.to_owned()).or_default().clone())
+        let new = || Rc::new(Peer { all: self.queued.clone(), ..Peer::default() });
+        Some(peers.entry(name.to_owned()).or_insert_with(new).clone())
     }
 
     /// Begins to dial, unless that is on its way. Says whether a link may come up soon.
--- a/crates/sandgap-rig/src/fleet/mod.rs
+++ b/crates/sandgap-rig/src/fleet/mod.rs
@@ -263,7 +263,8 @@
         let kept = lines.lines().filter_map(|l| serde_json::from_str::<serde_json::Value>(l).ok());
         let kept: Vec<u64> = kept.filter_map(|l| l["version"].as_u64()).collect();
         let oldest = kept.first().copied().unwrap_or(u64::MAX);
-        for (version, attempts) in self.acknowledged.borrow().iter().filter(|(v, _)| **v >= oldest) {
+        let acknowledged = self.acknowledged.borrow().clone();
+        for (version, attempts) in acknowledged.into_iter().filter(|(v, _)| *v >= oldest) {
             let shown = self.site.hand(&["show", &version.to_string()]).output().await?;
             let text = String::from_utf8_lossy(&shown.stdout).into_owned();
             if !text.contains(&format!("max_attempts = {attempts}\n")) {
@@ -324,12 +325,11 @@
     async fn all_act(&self, when: &str, least: u64) -> Result<(), RunError> {
         let wait = async {
             loop {
-                let acting = self.acting.borrow();
+                let acting = self.acting.borrow().clone();
                 let latest = acting.iter().map(|(v, _)| *v).max().unwrap_or(0);
                 if latest >= least && acting.iter().all(|(v, _)| *v == latest) {
                     return;
                 }
-                drop(acting);
                 sleep(Duration::from_millis(10)).await;
             }
         };
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -553,10 +553,7 @@
         }
         let names: Vec<&str> = status.voters.iter().map(|(name, _)| name.as_str()).collect();
         println!("voters {}; leader {}", names.join(", "), status.leader.as_deref().unwrap_or("none"));
-        println!(
-            "{:<20} {:>8} {:>10} {:>8} {:>8}  {}",
-            "proxy", "version", "lease ms", "heard", "refused", "why"
-        );
+        println!("{:<20} {:>8} {:>10} {:>8} {:>8}  why", "proxy", "version", "lease ms", "heard", "refused");
         for m in &status.members {
             let why = match &m.report.looked {
                 Some((version, Some(why))) => format!("{version}: {why}"),
--- a/crates/sandgap/src/rules/shell.rs
+++ b/crates/sandgap/src/rules/shell.rs
@@ -3,8 +3,9 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use sandgap_agree::log::Saved;
@@ -69,6 +70,7 @@
     keeper: Option<Keeper>,
     kept: mpsc::UnboundedReceiver<Result<u64, String>>,
     keeps: mpsc::UnboundedSender<Result<u64, String>>,
+    keeping: Keeping,
 }
 
 /// Chance for names of questions and elections.
@@ -119,7 +121,18 @@
         let me = Identity { name, address: fleet.listen, incarnation, zone };
         let members = Members::new(me, Pace::default(), chance());
         let (keeps, kept) = mpsc::unbounded_channel(); // one word a write, and writes are bounded
-        Shell { parts, agent, fleet, members, links, incoming, keeper: None, kept, keeps }
+        Shell {
+            parts,
+            agent,
+            fleet,
+            members,
+            links,
+            incoming,
+            keeper: None,
+            kept,
+            keeps,
+            keeping: Keeping::default(),
+        }
     }
 
     /// Opens the voter's store. One that is missing or damaged is replaced by a blank one, under another seat.
@@ -317,14 +330,55 @@
 
     /// Keeps the version for the next start, off the loop: a slow disk holds up nobody.
     fn keep(&self, version: Version, rules: &Rulebook) {
-        let (Some(path), Ok(bytes)) = (self.fleet.keep.clone(), rules.encode()) else { return };
-        let bytes = [&version.to_le_bytes()[..], &bytes].concat();
-        let _ = std::thread::Builder::new().name("rules-keep".into()).spawn(move || {
+        if let (Some(path), Ok(bytes)) = (&self.fleet.keep, rules.encode()) {
+            self.keeping.put(path.clone(), [&version.to_le_bytes()[..], &bytes].concat());
+        }
+    }
+}
+
+/// Writes the version in force to a file, one at a time and the latest last.
+#[derive(Clone, Default)]
+struct Keeping(Arc<Mutex<Slot>>);
+
+#[derive(Default)]
+struct Slot {
+    /// What is to be written next; a later version takes the place of one that waits.
+    next: Option<Vec<u8>>,
+    /// A thread writes.
+    busy: bool,
+}
+
+impl Keeping {
+    fn slot(&self) -> MutexGuard<'_, Slot> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn put(&self, path: PathBuf, bytes: Vec<u8>) {
+        let mut slot = self.slot();
+        slot.next = Some(bytes);
+        if std::mem::replace(&mut slot.busy, true) {
+            return;
+        }
+        let keeping = self.clone();
+        let thread = std::thread::Builder::new().name("rules-keep".into());
+        if thread.spawn(move || keeping.write_all(&path)).is_err() {
+            slot.busy = false; // without a thread nothing is kept; the next version tries again
+        }
+    }
+
+    fn write_all(&self, path: &Path) {
+        loop {
+            let mut slot = self.slot();
+            let Some(bytes) = slot.next.take() else {
+                slot.busy = false;
+                return;
+            };
+            drop(slot);
             let new = path.with_extension("new");
-            if let Err(e) = std::fs::write(&new, bytes).and_then(|()| std::fs::rename(&new, &path)) {
+            if let Err(e) = std::fs::write(&new, bytes).and_then(|()| std::fs::rename(&new, path)) {
                 note!(warn: "{}: {e}; the version in force is not kept for the next start", path.display());
             }
-        });
+        }
     }
 }
 
