--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -38,7 +38,7 @@
 /// Which settings tell who the fleet is.
 #[derive(Args)]
 pub struct Whose {
-    /// The proxy's settings file: its [fleet] and [[voter]] tell whom to ask.
+    /// The proxy's settings file: its tables fleet and voter tell whom to ask.
     #[arg(long, env = "NODE_CONFIG", global = true, default_value = "deploy/sandgap.toml")]
     settings: PathBuf,
     /// Prints JSON.
@@ -125,7 +125,7 @@
     Add {
         /// Its name.
         name: String,
-        /// Its [fleet] listen.
+        /// Where it listens for the fleet.
         address: SocketAddr,
     },
     /// One less.
@@ -139,7 +139,7 @@
         old: String,
         /// Who comes.
         name: String,
-        /// Its [fleet] listen.
+        /// Where it listens for the fleet.
         address: SocketAddr,
     },
 }
--- a/crates/sandgap/tests/agreed.rs
+++ b/crates/sandgap/tests/agreed.rs
@@ -254,3 +254,32 @@
     fleet.publish(4);
     assert_eq!(ask(&new, "submit", "d99").status(), 200);
 }
+
+#[test]
+fn voters_come_and_go_while_all_runs_and_a_lost_disk_is_rebuilt() {
+    let (folder, backend) = (Folder::new("voters"), Backend::new(Deed::Write(ok("served"))));
+    let mut fleet = Fleet::new(&folder, 3, &backend);
+    let mut proxies = vec![fleet.start(0), fleet.start(1), fleet.start(2)];
+    fleet.publish(2);
+    // A fourth begins without a store, and is seated by hand.
+    fleet.addresses.push(free());
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let text = fleet.settings(3, any, &fleet.rules(1));
+    std::fs::write(folder.0.join("v3.toml"), &text).expect("a file");
+    let fourth = Proxy::serve(&text);
+    let address = fleet.addresses[3].to_string();
+    let added = fleet.call(0, &["voters", "add", "v3", &address]);
+    assert!(added.status.success() && said(&added).contains("v3"), "{added:?}");
+    wait_for("the fourth's seat", || fourth.said("a new seat"));
+    let removed = fleet.call(0, &["voters", "remove", "v1"]);
+    assert!(removed.status.success(), "{removed:?}");
+    // v1 may go now, and v0, v2 and v3 are a majority of themselves with v2's disk lost.
+    drop(proxies.remove(1));
+    drop(proxies.remove(1));
+    std::fs::remove_file(folder.0.join("v2.redb")).expect("a store");
+    let text = fleet.settings(2, any, &fleet.rules(1));
+    let rebuilt = Proxy::serve(&text);
+    wait_for("the rebuilt one's seat", || rebuilt.said("a new seat"));
+    fleet.publish(3);
+    assert_eq!(ask(&rebuilt, "submit", "e1").status(), 200);
+}
