--- a/crates/sandgap-fleet/src/frame.rs
+++ b/crates/sandgap-fleet/src/frame.rs
@@ -67,7 +67,7 @@
     /// Reads a key file's text.
     ///
     /// # Errors
-    /// Where it is not [`DIGITS`] hexadecimal digits.
+    /// Where it is not 64 hexadecimal digits.
     pub fn parse(text: &str) -> Result<Self, KeyError> {
         let text = text.trim().as_bytes();
         if text.len() != DIGITS {
