Remove accessors of agreed rules that nothing calls

Change: they are gone; no behaviour, bound or assertion is touched.

Measured: lints and documentation pass; 25 tests of sandgap-agree, 33 of the laboratory and 7 of processes pass. The whole check.sh was not played again.

--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -13,7 +13,7 @@
 use crate::machine::Proposal;
 use crate::rulebook::{Rulebook, Version};
 use crate::voter::{Action, Voter};
-use crate::words::{Ask, Grant, Report, Seating, Standing, Status, Word};
+use crate::words::{Ask, Grant, Seating, Standing, Word};
 
 /// Questions for a lease in the span of one.
 const ASKS: u32 = 4;
@@ -404,19 +404,4 @@
     pub fn retire(&mut self, now: Time) {
         self.with_voter(|v, out| v.retire(now, out));
     }
-
-    /// How the fleet stands, if this proxy is a voter.
-    pub fn status(&self, now: Time) -> Option<Status> {
-        self.voter.as_ref().map(|v| v.status(now))
-    }
-
-    /// How this proxy stands.
-    pub fn report(&self, now: Time) -> Report {
-        let lease = self.follower.lease_end().map_or(Duration::ZERO, |end| end.saturating_sub(now));
-        Report {
-            acting: self.follower.acting(),
-            lease_ms: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
-            ..Report::default()
-        }
-    }
 }
--- a/crates/sandgap-agree/src/follower.rs
+++ b/crates/sandgap-agree/src/follower.rs
@@ -238,11 +238,6 @@
         self.refused += 1;
     }
 
-    /// When the lease ends, where there is one.
-    pub fn lease_end(&self) -> Option<Time> {
-        self.lease.end()
-    }
-
     /// The version acted on; 0 for none. Without a lease only what is served at any rate may go on under it.
     pub fn acting(&self) -> Version {
         self.acting
--- a/crates/sandgap-lab/src/agree/judge.rs
+++ b/crates/sandgap-lab/src/agree/judge.rs
@@ -151,11 +151,6 @@
         }
     }
 
-    /// Versions that a publisher was told of.
-    pub fn last_acknowledged(&self) -> Version {
-        self.acknowledged.keys().next_back().copied().unwrap_or(0)
-    }
-
     /// The longest that two contradicting versions could be acted on together, and which.
     pub fn longest(&self) -> (Nanos, Option<(Version, Version)>) {
         let mut longest = (0, None);
@@ -176,9 +171,4 @@
     pub fn switches(&self) -> u64 {
         self.versions.values().filter(|a| a.first.is_some()).count() as u64
     }
-
-    /// When a version was first acted on.
-    pub fn first(&self, version: Version) -> Option<Nanos> {
-        self.versions.get(&version).and_then(|a| a.first)
-    }
 }
