--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -9,14 +9,18 @@
 
 use crate::follower::{Follower, Span, Step, Taking};
 use crate::limits::{HOLD, RELAYED};
+use crate::lives::{Enrolled, Epoch, Life};
 use crate::log::{Damaged, Saved, Write};
 use crate::machine::Proposal;
 use crate::rulebook::{Rulebook, Version};
+use crate::tenure::{Holder, Turn};
 use crate::voter::{Action, Voter};
 use crate::words::{Ask, Grant, Seating, Standing, Word};
 
 /// Questions for a lease in the span of one.
 const ASKS: u32 = 4;
+/// The same, of a process with a place among the lives: each span between two is one that an heir begins later.
+const LIVELY: u32 = 8;
 /// After so many questions in a row without an answer, others are asked to pass them on as well.
 const ALONE: u32 = 2;
 
@@ -59,6 +63,8 @@
     Check(Version, Rc<Rulebook>),
     /// Act on this version.
     Act(Version, Rc<Rulebook>),
+    /// This process's place among the lives, or who is enrolled, has changed.
+    Turn(Turn),
     /// For the log.
     Note(String),
 }
@@ -131,6 +137,52 @@
         &self.follower
     }
 
+    /// From now on this process wants a place among the lives.
+    pub fn enlist(&mut self, zone: Option<String>) {
+        // Apart from the numbers of questions, and never 0, which stands for none.
+        let draw = self.draw.rotate_left(29).max(1);
+        self.follower.enlist(Holder::new(Enrolled { draw, name: self.name.clone(), zone }));
+    }
+
+    /// Its place among the lives.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.follower.holder()
+    }
+
+    /// What another left has been settled by this process.
+    pub fn settled(&mut self, now: Time, epoch: Epoch) {
+        if let Some(holder) = self.follower.holder_mut() {
+            holder.settle(epoch);
+            self.wish(now);
+        }
+    }
+
+    /// Takes leave of the lives: nothing is done under this one any more.
+    pub fn leave(&mut self, now: Time) {
+        if let Some(holder) = self.follower.holder_mut() {
+            holder.leave();
+            self.wish(now);
+        }
+    }
+
+    /// Says what is to be put into the log, and asks at once whether it is there.
+    fn wish(&mut self, now: Time) {
+        self.next_ask = now;
+        self.fire(now);
+    }
+
+    /// Nothing listens under a proxy's name any more.
+    pub fn missed(&mut self, now: Time, name: &str) {
+        self.tell_voter(Word::Missed(name.to_owned()));
+        self.own_words(now);
+    }
+
+    fn tell_voter(&mut self, word: Word) {
+        if let Some((voter, address)) = self.voters.get(self.target % self.voters.len().max(1)).cloned() {
+            self.say(voter, Some(address), word);
+        }
+    }
+
     /// Counts a request that was refused for the want of a lease.
     pub fn count_refused(&mut self) {
         self.follower.count_refused();
@@ -196,7 +248,8 @@
     }
 
     fn ask(&mut self, now: Time) {
-        let each = self.terms.span.bound / ASKS;
+        let lively = self.follower.holder().is_some();
+        let each = self.terms.span.bound / if lively { LIVELY } else { ASKS };
         self.next_ask = now + each;
         self.relayed = 0;
         if self.voters.is_empty() {
@@ -213,6 +266,10 @@
         let (number, report) = self.follower.ask(now);
         let (voter, address) = self.voters[self.target % self.voters.len()].clone();
         let ask = Ask { number, origin: None, report };
+        // What is to be put into the log goes ahead of the question, which then may find it there.
+        for wish in self.follower.holder().map(Holder::wishes).unwrap_or_default() {
+            self.say(voter.clone(), Some(address), Word::Life(wish));
+        }
         self.say(voter, Some(address), Word::Ask(ask.clone()));
         if self.unanswered > ALONE && !self.others.is_empty() {
             // The one that first brings an answer counts; the numbers are the same.
@@ -275,6 +332,14 @@
                 self.with_voter(|v, out| why = v.seat_change(now, &seating, out));
                 self.say(from.to_owned(), None, Word::Seated(number, why));
             }
+            Word::Life(entry) => self.with_voter(|v, out| v.life(now, entry, out)),
+            Word::Missed(name) => self.with_voter(|v, out| v.missed(now, name, out)),
+            Word::FetchRoll(since) => self.fetch_roll(from, since),
+            Word::Roll(roll, all) => self.roll(roll, all),
+            Word::Heir => {
+                self.next_ask = now;
+                self.fire(now);
+            }
             // Answers to those that call by hand; a proxy asks none of these.
             Word::Published(..) | Word::Unpublished(..) | Word::Status(..) | Word::Seated(..) => {}
         }
@@ -330,10 +395,42 @@
             let at = |name: &String| self.voters.iter().position(|(v, _)| v == name);
             self.target = asked.as_ref().and_then(at).unwrap_or(0);
         }
-        let steps = self.follower.granted(now, &grant);
+        let mut turns = Vec::new();
+        let steps = self.follower.granted(now, &grant, &mut turns);
+        self.turned(now, turns);
+        if let Some(since) = self.follower.holder().and_then(Holder::wants_roll) {
+            self.say(from.to_owned(), None, Word::FetchRoll(since));
+        }
         self.follow(now, from, steps);
     }
 
+    fn turned(&mut self, now: Time, turns: Vec<Turn>) {
+        for turn in turns {
+            if matches!(turn, Turn::Ended(_)) {
+                self.next_ask = now; // for another number
+            }
+            self.out.push_back(Output::Turn(turn));
+        }
+    }
+
+    fn fetch_roll(&mut self, from: &str, since: u64) {
+        let Some(lives) = self.voter.as_ref().map(|v| v.machine().lives()).filter(|l| l.roll() > since)
+        else {
+            return;
+        };
+        let all: Vec<(Life, Enrolled)> = lives.enrolled().iter().map(|(l, e)| (*l, e.clone())).collect();
+        let word = Word::Roll(lives.roll(), all);
+        self.say(from.to_owned(), None, word);
+    }
+
+    fn roll(&mut self, roll: u64, all: Vec<(Life, Enrolled)>) {
+        let mut turns = Vec::new();
+        if let Some(holder) = self.follower.holder_mut() {
+            holder.heard_roll(roll, all, &mut turns);
+        }
+        self.out.extend(turns.into_iter().map(Output::Turn));
+    }
+
     fn news(&mut self, now: Time, from: &str, standing: &Standing) {
         let steps = self.follower.heard(now, standing);
         self.follow(now, from, steps);
--- a/crates/sandgap-agree/src/follower.rs
+++ b/crates/sandgap-agree/src/follower.rs
@@ -14,6 +14,7 @@
 use sandgap_fleet::{Drift, Time};
 
 use crate::rulebook::{Digest, Rulebook, Version, digest};
+use crate::tenure::{Holder, Turn};
 use crate::words::{Grant, Report, Standing};
 
 /// Versions of which the book is held: the one acted on, the one in force, the one put forward, and one that was.
@@ -76,6 +77,8 @@
     looked: Option<(Version, Option<String>)>,
     /// Requests refused for the want of a lease.
     refused: u64,
+    /// Its place among the lives, where it wants one.
+    holder: Option<Holder>,
 }
 
 impl Follower {
@@ -92,20 +95,42 @@
             unusable: None,
             looked: None,
             refused: 0,
+            holder: None,
         }
     }
 
+    /// From now on this process wants a place among the lives.
+    pub fn enlist(&mut self, holder: Holder) {
+        self.holder = Some(holder);
+    }
+
+    /// Its place among the lives, where it wants one.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// The same, to be changed.
+    pub fn holder_mut(&mut self) -> Option<&mut Holder> {
+        self.holder.as_mut()
+    }
+
     /// Numbers a question that goes out now, and says how this proxy stands.
     pub fn ask(&mut self, now: Time) -> (u64, Report) {
         let number = self.asker.ask(now);
         let lease_ms = u32::try_from(self.lease.left(now).as_millis()).unwrap_or(u32::MAX);
         let looked = self.looked.clone();
-        (number, Report { serial: number, acting: self.acting, looked, lease_ms, refused: self.refused })
+        let draw = self.holder.as_ref().map_or(0, Holder::draw);
+        let report =
+            Report { serial: number, acting: self.acting, looked, lease_ms, refused: self.refused, draw };
+        (number, report)
     }
 
     /// An answer has come.
-    pub fn granted(&mut self, now: Time, grant: &Grant) -> Vec<Step> {
+    pub fn granted(&mut self, now: Time, grant: &Grant, turns: &mut Vec<Turn>) -> Vec<Step> {
         let Some(asked) = self.asker.answered(grant.number) else { return Vec::new() };
+        if let (Some(holder), Some(tenure)) = (&mut self.holder, &grant.tenure) {
+            holder.granted(asked, tenure, self.span, turns);
+        }
         let steps = self.heard(now, &grant.standing);
         let standing = &grant.standing;
         // What stood then is older than what is known now, or just that: then the knowledge is as fresh as the asking.
@@ -293,7 +318,8 @@
 
     fn grant(f: &mut Follower, asked: u64, now: u64, standing: Standing) -> Vec<Step> {
         let (number, _) = f.ask(ms(asked));
-        f.granted(ms(now), &Grant { number, origin: None, standing, voters: Vec::new() })
+        let grant = Grant { number, origin: None, standing, voters: Vec::new(), tenure: None };
+        f.granted(ms(now), &grant, &mut Vec::new())
     }
 
     /// Fetches, checks and acts on a version that it has heard of.
--- a/crates/sandgap-agree/src/lib.rs
+++ b/crates/sandgap-agree/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod contradict;
 pub mod follower;
 pub mod limits;
+pub mod lives;
 pub mod log;
 pub mod machine;
 pub mod rulebook;
 pub mod store;
+pub mod tenure;
 pub mod voter;
 pub mod words;
 
--- a/crates/sandgap-agree/src/limits.rs
+++ b/crates/sandgap-agree/src/limits.rs
@@ -14,6 +14,8 @@
 pub const LAG: u64 = 64;
 /// Members that a voter knows the state of. The fleet's own bound, [`sandgap_fleet::limits::MEMBERS`].
 pub const MEMBERS: usize = sandgap_fleet::limits::MEMBERS;
+/// Lives that ended and whose hands nobody has settled yet: several ends of each member.
+pub const ESTATES: usize = 4 * MEMBERS;
 /// Questions that wait for one confirmation by a majority; more are dropped and asked again.
 pub const ASKS: usize = 2 * MEMBERS;
 /// Confirmations under way at once.
--- a/crates/sandgap-agree/src/machine.rs
+++ b/crates/sandgap-agree/src/machine.rs
@@ -9,6 +9,7 @@
 
 use crate::contradict::contradicts;
 use crate::limits::{HISTORY, HISTORY_BYTES, cut};
+use crate::lives::{LifeEntry, Lives};
 use crate::rulebook::{Digest, Rulebook, Version, digest};
 
 /// A voter's seat: who sits there. A voter that lost its disk gets a new seat, never its old one.
@@ -31,6 +32,8 @@
     Switch(Version),
     /// It will not be; by proxy, why.
     Abandon(Version, Vec<(String, String)>),
+    /// About processes and what they left.
+    Life(LifeEntry),
 }
 
 /// A rulebook that somebody wants in force.
@@ -116,6 +119,8 @@
     versions: BTreeMap<Version, Record>,
     /// Voters by seat.
     pub seats: BTreeMap<u64, Seat>,
+    /// Who may act, and for whom.
+    lives: Lives,
 }
 
 impl Machine {
@@ -127,6 +132,7 @@
     /// Leaves room for numbers that a lost majority may have given since.
     pub(crate) fn skip(&mut self, numbers: Version) {
         self.last += numbers;
+        self.lives.skip(numbers);
     }
 
     /// The version in force; 0 before the first.
@@ -154,6 +160,11 @@
         self.versions.iter().map(|(v, r)| (*v, r))
     }
 
+    /// Who may act, and for whom.
+    pub fn lives(&self) -> &Lives {
+        &self.lives
+    }
+
     /// Applies an entry that a majority has. Returns what a proposal came to.
     pub fn apply(&mut self, entry: Entry) -> Option<(u64, Verdict)> {
         match entry {
@@ -171,6 +182,10 @@
                 }
                 None
             }
+            Entry::Life(entry) => {
+                self.lives.apply(entry);
+                None
+            }
             Entry::Abandon(version, why) => {
                 if self.pending == Some(version) {
                     (self.pending, self.closed) = (None, false);
--- a/crates/sandgap-agree/src/voter.rs
+++ b/crates/sandgap-agree/src/voter.rs
@@ -15,10 +15,11 @@
 
 use crate::agent::Terms;
 use crate::limits::{ASKS, LOG, MEMBERS, PUBLISHERS, ROUNDS, WRITES};
+use crate::lives::{Life, LifeEntry, Watch};
 use crate::log::{Damaged, Log, Saved, Write, decoded, encoded, machine_in, snapshot_of};
 use crate::machine::{Entry, Machine, Proposal, Seat, Verdict};
 use crate::rulebook::Version;
-use crate::words::{Line, Report, Seating, Seen, Standing, Status, Word};
+use crate::words::{Grant, Line, Report, Seating, Seen, Standing, Status, Tenure, Word};
 
 /// Ticks without a leader until a vote is asked for; up to twice that, drawn.
 const ELECTION: usize = 10;
@@ -52,6 +53,7 @@
     from: String,
     origin: Option<String>,
     number: u64,
+    draw: u64,
 }
 
 /// Questions under one confirmation.
@@ -97,6 +99,10 @@
     /// Of a leader: how each proxy stands.
     members: BTreeMap<String, Known>,
     leading: Option<Time>,
+    /// Of lives.
+    watch: Watch,
+    /// The tick at which something about a life was last proposed.
+    life_proposed: BTreeMap<Life, u64>,
     /// Voters to which a snapshot is on its way, and the tick at which that was first seen.
     snapshots: BTreeMap<u64, u64>,
     /// When a version was first seen put forward, and closed.
@@ -176,6 +182,8 @@
             reports: BTreeMap::new(),
             members: BTreeMap::new(),
             leading: None,
+            watch: Watch::default(),
+            life_proposed: BTreeMap::new(),
             snapshots: BTreeMap::new(),
             pending: None,
             closed: None,
@@ -306,6 +314,9 @@
         let live = self.terms.live();
         self.clients.retain(|_, at| !old(*at, live));
         self.members.retain(|_, known| !old(known.at, live * 20));
+        self.watch.forget(now, self.machine.lives(), live);
+        let ticks = self.ticks;
+        self.life_proposed.retain(|_, at| ticks < *at + AGAIN);
         let bound = self.terms.span.bound;
         self.rounds.retain(|round| !old(round.begun, bound));
     }
@@ -387,6 +398,7 @@
         if origin.is_none() && (self.clients.len() < MEMBERS || self.clients.contains_key(&who)) {
             self.clients.insert(who.clone(), now);
         }
+        let draw = report.draw;
         if self.leads() {
             self.reported(now, who, report);
         } else if self.reports.len() < MEMBERS {
@@ -394,7 +406,7 @@
             self.report(out);
         }
         if self.waiting.len() < ASKS {
-            self.waiting.push(Asked { from: from.to_owned(), origin, number });
+            self.waiting.push(Asked { from: from.to_owned(), origin, number, draw });
         }
         self.settle(now, out);
     }
@@ -408,6 +420,7 @@
     }
 
     fn reported(&mut self, now: Time, who: String, report: Report) {
+        self.watch.heard(now, report.draw);
         // A report that was overtaken on the way must not unsay the later one; a new process's numbers begin anywhere,
         // and are heard once the old one's are no longer fresh.
         let overtaken = |k: &Known| report.serial < k.report.serial && now < k.at + self.terms.live() / 6;
@@ -507,6 +520,7 @@
             return;
         }
         let led = *self.leading.get_or_insert(now);
+        self.decide_lives(now, led);
         let Some(version) = self.machine.pending() else { return };
         // Who has not asked since this one leads may still be there: all that hold a lease have asked within its span.
         if now < led + self.terms.live() || self.ticks < self.proposed + AGAIN && self.proposed > 0 {
@@ -518,6 +532,45 @@
         }
     }
 
+    /// What the leader does about lives. Each is said again only after a while.
+    fn decide_lives(&mut self, now: Time, led: Time) {
+        let due = self.watch.decide(now, led, self.machine.lives(), self.terms.span);
+        for entry in due {
+            let (LifeEntry::Fence { life, .. } | LifeEntry::Claim { life, .. }) = entry else { continue };
+            let again = self.life_proposed.get(&life).is_none_or(|at| self.ticks >= at + AGAIN);
+            if again && self.propose(&Entry::Life(entry)) {
+                self.life_proposed.insert(life, self.ticks);
+            }
+        }
+    }
+
+    /// A process's wish about its own life.
+    pub fn life(&mut self, now: Time, entry: LifeEntry, out: &mut Vec<Action>) {
+        // What only a leader may say comes from nobody else.
+        let own =
+            matches!(entry, LifeEntry::Enrol(_) | LifeEntry::Fence { told: true, .. } | LifeEntry::Settle(_));
+        if own && self.propose(&Entry::Life(entry)) {
+            self.settle(now, out);
+        }
+    }
+
+    /// Nothing listens under a proxy's name any more.
+    pub fn missed(&mut self, now: Time, name: String, out: &mut Vec<Action>) {
+        if self.leads() {
+            self.watch.missed(now, &name);
+            self.settle(now, out);
+        } else if let Some(leader) = self.leader().filter(|l| *l != self.name) {
+            out.push(Action::Say(leader, Word::Missed(name)));
+        }
+    }
+
+    fn tenure(&self, draw: u64) -> Tenure {
+        let lives = self.machine.lives();
+        let life = lives.life_of(draw);
+        let claims = life.map(|life| lives.claims_of(life)).unwrap_or_default();
+        Tenure { life, claims, roll: lives.roll() }
+    }
+
     fn decision(&self, now: Time, version: Version) -> Option<Entry> {
         let live = self.members.iter().filter(|(_, k)| k.at + self.terms.live() >= now);
         let (mut refused, mut missing) = (Vec::new(), Vec::new());
@@ -678,6 +731,7 @@
             self.node.advance_apply_to(self.applied);
         }
         self.times(now);
+        self.watch.applied(now, self.machine.lives());
         let after = self.standing();
         if (after.version, after.closed, &after.pending) != (before.version, before.closed, &before.pending) {
             self.proposed = 0;
@@ -692,7 +746,17 @@
     fn apply_entry(&mut self, entry: &raft::eraftpb::Entry, out: &mut Vec<Action>) {
         // A leader begins its term with an empty entry.
         let Ok(entry) = postcard::from_bytes::<Entry>(entry.get_data()) else { return };
-        let Some((id, verdict)) = self.machine.apply(entry) else { return };
+        let claimed = match &entry {
+            Entry::Life(LifeEntry::Fence { life, .. }) => Err(*life),
+            Entry::Life(LifeEntry::Claim { life, heir, .. }) => Ok((*life, *heir)),
+            _ => Err(0),
+        };
+        let verdict = self.machine.apply(entry);
+        match claimed {
+            Ok((life, heir)) => self.tell_heir(life, heir, out),
+            Err(life) => drop(self.life_proposed.remove(&life)), // its heir is to be named without a wait
+        }
+        let Some((id, verdict)) = verdict else { return };
         if let Some(at) = self.publishers.iter().position(|(n, _)| *n == id)
             && let Some((_, who)) = self.publishers.remove(at)
         {
@@ -703,6 +767,13 @@
         }
     }
 
+    /// A leader lets an heir know at once; it would hear with its next question at any rate.
+    fn tell_heir(&mut self, life: Life, heir: Life, out: &mut Vec<Action>) {
+        let Some(heir) = self.machine.lives().enrolled().get(&heir).filter(|_| self.leads()) else { return };
+        out.push(Action::Note(format!("lives: '{}' is the heir to life {life}", heir.name)));
+        out.push(Action::Say(heir.name.clone(), Word::Heir));
+    }
+
     fn apply_seats(&mut self, context: &[u8], change: &ConfChangeV2) {
         let seats: Vec<(u64, Option<Seat>)> = postcard::from_bytes(context).unwrap_or_default();
         for (id, seat) in seats {
@@ -785,9 +856,10 @@
             std::mem::take(&mut self.rounds).into_iter().partition(is_due);
         self.rounds = rest;
         for asked in due.into_iter().flat_map(|r| r.asked) {
-            let Asked { from, origin, number } = asked;
-            let grant =
-                crate::words::Grant { number, origin, standing: standing.clone(), voters: voters.clone() };
+            let Asked { from, origin, number, draw } = asked;
+            let tenure = (draw != 0).then(|| self.tenure(draw));
+            let (standing, voters) = (standing.clone(), voters.clone());
+            let grant = Grant { number, origin, standing, voters, tenure };
             out.push(Action::Say(from, Word::Grant(grant)));
         }
     }
--- a/crates/sandgap-agree/src/words.rs
+++ b/crates/sandgap-agree/src/words.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::lives::{Claim, Enrolled, Life, LifeEntry};
 use crate::machine::{Proposal, Verdict};
 use crate::rulebook::{Digest, Version};
 
@@ -35,6 +36,8 @@
     pub lease_ms: u32,
     /// Requests that it refused for the want of a lease, since its start.
     pub refused: u64,
+    /// The chance that its process drew, where it is or wants to be enrolled; else 0.
+    pub draw: u64,
 }
 
 /// A question for a lease.
@@ -59,6 +62,19 @@
     pub standing: Standing,
     /// The voters, with their addresses.
     pub voters: Vec<(String, SocketAddr)>,
+    /// How the process that asked stands, where it told its draw.
+    pub tenure: Option<Tenure>,
+}
+
+/// A process's place among the lives, at some moment after it asked.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tenure {
+    /// Its number, if it is enrolled.
+    pub life: Option<Life>,
+    /// What it is heir to.
+    pub claims: Vec<Claim>,
+    /// How often the enrolled ones have changed.
+    pub roll: u64,
 }
 
 /// One member, as the leader knows it.
@@ -155,6 +171,16 @@
     Seat(u64, Seating),
     /// What that came to; empty for well.
     Seated(u64, String),
+    /// To a voter: a process wants a number, has ended, or has settled what another left.
+    Life(LifeEntry),
+    /// To the leader: nothing listens under this name any more.
+    Missed(String),
+    /// Asks who is enrolled, if that has changed since.
+    FetchRoll(u64),
+    /// Who is enrolled, by number, and how often that has changed.
+    Roll(u64, Vec<(Life, Enrolled)>),
+    /// To a proxy: it is the heir to something, and should ask.
+    Heir,
 }
 
 impl Word {
--- a/crates/sandgap-fleet/src/members.rs
+++ b/crates/sandgap-fleet/src/members.rs
@@ -121,7 +121,8 @@
             periodic_announce: each(pace.probe * 20, 1),
             // What was cut off is looked for again soon after the cut has healed.
             periodic_announce_to_down_members: each(pace.probe * 4, 2),
-            periodic_gossip: each(pace.probe / 2, 3),
+            // More often would cost a proxy more than its requests gain: nothing but whom to ask rests on this.
+            periodic_gossip: each(pace.probe, 2),
             ..Config::simple()
         };
         let engine = Foca::new(me.clone(), config, StdRng::seed_from_u64(seed), PostcardCodec);
--- a/crates/sandgap-lab/src/agree/judge.rs
+++ b/crates/sandgap-lab/src/agree/judge.rs
@@ -26,6 +26,8 @@
     pub switches: u64,
     /// From publishing to the last proxy's switch, where every proxy was reached, of runs or spans without faults.
     pub delays: Vec<Nanos>,
+    /// From a kill to the first heir, and from the end of the last lease to it.
+    pub heirs: Vec<(Nanos, Nanos)>,
     /// Proxy time in which nothing could be taken, and all of it, once each proxy had taken part.
     pub lapsed: Nanos,
     /// All proxy time.
@@ -48,6 +50,7 @@
         self.bound = self.bound.max(other.bound);
         self.switches += other.switches;
         self.delays.extend(other.delays);
+        self.heirs.extend(other.heirs);
         self.lapsed += other.lapsed;
         self.lived += other.lived;
         self.words += other.words;
@@ -85,6 +88,18 @@
             self.delay(0.99),
             self.delays.len()
         )?;
+        let heir = |of: fn(&(Nanos, Nanos)) -> Nanos, part: f64| {
+            ms(quantile(self.heirs.iter().map(of).collect(), part))
+        };
+        writeln!(
+            f,
+            "{} kills followed by an heir: p50 {:.0}, p99 {:.0} ms after the kill; p50 {:.0}, p99 {:.0} ms after the lease",
+            self.heirs.len(),
+            heir(|h| h.0, 0.5),
+            heir(|h| h.0, 0.99),
+            heir(|h| h.1, 0.5),
+            heir(|h| h.1, 0.99)
+        )?;
         let part = 1.0 - self.lapsed as f64 / self.lived.max(1) as f64;
         write!(
             f,
@@ -96,6 +111,11 @@
     }
 }
 
+fn quantile(mut all: Vec<Nanos>, part: f64) -> Nanos {
+    all.sort_unstable();
+    all.get((all.len().saturating_sub(1) as f64 * part).round() as usize).copied().unwrap_or(0)
+}
+
 /// One version, as far as it was acted on.
 #[derive(Default)]
 struct Acted {
--- a/crates/sandgap-lab/src/agree/mod.rs
+++ b/crates/sandgap-lab/src/agree/mod.rs
@@ -6,6 +6,7 @@
 //! lease ends, whether a request came or not.
 
 pub mod faults;
+pub mod hands;
 pub mod judge;
 pub mod world;
 
@@ -31,6 +32,8 @@
     LongLease,
     /// Clocks run slower than stated.
     Drift,
+    /// Voters name heirs without waiting for old leases.
+    HeirTooSoon,
 }
 
 /// One run.
@@ -104,6 +107,7 @@
         let found = hunt(&Setup::default(), 0..SEEDS);
         assert!(found.broken.is_empty(), "{:?}", found.broken);
         assert!(found.switches > 5 * SEEDS && found.longest > 0, "{found}");
+        assert!(found.heirs.len() > SEEDS as usize, "{found}");
     }
 
     #[test]
@@ -116,13 +120,13 @@
     #[test]
     fn without_faults_nobody_lapses_and_all_switch_at_once() {
         let found = hunt(&Setup { faults: false, ..Setup::default() }, 0..4);
-        assert!(found.broken.is_empty() && found.lapsed == 0, "{found}");
+        assert!(found.broken.is_empty() && found.lapsed == 0 && found.heirs.is_empty(), "{found}");
         assert!(found.delays.iter().all(|d| *d < 200 * MS), "{found}");
     }
 
     #[test]
     fn each_flaw_is_found() {
-        for flaw in [Flaw::Unsynced, Flaw::NoWait, Flaw::LongLease, Flaw::Drift] {
+        for flaw in [Flaw::Unsynced, Flaw::NoWait, Flaw::LongLease, Flaw::Drift, Flaw::HeirTooSoon] {
             let apart = flaw == Flaw::NoWait;
             let setup = Setup { flaw: Some(flaw), apart, ..Setup::default() };
             let found = (0..40).any(|n| !hunt(&setup, n * 16..n * 16 + 16).broken.is_empty());
--- a/crates/sandgap-lab/src/agree/world.rs
+++ b/crates/sandgap-lab/src/agree/world.rs
@@ -6,15 +6,18 @@
 
 use rand::RngExt;
 use sandgap_agree::follower::Span;
+use sandgap_agree::lives::{Claim, Epoch, Life};
 use sandgap_agree::log::{Saved, Write};
 use sandgap_agree::machine::{Proposal, Seat, Verdict};
 use sandgap_agree::rulebook::{Class, Effect, Limits, OnLapse, digest};
+use sandgap_agree::tenure::Turn;
 use sandgap_agree::voter::fresh_seat;
 use sandgap_agree::words::Word;
 use sandgap_agree::{Agent, Digest, Output, Rulebook, Terms, Version};
 use sandgap_fleet::{Drift, Time};
 
 use super::faults::{Fault, draw};
+use super::hands::Hands;
 use super::judge::{Findings, Judge};
 use super::{Flaw, Setup};
 use crate::calendar::{Calendar, MS, Nanos, SECOND};
@@ -54,6 +57,14 @@
     Start(usize, bool),
     Publish,
     Look,
+    /// An heir has settled what it inherited.
+    Settled {
+        node: usize,
+        life: u32,
+        epoch: Epoch,
+    },
+    /// Somebody finds that nothing listens at a process's address.
+    Missed(usize, usize),
 }
 
 struct Node {
@@ -103,6 +114,7 @@
     late: Nanos,
     rng: Stream,
     judge: Judge,
+    hands: Hands,
     found: Findings,
     published: BTreeMap<u64, (Nanos, Digest)>,
     /// Publications by version, until all have switched.
@@ -164,6 +176,7 @@
             late: 0,
             rng,
             judge: Judge::default(),
+            hands: Hands::default(),
             found: Findings { runs: 1, bound: setup.bound.as_nanos() as Nanos, ..Findings::default() },
             published: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -223,6 +236,17 @@
             Event::Start(n, disk) => self.start(n, disk),
             Event::Publish => self.publish(),
             Event::Look => self.look(),
+            Event::Settled { node, life, epoch } => {
+                if self.nodes[node].life == life {
+                    self.with(node, |agent, now| agent.settled(now, epoch));
+                }
+            }
+            Event::Missed(node, gone) => {
+                if self.nodes[gone].agent.is_none() && !self.nodes[node].paused {
+                    let name = self.nodes[gone].name.clone();
+                    self.with(node, |agent, now| agent.missed(now, &name));
+                }
+            }
         }
     }
 
@@ -233,6 +257,9 @@
             Some(Flaw::LongLease) => {
                 Terms { span: span(self.setup.bound * 3 / 2, terms.span.drift), ..terms }
             }
+            Some(Flaw::HeirTooSoon) if node < self.setup.voters => {
+                Terms { span: span(self.setup.bound / 4, Drift::ppm(0)), ..terms }
+            }
             Some(Flaw::NoWait) if node < self.setup.voters => {
                 Terms { span: span(self.setup.bound, Drift::ppm(0)), apart: false, ..terms }
             }
@@ -255,6 +282,7 @@
         node.waiting.clear();
         let local = node.local(now);
         let mut agent = Agent::new(local, &node.name, terms, voters, chance);
+        agent.enlist(None);
         if !with_disk && node.disk.is_some() {
             node.disk = Some(Saved::blank(chance.max(1)));
         }
@@ -353,8 +381,27 @@
                 let name = digest(&book.encode().unwrap_or_default());
                 self.judge.content(version, name, &book);
             }
-            Output::Note(_) => {}
+            Output::Turn(Turn::Heir(claim)) => self.heir(n, &claim),
+            Output::Turn(_) | Output::Note(_) => {}
+        }
+    }
+
+    fn heir(&mut self, n: usize, claim: &Claim) {
+        let (now, node) = (self.now(), &self.nodes[n]);
+        let (of, epoch) = (node.life, claim.epoch);
+        if let Some((life, until)) = Self::hand(node, now) {
+            self.hands.acts(life, until);
+            self.hands.heir(now, life, claim);
         }
+        let took = self.rng.random_range(MS..300 * MS);
+        self.events.push(now + took, Event::Settled { node: n, life: of, epoch });
+    }
+
+    /// Under which life a process may act, and until when.
+    fn hand(node: &Node, now: Nanos) -> Option<(Life, Nanos)> {
+        let holder = node.agent.as_ref()?.holder()?;
+        let until = holder.right(node.local(now))?.until();
+        Some((holder.life()?, node.shown(until)))
     }
 
     fn send(&mut self, from: usize, to: &str, word: Word) {
@@ -400,6 +447,9 @@
     /// What a process can do from now on; what it could do until now is told to the judge.
     fn rights(&mut self, n: usize) {
         let now = self.now();
+        if let Some((life, until)) = Self::hand(&self.nodes[n], now) {
+            self.hands.acts(life, until);
+        }
         let node = &mut self.nodes[n];
         let local = node.local(now);
         let right = node.agent.as_ref().and_then(|a| a.take(local)).map(|t| (t.version, t.right.until()));
@@ -512,9 +562,17 @@
     }
 
     fn kill(&mut self, n: usize, back: Nanos, with_disk: bool) {
+        self.rights(n);
+        let life = self.nodes[n].agent.as_ref().and_then(|a| a.holder()).and_then(|h| h.life());
         if self.nodes[n].agent.take().is_none() {
             return;
         }
+        if let Some(life) = life {
+            self.hands.died(life, self.now());
+            let finder = self.rng.random_range(0..self.nodes.len());
+            let at = self.now() + self.rng.random_range(WAY);
+            self.events.push(at, Event::Missed(finder, n));
+        }
         self.rights(n);
         let node = &mut self.nodes[n];
         node.life += 1;
@@ -546,6 +604,8 @@
             self.judge.broken.push(text);
         }
         self.recovered();
+        self.judge.broken.append(&mut self.hands.broken);
+        self.found.heirs = std::mem::take(&mut self.hands.delays);
         let seed = self.seed;
         self.found.broken = std::mem::take(&mut self.judge.broken).into_iter().map(|b| (seed, b)).collect();
         self.found.switches = self.judge.switches();
@@ -574,11 +634,17 @@
                     "p{n} acts on {acting} (lease: {lease}), {standing} is in force, long after"
                 ));
             }
+            if agent.holder().is_none_or(|h| h.right(node.local(self.events.now())).is_none()) {
+                wrong.push(format!("p{n} has no life, long after"));
+            }
             if n < self.setup.voters {
                 let Some(voter) = agent.voter() else {
                     wrong.push(format!("p{n} votes no more"));
                     continue;
                 };
+                if !voter.machine().lives().estates().is_empty() {
+                    wrong.push(format!("p{n}: lives that ended were never settled"));
+                }
                 if voter.machine().standing() != standing || !voter.is_seated() {
                     wrong.push(format!("p{n} votes, but has not been brought up to {standing}"));
                 }
--- a/crates/sandgap-rig/src/fleet/cost.rs
+++ b/crates/sandgap-rig/src/fleet/cost.rs
@@ -1,10 +1,9 @@
-//! What agreed rules cost: the processor time of one proxy for a request, with a fleet and without, in turn.
+//! What agreed rules cost: the processor time of one proxy for a request, with a fleet,
+//! without one, and of an earlier build, in turn.
 
 use std::path::Path;
-use std::rc::Rc;
 use std::time::Duration;
 
-use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -19,108 +18,186 @@
 
 /// Connections on which the load comes; each waits for its answer before it asks again.
 const CONNECTIONS: usize = 8;
-/// What is not measured at the begin of a run: connections come up, speeds are learned.
+/// How long it is left without requests.
+const IDLE: Duration = Duration::from_secs(2);
+/// Before anything is measured: leases, lists.
 const WARM: Duration = Duration::from_secs(2);
+/// One proxy's part of a turn.
+const SLICE: Duration = Duration::from_millis(250);
+/// After it.
+const REST: Duration = Duration::from_millis(10);
+/// Turns that are not counted: connections come up, speeds are learned.
+const WARM_TURNS: usize = 4;
 
-/// One pair of runs: processor time a request, µs, and the latency that clients saw, µs.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Pair {
+/// What the measured proxy is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// An earlier build, without a fleet.
+    Before,
+    /// This build, without a fleet.
+    Off,
+    /// This build, in a fleet.
+    On,
+}
+
+/// What one slice showed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Slice {
+    /// Processor time a request, µs.
+    pub each_us: f64,
+    /// The latency that clients saw: the median and the 99th percentile, µs.
+    pub latency_us: (f64, f64),
+}
+
+/// Slices of the same load, one after the other.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Turn {
+    /// An earlier build's, where one is given.
+    pub before: Option<Slice>,
     /// Without a fleet.
-    pub off_us: f64,
+    pub off: Slice,
     /// With one.
-    pub on_us: f64,
-    /// The median's and the 99th percentile's latency without.
-    pub off_latency: (f64, f64),
-    /// And with.
-    pub on_latency: (f64, f64),
+    pub on: Slice,
 }
 
-impl Pair {
-    /// With over without.
-    pub fn ratio(&self) -> f64 {
-        self.on_us / self.off_us
+impl Turn {
+    /// Processor time with a fleet over that without.
+    pub fn on_over_off(&self) -> f64 {
+        self.on.each_us / self.off.each_us
     }
+
+    /// Processor time of this build without a fleet over the earlier build's.
+    pub fn off_over_before(&self) -> Option<f64> {
+        self.before.map(|before| self.off.each_us / before.each_us)
+    }
+}
+
+/// What was measured.
+pub struct Cost {
+    /// Processor time a second without any request, µs: without a fleet, and with one.
+    pub idle_us: (f64, f64),
+    /// All turns.
+    pub turns: Vec<Turn>,
+}
+
+/// What is measured, and how.
+pub struct Load<'a> {
+    /// The program.
+    pub program: &'a Path,
+    /// An earlier build of it.
+    pub before: Option<&'a Path>,
+    /// Requests a second.
+    pub rate: f64,
+    /// Turns: a slice of each.
+    pub turns: usize,
 }
 
-/// Measures so many pairs at a rate.
+/// Measures. All proxies run beside each other, the three voters among them, and take turns in slices so short that a
+/// machine that grows slower or faster does so for all of them.
 ///
 /// # Errors
 /// Whatever makes a figure impossible.
-pub fn measure(program: &Path, rate: f64, seconds: f64, pairs: usize) -> Result<Vec<Pair>, RunError> {
+pub fn measure(load: &Load<'_>) -> Result<Cost, RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let one = |on: bool, n: usize| {
-        let folder = Folder::new(&format!("cost-{}-{n}-{on}", std::process::id()))?;
-        LocalSet::new().block_on(&runtime, run(program, rate, seconds, on, &folder))
-    };
-    let pair = |n: usize| {
-        // Which comes first changes, so that a machine that grows slower favours neither.
-        let (off, on) = match n % 2 {
-            0 => {
-                let off = one(false, n)?;
-                (off, one(true, n)?)
-            }
-            _ => {
-                let on = one(true, n)?;
-                (one(false, n)?, on)
-            }
-        };
-        Ok(Pair { off_us: off.0, on_us: on.0, off_latency: off.1, on_latency: on.1 })
-    };
-    (0..pairs).map(pair).collect()
+    let folder = Folder::new(&format!("cost-{}", std::process::id()))?;
+    LocalSet::new().block_on(&runtime, run(load, &folder))
 }
 
-async fn run(
-    program: &Path, rate: f64, seconds: f64, on: bool, folder: &Folder,
-) -> Result<(f64, (f64, f64)), RunError> {
-    let size = Size { voters: 3, observers: 1, ..Size::default() };
+const KINDS: [Kind; 3] = [Kind::On, Kind::Off, Kind::Before];
+
+async fn run(load: &Load<'_>, folder: &Folder) -> Result<Cost, RunError> {
+    let size = Size { voters: 3, observers: KINDS.len(), ..Size::default() };
+    let all = size.voters + size.observers;
     let addresses = Addresses::default();
     let draw = |n: usize| (0..n).map(|_| addresses.draw()).collect::<std::io::Result<Vec<_>>>();
-    let (listen, fleet) = (draw(4)?, draw(4)?);
+    let (listen, fleet) = (draw(all)?, draw(all)?);
     let net = Net::start(&fleet).await?;
     let backend = TcpListener::bind("127.0.0.1:0").await?;
-    let site = Site::new(program, &folder.path, size, listen, fleet, vec![backend.local_addr()?]);
+    let site = Site::new(load.program, &folder.path, size, listen, fleet, vec![backend.local_addr()?]);
     site.prepare(&net)?;
     let clock = Clock::default();
     spawn_local(serve(backend, clock.clone()));
-    let measured = 3;
-    if on {
-        for n in 0..4 {
-            site.start(n)?;
+    for voter in 0..size.voters {
+        site.start(voter)?;
+    }
+    let path = site.publication(2)?;
+    let done = site.hand(&["publish", &path.to_string_lossy()]).output().await?;
+    if !done.status.success() {
+        return Err(RunError::Endless("the first publication", Duration::from_secs(15)));
+    }
+    let mut proxies = Vec::new();
+    for (n, kind) in (size.voters..).zip(KINDS) {
+        match (kind, load.before) {
+            (Kind::On, _) => site.start(n)?,
+            (Kind::Off, _) => {
+                site.without_fleet(n)?;
+                site.start(n)?;
+            }
+            (Kind::Before, Some(program)) => {
+                site.without_fleet(n)?;
+                site.start_program(program, n)?;
+            }
+            (Kind::Before, None) => continue,
         }
-        let path = site.publication(2)?;
-        let done = site.hand(&["publish", &path.to_string_lossy()]).output().await?;
-        if !done.status.success() {
-            return Err(RunError::Endless("the first publication", Duration::from_secs(15)));
+        proxies.push((n, kind));
+    }
+    let mut loads = Vec::new();
+    for (n, kind) in proxies {
+        while TcpStream::connect(site.listen[n]).await.is_err() {
+            sleep(Duration::from_millis(10)).await;
         }
-    } else {
-        site.without_fleet(measured)?;
-        site.start(measured)?;
+        loads.push((n, kind));
     }
-    while TcpStream::connect(site.listen[measured]).await.is_err() {
-        sleep(Duration::from_millis(10)).await;
+    sleep(WARM).await;
+    let used = |n: usize| site.cpu_us(n);
+    let before = (used(size.voters + 1), used(size.voters));
+    sleep(IDLE).await;
+    let idle = |now: f64, before: f64| (now - before) / IDLE.as_secs_f64();
+    let idle_us = (idle(used(size.voters + 1), before.0), idle(used(size.voters), before.1));
+    let mut turns = Vec::new();
+    for n in 0..WARM_TURNS + load.turns {
+        let mut turn = Turn::default();
+        // Which comes first changes, so that no one always follows the same other.
+        loads.rotate_left(1);
+        if n % 3 == 0 {
+            loads.swap(0, 1);
+        }
+        for (proxy, kind) in &loads {
+            let slice = slice(load.rate, &site, *proxy, &clock, n).await?;
+            match kind {
+                Kind::Before => turn.before = Some(slice),
+                Kind::Off => turn.off = slice,
+                Kind::On => turn.on = slice,
+            }
+        }
+        if n >= WARM_TURNS {
+            turns.push(turn);
+        }
+    }
+    Ok(Cost { idle_us, turns })
+}
+
+/// Asks one proxy at the rate for a slice's time, on new connections: it would close them in between.
+async fn slice(rate: f64, site: &Site, proxy: usize, clock: &Clock, turn: usize) -> Result<Slice, RunError> {
+    let before = site.cpu_us(proxy);
+    let each = rate / CONNECTIONS as f64;
+    let mut tasks = Vec::new();
+    for lane in 0..CONNECTIONS {
+        let conn = Conn::new(TcpStream::connect(site.listen[proxy]).await?);
+        tasks.push(spawn_local(ask(conn, format!("{proxy}-{lane}-{turn}"), each, clock.clone())));
     }
-    let latencies = Rc::new(std::cell::RefCell::new(Vec::new()));
-    let begin = Instant::now() + WARM;
-    let end = begin + Duration::from_secs_f64(seconds);
-    let tasks: Vec<_> = (0..CONNECTIONS)
-        .map(|c| {
-            let (to, clock, seen) = (site.listen[measured], clock.clone(), latencies.clone());
-            spawn_local(async move { load(to, c, rate / CONNECTIONS as f64, begin, end, clock, seen).await })
-        })
-        .collect();
-    sleep_until(begin).await;
-    let before = site.cpu_us(measured);
-    sleep_until(end).await;
-    let used = site.cpu_us(measured) - before;
+    let mut all = Vec::new();
     for task in tasks {
-        let _ = task.await; // a load that ended early shows in the count of its answers
+        all.extend(task.await.unwrap_or_default());
+    }
+    sleep(REST).await; // what was set off by the last answers
+    let used = site.cpu_us(proxy) - before;
+    if all.is_empty() {
+        return Err(RunError::Endless("a slice without answers", SLICE));
     }
-    let mut all = latencies.borrow().clone();
     all.sort_by(f64::total_cmp);
-    let at = |part: f64| {
-        all.get((all.len().saturating_sub(1) as f64 * part) as usize).copied().unwrap_or(f64::NAN)
-    };
-    Ok((used / all.len().max(1) as f64, (at(0.5), at(0.99))))
+    let at = |part: f64| all[(all.len().saturating_sub(1) as f64 * part) as usize];
+    Ok(Slice { each_us: used / all.len() as f64, latency_us: (at(0.5), at(0.99)) })
 }
 
 async fn serve(listener: TcpListener, clock: Clock) {
@@ -137,29 +214,27 @@
     }
 }
 
-/// Asks at a rate on one connection, and notes the latencies of what is answered 200 within the measured span.
-async fn load(
-    to: std::net::SocketAddr, number: usize, rate: f64, begin: Instant, end: Instant, clock: Clock,
-    seen: Rc<std::cell::RefCell<Vec<f64>>>,
-) {
-    let Ok(stream) = TcpStream::connect(to).await else { return };
-    let mut conn = Conn::new(stream);
+/// Asks at a rate on one connection for a slice's time; returns the latencies of what was answered 200, µs.
+async fn ask(mut conn: Conn, name: String, rate: f64, clock: Clock) -> Vec<f64> {
     let mut next = Instant::now();
-    let mut turn = 0;
-    while Instant::now() < end {
-        turn += 1;
+    let end = next + SLICE;
+    let mut seen = Vec::new();
+    for turn in 0.. {
         next += Duration::from_secs_f64(1.0 / rate);
+        if next >= end {
+            break;
+        }
         sleep_until(next).await;
-        let text = format!(
-            "GET /page/x HTTP/1.1\r\nHost: x\r\nX-Request-ID: c{number}-{turn}\r\nX-Timeout: 1\r\n\r\n"
-        );
+        let text =
+            format!("GET /page/x HTTP/1.1\r\nHost: x\r\nX-Request-ID: {name}-{turn}\r\nX-Timeout: 1\r\n\r\n");
         let asked = Instant::now();
         if conn.write(text.as_bytes()).await.is_err() {
-            return;
+            break;
         }
-        let Ok(answer) = conn.answer(&clock).await else { return };
-        if answer.status() == 200 && asked >= begin && asked < end {
-            seen.borrow_mut().push(asked.elapsed().as_secs_f64() * 1e6);
+        let Ok(answer) = conn.answer(&clock).await else { break };
+        if answer.status() == 200 {
+            seen.push(asked.elapsed().as_secs_f64() * 1e6);
         }
     }
+    seen
 }
--- a/crates/sandgap-rig/src/fleet/site.rs
+++ b/crates/sandgap-rig/src/fleet/site.rs
@@ -74,6 +74,12 @@
 
     /// The rules of a publication: each contradicts every other one by its number of attempts.
     fn rules(&self, attempts: u64) -> String {
+        // Each class is refused without a lease, so that every request is held against T.
+        self.rules_with(attempts, "on_lapse = \"refuse\"\n")
+    }
+
+    /// These rules with more lines in each class.
+    fn rules_with(&self, attempts: u64, more: &str) -> String {
         let mut text = String::new();
         for (b, address) in self.backends.iter().enumerate() {
             let _ =
@@ -85,10 +91,9 @@
                 "book" => "keyed\"\nwindow_ms = 2500\ngroup = \"cell",
                 _ => "unsafe",
             };
-            // Each class is refused without a lease, so that every request is held against T.
             let _ = write!(
                 text,
-                "[[class]]\nname = {class:?}\neffect = \"{effect}\"\ndeadline_ms = {}\non_lapse = \"refuse\"\n",
+                "[[class]]\nname = {class:?}\neffect = \"{effect}\"\ndeadline_ms = {}\n{more}",
                 DEADLINE.as_millis()
             );
         }
@@ -125,7 +130,7 @@
     /// The system's.
     pub fn without_fleet(&self, n: usize) -> std::io::Result<()> {
         let own = format!("[proxy]\nname = \"p{n}\"\nlisten = \"{}\"\n", self.listen[n]);
-        std::fs::write(self.path(&format!("p{n}.toml")), own + &self.rules(2))
+        std::fs::write(self.path(&format!("p{n}.toml")), own + &self.rules_with(2, ""))
     }
 
     /// Processor time that a proxy has used so far, µs.
@@ -141,8 +146,16 @@
     /// # Errors
     /// The system's.
     pub fn start(&self, n: usize) -> std::io::Result<()> {
+        self.start_program(&self.program, n)
+    }
+
+    /// Starts a proxy of another build.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn start_program(&self, program: &Path, n: usize) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(self.path(&format!("p{n}.log")))?;
-        let child = Command::new(&self.program)
+        let child = Command::new(program)
             .arg("serve")
             .arg(self.path(&format!("p{n}.toml")))
             .stdin(Stdio::null())
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -176,12 +176,12 @@
         /// Requests a second.
         #[arg(long, default_value_t = 2500.0)]
         rate: f64,
-        /// Length of each run, s.
-        #[arg(long, default_value_t = 6.0)]
-        seconds: f64,
-        /// Pairs of runs.
-        #[arg(long, default_value_t = 5)]
-        pairs: usize,
+        /// Turns: a quarter of a second of each.
+        #[arg(long, default_value_t = 100)]
+        turns: usize,
+        /// An earlier build, to be measured without a fleet in the same turns.
+        #[arg(long)]
+        before: Option<PathBuf>,
         /// The proxy's program; where none is given, `sandgap` beside this one.
         #[arg(long, env = "SANDGAP")]
         proxy: Option<PathBuf>,
@@ -194,6 +194,39 @@
     },
 }
 
+/// Prints what a fleet costs: medians over all turns, and the ratios' with their quartiles.
+fn show_cost(cost: &fleet::cost::Cost) {
+    type Of = fn(&fleet::cost::Turn) -> Option<f64>;
+    let middle = |of: Of, part: f64| {
+        let mut all: Vec<f64> = cost.turns.iter().filter_map(of).collect();
+        all.sort_by(f64::total_cmp);
+        all.get((all.len().saturating_sub(1) as f64 * part) as usize).copied()
+    };
+    let slices: [(&str, [Of; 3]); 3] = [
+        (
+            "before",
+            [|t| Some(t.before?.each_us), |t| Some(t.before?.latency_us.0), |t| Some(t.before?.latency_us.1)],
+        ),
+        ("off", [|t| Some(t.off.each_us), |t| Some(t.off.latency_us.0), |t| Some(t.off.latency_us.1)]),
+        ("on", [|t| Some(t.on.each_us), |t| Some(t.on.latency_us.0), |t| Some(t.on.latency_us.1)]),
+    ];
+    for (name, [each, p50, p99]) in slices {
+        if let (Some(each), Some(p50), Some(p99)) = (middle(each, 0.5), middle(p50, 0.5), middle(p99, 0.5)) {
+            println!("{name:6} {each:6.1} us a request; p50 {p50:.0} us, p99 {p99:.0} us");
+        }
+    }
+    println!("idle: off {:.0} us a second, on {:.0} us", cost.idle_us.0, cost.idle_us.1);
+    let ratios: [(&str, Of); 2] =
+        [("on over off", |t| Some(t.on_over_off())), ("off over before", fleet::cost::Turn::off_over_before)];
+    for (name, ratio) in ratios {
+        if let (Some(low), Some(mid), Some(high)) =
+            (middle(ratio, 0.25), middle(ratio, 0.5), middle(ratio, 0.75))
+        {
+            println!("{name} {mid:.3} (quartiles {low:.3} to {high:.3}, {} turns)", cost.turns.len());
+        }
+    }
+}
+
 fn proxy(path: Option<PathBuf>) -> std::io::Result<Program> {
     let path = match path {
         Some(path) => path,
@@ -290,25 +323,10 @@
             }
             Ok(held)
         }
-        Command::FleetCost { rate, seconds, pairs, proxy: path } => {
-            let mut all = fleet::cost::measure(&proxy(path)?.path, rate, seconds, pairs)?;
-            for p in &all {
-                println!(
-                    "off {:.1} us, on {:.1} us a request ({:.3}); p50, p99 off {:.0}, {:.0} us, on {:.0}, {:.0} us",
-                    p.off_us,
-                    p.on_us,
-                    p.ratio(),
-                    p.off_latency.0,
-                    p.off_latency.1,
-                    p.on_latency.0,
-                    p.on_latency.1
-                );
-            }
-            all.sort_by(|a, b| a.ratio().total_cmp(&b.ratio()));
-            if let (Some(least), Some(middle), Some(most)) = (all.first(), all.get(all.len() / 2), all.last())
-            {
-                println!("ratio {:.3} ({:.3} to {:.3})", middle.ratio(), least.ratio(), most.ratio());
-            }
+        Command::FleetCost { rate, turns, before, proxy: path } => {
+            let program = proxy(path)?.path;
+            let load = fleet::cost::Load { program: &program, before: before.as_deref(), rate, turns };
+            show_cost(&fleet::cost::measure(&load)?);
             Ok(true)
         }
         Command::Export { scenario: name, folder, seed, requests, rate, proxies, backends } => {
--- a/crates/sandgap/src/rules/shell.rs
+++ b/crates/sandgap/src/rules/shell.rs
@@ -291,6 +291,7 @@
                     self.agent.borrow_mut().checked(now(), version, usable);
                 }
                 Output::Act(version, rules) => self.act(version, &rules),
+                Output::Turn(_) => {} // nothing here wants a life yet
                 Output::Note(text) => note!("{text}"),
             }
         }
