--- /dev/null
+++ b/crates/sandgap-takeover/src/keeper.rs
@@ -0,0 +1,512 @@
+//! What a proxy keeps for others: records of their requests, and the answer to who acts for an identity.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use sandgap_agree::lives::{Claim, Enrolled, Epoch, Life};
+use sandgap_agree::tenure::Roll;
+use sandgap_fleet::{Drift, Time};
+
+use crate::identity::{Content, Identity, keepers};
+use crate::limits::{BYTES, ENTRIES, OWNER_ENTRIES, PAGE, REQUEST, ROLLS, TENANT_PART};
+use crate::record::{Answer, End, Known, State};
+use crate::words::{Actor, Bytes, Keep, Remains, Verdict};
+
+/// What the installation states.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// How far clocks may drift.
+    pub drift: Drift,
+    /// Proxies beside its owner that keep each request.
+    pub keepers: usize,
+    /// How long an end is remembered, and how long after its deadline what may have run is.
+    pub retention: Duration,
+}
+
+/// Bytes of an entry beside the request and the answer: the record, its strings, its places in the maps.
+const OVERHEAD: usize = 512;
+
+struct Kept {
+    actor: Actor,
+    known: Known,
+    request: Bytes,
+    /// When it may be forgotten.
+    expires: Time,
+    /// What it counts for.
+    bytes: usize,
+}
+
+impl Kept {
+    fn weigh(&self) -> usize {
+        let answer = match &self.known.record.end {
+            Some(End::Answered(Answer::Whole(_, headers, body))) => {
+                body.len() + headers.iter().map(|(name, value)| name.len() + value.len()).sum::<usize>()
+            }
+            _ => 0,
+        };
+        self.request.len() + answer + OVERHEAD
+    }
+
+    fn open(&self) -> bool {
+        self.known.record.end.is_none()
+    }
+}
+
+/// See the module.
+pub struct Keeper {
+    me: Life,
+    terms: Terms,
+    kept: FxHashMap<Identity, Kept>,
+    /// When what has ended, and what has not, may be forgotten.
+    ended: BTreeSet<(Time, Identity)>,
+    open: BTreeSet<(Time, Identity)>,
+    bytes: usize,
+    owners: BTreeMap<Life, usize>,
+    tenants: BTreeMap<Option<String>, (usize, usize)>,
+    /// Who is enrolled, and who was: each until when.
+    roll: Roll,
+    before: VecDeque<(Time, Roll)>,
+    /// Lives that an heir has asked for: nothing of theirs is taken in any more.
+    followed: BTreeMap<Life, Epoch>,
+}
+
+impl Keeper {
+    /// A keeper that keeps nothing yet.
+    pub fn new(me: Life, terms: Terms) -> Self {
+        Keeper {
+            me,
+            terms,
+            kept: FxHashMap::default(),
+            ended: BTreeSet::new(),
+            open: BTreeSet::new(),
+            bytes: 0,
+            owners: BTreeMap::new(),
+            tenants: BTreeMap::new(),
+            roll: Roll::default(),
+            before: VecDeque::new(),
+            followed: BTreeMap::new(),
+        }
+    }
+
+    /// Requests kept, those among them that have not ended, and all their bytes.
+    pub fn load(&self) -> (usize, usize, usize) {
+        (self.kept.len(), self.open.len(), self.bytes)
+    }
+
+    /// Another list of who is enrolled.
+    pub fn roll(&mut self, now: Time, roll: Roll) {
+        let old = if self.roll.is_empty() {
+            // Whoever was there before this one may know what this one does not.
+            let elder = roll.iter().filter(|(life, _)| **life < self.me);
+            Roll::new(elder.map(|(life, who)| (*life, who.clone())).collect::<BTreeMap<Life, Enrolled>>())
+        } else {
+            self.roll.clone()
+        };
+        if self.before.len() == ROLLS {
+            self.before.pop_front();
+        }
+        if !old.is_empty() {
+            self.before.push_back((now, old));
+        }
+        self.roll = roll;
+    }
+
+    /// Keeps a step. With the verdict comes who else has to be asked before it counts.
+    pub fn keep(&mut self, now: Time, keep: Keep) -> (Verdict, Option<Life>) {
+        if let Some(epoch) = self.followed.get(&keep.actor.life) {
+            return (Verdict::Followed(*epoch), None);
+        }
+        let identity = keep.record.identity;
+        match self.kept.get(&identity) {
+            Some(kept) if kept.known.record.content != keep.record.content => (Verdict::Differs, None),
+            Some(kept) if kept.actor == keep.actor => {
+                self.advance(now, keep);
+                (Verdict::Kept, None)
+            }
+            Some(kept) => {
+                if let Some(end) = &kept.known.record.end {
+                    return (Verdict::Ended(end.clone()), None);
+                }
+                // Only the heir to the one that acted takes its place; nobody else, under whatever epoch.
+                let ended = self.followed.contains_key(&kept.actor.life);
+                if !ended || keep.actor.epoch <= kept.actor.epoch {
+                    return (Verdict::Held(kept.actor), None);
+                }
+                let request = keep.request.clone().unwrap_or_else(|| kept.request.clone());
+                self.forget(identity);
+                self.insert(now, keep, request);
+                (Verdict::Kept, None)
+            }
+            None => self.keep_new(now, keep),
+        }
+    }
+
+    fn keep_new(&mut self, now: Time, keep: Keep) -> (Verdict, Option<Life>) {
+        let Some(request) = keep.request.clone() else { return (Verdict::Lacks, None) };
+        if request.len() > REQUEST || !self.has_room(&keep, request.len()) {
+            return (Verdict::Full, None);
+        }
+        let first = keep.record.keepers.first() == Some(&self.me);
+        // An heir's have been found already; and the first step alone asks whose the identity is.
+        let asks = first && keep.actor.epoch == 0 && keep.record.step == 0;
+        let who = if asks { self.who_knows(now, keep.record.identity) } else { Ok(None) };
+        match who {
+            Err(blind) => (Verdict::Blind(blind), None),
+            Ok(also) => {
+                self.insert(now, keep, request);
+                (Verdict::Kept, also)
+            }
+        }
+    }
+
+    fn has_room(&mut self, keep: &Keep, bytes: usize) -> bool {
+        if self.owners.get(&keep.actor.life).is_some_and(|n| *n >= OWNER_ENTRIES) {
+            return false;
+        }
+        let (entries, held) = self.tenants.get(&keep.record.tenant).copied().unwrap_or_default();
+        if keep.record.tenant.is_some()
+            && (entries >= ENTRIES / TENANT_PART || held + bytes > BYTES / TENANT_PART)
+        {
+            return false;
+        }
+        // What has ended goes first, oldest first; what may still run never goes before its time.
+        while self.kept.len() >= ENTRIES || self.bytes + bytes > BYTES {
+            let Some((_, oldest)) = self.ended.first().copied() else { return false };
+            self.forget(oldest);
+        }
+        true
+    }
+
+    fn insert(&mut self, now: Time, keep: Keep, request: Bytes) {
+        let Keep { actor, record, left, .. } = keep;
+        let known = Known::new(now, record, left, self.terms.drift);
+        let expires = self.expiry(now, &known);
+        let identity = known.record.identity;
+        let mut kept = Kept { actor, known, request, expires, bytes: 0 };
+        kept.bytes = kept.weigh();
+        self.bytes += kept.bytes;
+        *self.owners.entry(actor.life).or_default() += 1;
+        let tenant = self.tenants.entry(kept.known.record.tenant.clone()).or_default();
+        *tenant = (tenant.0 + 1, tenant.1 + kept.bytes);
+        let set = if kept.open() { &mut self.open } else { &mut self.ended };
+        set.insert((expires, identity));
+        self.kept.insert(identity, kept);
+    }
+
+    fn expiry(&self, now: Time, known: &Known) -> Time {
+        let from = if known.record.end.is_some() { now } else { known.deadline };
+        from.max(known.until.unwrap_or_default()) + self.terms.retention
+    }
+
+    fn advance(&mut self, now: Time, keep: Keep) {
+        let (drift, identity) = (self.terms.drift, keep.record.identity);
+        let Some(mut kept) = self.kept.remove(&identity) else { return };
+        let (was_open, expired) = (kept.open(), kept.expires);
+        if kept.known.advance(now, keep.record, drift) {
+            if !kept.open() {
+                kept.request = Bytes::from([]); // nobody sends it again
+            }
+            kept.expires = self.expiry(now, &kept.known);
+            let bytes = kept.weigh();
+            self.bytes = self.bytes + bytes - kept.bytes;
+            if let Some((_, held)) = self.tenants.get_mut(&kept.known.record.tenant) {
+                *held = *held + bytes - kept.bytes;
+            }
+            kept.bytes = bytes;
+            let set = if was_open { &mut self.open } else { &mut self.ended };
+            set.remove(&(expired, identity));
+            let set = if kept.open() { &mut self.open } else { &mut self.ended };
+            set.insert((kept.expires, identity));
+        }
+        self.kept.insert(identity, kept);
+    }
+
+    fn forget(&mut self, identity: Identity) {
+        let Some(kept) = self.kept.remove(&identity) else { return };
+        self.bytes -= kept.bytes;
+        let set = if kept.open() { &mut self.open } else { &mut self.ended };
+        set.remove(&(kept.expires, identity));
+        if let Some(n) = self.owners.get_mut(&kept.actor.life) {
+            *n -= 1;
+            if *n == 0 {
+                self.owners.remove(&kept.actor.life);
+            }
+        }
+        let tenant = kept.known.record.tenant;
+        if let Some((n, bytes)) = self.tenants.get_mut(&tenant) {
+            (*n, *bytes) = (*n - 1, *bytes - kept.bytes);
+            if *n == 0 {
+                self.tenants.remove(&tenant);
+            }
+        }
+    }
+
+    /// What is known of an identity, and who else has to be asked where nothing is.
+    pub fn find(&self, now: Time, identity: Identity, content: Content) -> (Option<Verdict>, Option<Life>) {
+        match self.kept.get(&identity) {
+            Some(kept) if kept.known.record.content != content => (Some(Verdict::Differs), None),
+            Some(kept) => {
+                let end = kept.known.record.end.clone();
+                (Some(end.map_or(Verdict::Held(kept.actor), Verdict::Ended)), None)
+            }
+            None => match self.who_knows(now, identity) {
+                Ok(also) => (None, also),
+                Err(blind) => (Some(Verdict::Blind(blind)), None),
+            },
+        }
+    }
+
+    /// Who kept an identity under the lists of a while ago, where this one did not; or for how long nobody can say.
+    fn who_knows(&self, now: Time, identity: Identity) -> Result<Option<Life>, Duration> {
+        for (until, roll) in self.before.iter().rev() {
+            let left = (*until + self.terms.retention).saturating_sub(now);
+            if left.is_zero() {
+                break;
+            }
+            let set = keepers(identity, roll, 0, self.terms.keepers);
+            if set.contains(&self.me) {
+                continue;
+            }
+            match set.iter().find(|life| self.roll.contains_key(life)) {
+                Some(life) => return Ok(Some(*life)),
+                None => return Err(left),
+            }
+        }
+        Ok(None)
+    }
+
+    /// An heir asks for what a life left behind: from here on nothing of that life is taken in. In parts, each after
+    /// the identity that the one before ended with.
+    pub fn estate(&mut self, now: Time, claim: &Claim, after: Option<Identity>) -> (Vec<Remains>, bool) {
+        let followed = self.followed.entry(claim.life).or_insert(claim.epoch);
+        if claim.epoch < *followed {
+            return (Vec::new(), false); // an heir that was itself followed
+        }
+        *followed = claim.epoch;
+        let left = |(_, kept): &(&Identity, &Kept)| kept.actor.life == claim.life && kept.open();
+        let mut all: Vec<(&Identity, &Kept)> = self.kept.iter().filter(left).collect();
+        all.sort_unstable_by_key(|(identity, _)| **identity);
+        let (mut page, mut bytes) = (Vec::new(), 0);
+        for (identity, kept) in all {
+            if after.is_some_and(|after| *identity <= after) {
+                continue;
+            }
+            if bytes > PAGE {
+                return (page, true);
+            }
+            bytes += kept.bytes;
+            page.push(Remains {
+                record: kept.known.record.clone(),
+                left: kept.known.deadline.saturating_sub(now),
+                window: kept.known.until.map(|until| until.saturating_sub(now)),
+                request: kept.request.clone(),
+            });
+        }
+        (page, false)
+    }
+
+    /// Forgets what has had its time.
+    pub fn fire(&mut self, now: Time) {
+        for ended in [true, false] {
+            loop {
+                let set = if ended { &self.ended } else { &self.open };
+                let Some((_, identity)) = set.first().copied().filter(|(at, _)| *at <= now) else { break };
+                self.forget(identity);
+            }
+        }
+        while self.before.front().is_some_and(|(until, _)| *until + self.terms.retention <= now) {
+            self.before.pop_front();
+        }
+    }
+
+    /// How many requests are kept in each state.
+    pub fn states(&self) -> BTreeMap<&'static str, usize> {
+        let mut all = BTreeMap::new();
+        for kept in self.kept.values() {
+            let name = match kept.known.record.state() {
+                State::Taken => "taken",
+                State::MayHaveRun => "may have run",
+                State::Done => "done",
+                State::Failed => "failed",
+                State::Unknown => "unknown",
+            };
+            *all.entry(name).or_default() += 1;
+        }
+        all
+    }
+
+    /// How a request ended, if it is kept here and has.
+    pub fn end(&self, identity: Identity) -> Option<&End> {
+        self.kept.get(&identity)?.known.record.end.as_ref()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::tests::{ms, record, sent};
+    use crate::record::{Answer, Effect, Record};
+
+    const ME: Life = 2;
+
+    fn terms() -> Terms {
+        Terms { drift: Drift::ppm(0), keepers: 1, retention: ms(5000) }
+    }
+
+    fn roll(lives: &[Life]) -> Roll {
+        let who = |life: &Life| Enrolled { draw: *life, name: format!("p{life}"), zone: None };
+        Roll::new(lives.iter().map(|life| (*life, who(life))).collect())
+    }
+
+    fn keeper() -> Keeper {
+        let mut keeper = Keeper::new(ME, terms());
+        keeper.roll(ms(0), roll(&[1, 2]));
+        // Long ago: nobody knows anything that this one does not.
+        keeper.before.clear();
+        keeper
+    }
+
+    fn keep(life: Life, epoch: Epoch, record: &Record) -> Keep {
+        let request = Some(Bytes::from(&b"POST /book/x"[..]));
+        Keep { seq: 1, actor: Actor { epoch, life }, record: record.clone(), left: ms(1000), request }
+    }
+
+    fn claim(life: Life, epoch: Epoch) -> Claim {
+        Claim { life, name: String::new(), epoch }
+    }
+
+    fn answered() -> End {
+        End::Answered(Answer::Whole(200, vec![], b"ok".to_vec()))
+    }
+
+    #[test]
+    fn of_two_that_come_at_once_one_has_it_and_the_other_is_told() {
+        let mut k = keeper();
+        let taken = record(Effect::Keyed);
+        assert_eq!(k.keep(ms(1), keep(7, 0, &taken)), (Verdict::Kept, None));
+        assert_eq!(k.keep(ms(2), keep(8, 0, &taken)).0, Verdict::Held(Actor { epoch: 0, life: 7 }));
+        let other = Record { content: Content::of("POST", "/book/x", b"else"), ..taken.clone() };
+        assert_eq!(k.keep(ms(3), keep(8, 0, &other)).0, Verdict::Differs);
+        let done = taken.sending(sent(0)).expect("room").ended(answered());
+        assert_eq!(k.keep(ms(4), keep(7, 0, &done)).0, Verdict::Kept);
+        assert_eq!(k.keep(ms(5), keep(8, 0, &taken)).0, Verdict::Ended(answered()));
+        assert_eq!(k.find(ms(6), taken.identity, taken.content), (Some(Verdict::Ended(answered())), None));
+    }
+
+    #[test]
+    fn once_an_heir_has_asked_the_old_owner_s_steps_count_no_more() {
+        let mut k = keeper();
+        let taken = record(Effect::Unsafe);
+        k.keep(ms(1), keep(7, 0, &taken));
+        let (left, more) = k.estate(ms(10), &claim(7, 4), None);
+        assert!(left.len() == 1 && !more && left[0].record == taken && left[0].left == ms(991));
+        let out = taken.sending(sent(0)).expect("room");
+        assert_eq!(k.keep(ms(11), keep(7, 0, &out)).0, Verdict::Followed(4));
+        // The heir goes on, and a client that is back meets it.
+        assert_eq!(k.keep(ms(12), keep(9, 4, &out)).0, Verdict::Kept);
+        assert_eq!(k.keep(ms(13), keep(8, 0, &taken)).0, Verdict::Held(Actor { epoch: 4, life: 9 }));
+        // The heir ends too: the next one finds how far it came; a word of the first heir changes nothing.
+        assert!(k.estate(ms(14), &claim(7, 3), None).0.is_empty());
+        assert!(k.estate(ms(14), &claim(7, 5), None).0.is_empty());
+        assert_eq!(k.estate(ms(15), &claim(9, 6), None).0[0].record, out);
+    }
+
+    #[test]
+    fn nobody_takes_the_place_of_one_that_lives_whatever_its_epoch() {
+        let mut k = keeper();
+        let taken = record(Effect::Unsafe);
+        k.keep(ms(1), keep(7, 0, &taken));
+        assert_eq!(k.keep(ms(2), keep(9, 8, &taken)).0, Verdict::Held(Actor { epoch: 0, life: 7 }));
+    }
+
+    #[test]
+    fn a_keeper_that_came_later_names_who_knows_more_and_says_where_nobody_does() {
+        let identities: Vec<Record> = (0..200)
+            .map(|n| Record {
+                identity: Identity::of(None, "book", &n.to_string()),
+                ..record(Effect::Unsafe)
+            })
+            .collect();
+        let mut k = Keeper::new(ME, terms());
+        k.roll(ms(0), roll(&[1, 2, 3]));
+        k.before.clear();
+        let was_mine = |r: &Record| keepers(r.identity, &roll(&[1, 2, 3]), 0, 1)[0];
+        k.roll(ms(100), roll(&[2, 3]));
+        let mut seen = [0; 2];
+        for r in identities.iter().filter(|r| keepers(r.identity, &roll(&[2, 3]), 0, 1)[0] == ME) {
+            let (found, also) = k.find(ms(200), r.identity, r.content);
+            match was_mine(r) {
+                ME => assert_eq!((found, also), (None, None)),
+                1 => {
+                    assert_eq!(found, Some(Verdict::Blind(ms(4900))), "its only keeper was lost");
+                    seen[0] += 1;
+                }
+                other => panic!("{other} lives and is preferred to this one"),
+            }
+            assert_eq!(k.find(ms(5100), r.identity, r.content), (None, None), "long enough ago");
+        }
+        // One that has just come knows nothing, and names the elder ones.
+        let mut young = Keeper::new(9, terms());
+        young.roll(ms(0), roll(&[1, 2, 9]));
+        for r in &identities {
+            let elder = keepers(r.identity, &roll(&[1, 2]), 0, 1)[0];
+            assert_eq!(young.find(ms(1), r.identity, r.content), (None, Some(elder)));
+            seen[1] += 1;
+        }
+        assert!(seen.iter().all(|n| *n > 20), "{seen:?}");
+    }
+
+    #[test]
+    fn what_may_have_run_stays_for_its_time_and_what_is_done_goes_first() {
+        let mut k = keeper();
+        let taken = record(Effect::Keyed);
+        k.keep(ms(0), keep(7, 0, &taken));
+        k.fire(ms(5999));
+        assert_eq!(k.load().0, 1);
+        k.fire(ms(6000));
+        assert_eq!(k.load(), (0, 0, 0));
+        assert!(k.owners.is_empty() && k.tenants.is_empty() && k.open.is_empty());
+    }
+
+    #[test]
+    fn an_owner_and_a_tenant_fill_their_part_and_no_more() {
+        let mut k = keeper();
+        let one = |n: usize| {
+            let tenant = Some("t1".to_owned());
+            let identity = Identity::of(tenant.as_deref(), "book", &n.to_string());
+            Record { identity, tenant, ..record(Effect::Keyed) }
+        };
+        for n in 0..OWNER_ENTRIES {
+            assert_eq!(k.keep(ms(0), keep(7, 0, &one(n))).0, Verdict::Kept);
+        }
+        assert_eq!(k.keep(ms(0), keep(7, 0, &one(OWNER_ENTRIES))).0, Verdict::Full);
+        assert_eq!(k.keep(ms(0), keep(8, 0, &one(OWNER_ENTRIES))).0, Verdict::Full, "the tenant's part");
+        let other = Record { tenant: None, ..record(Effect::Keyed) };
+        assert_eq!(k.keep(ms(0), keep(8, 0, &other)).0, Verdict::Kept);
+        let large = Keep { request: Some(vec![0; REQUEST + 1].into()), ..keep(8, 0, &record(Effect::Safe)) };
+        let large = Keep { record: Record { identity: Identity::default(), ..large.record }, ..large };
+        assert_eq!(k.keep(ms(0), large).0, Verdict::Full);
+    }
+
+    #[test]
+    fn a_large_hand_comes_in_pages_each_request_once() {
+        let mut k = keeper();
+        for n in 0..500 {
+            let identity = Identity::of(None, "book", &n.to_string());
+            let request = Some(vec![b'x'; 4000].into());
+            k.keep(ms(0), Keep { request, ..keep(7, 0, &Record { identity, ..record(Effect::Safe) }) });
+        }
+        let (mut all, mut after, mut pages) = (BTreeSet::new(), None, 0);
+        loop {
+            let (page, more) = k.estate(ms(1), &claim(7, 1), after);
+            pages += 1;
+            after = page.last().map(|r| r.record.identity);
+            assert!(page.iter().all(|r| all.insert(r.record.identity)));
+            if !more {
+                break;
+            }
+        }
+        assert!(all.len() == 500 && pages > 5, "{} {pages}", all.len());
+    }
+}
--- /dev/null
+++ b/crates/sandgap-takeover/src/words.rs
@@ -0,0 +1,103 @@
+//! The words that proxies say to each other about work in hand, on one channel of the fleet's links.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use sandgap_agree::lives::{Claim, Epoch, Life};
+use serde::{Deserialize, Serialize};
+
+use crate::identity::{Content, Identity};
+use crate::record::{End, Record};
+
+/// A request's own bytes, as its front put them.
+pub type Bytes = Rc<[u8]>;
+
+/// Who acts for a request: its owner under epoch 0, or an heir under the epoch of its claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Actor {
+    /// 0 for the owner that took it; of two actors the one with the higher epoch counts.
+    pub epoch: Epoch,
+    /// Which process.
+    pub life: Life,
+}
+
+/// What an owner asks a keeper to keep.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Keep {
+    /// The owner's number for it.
+    pub seq: u64,
+    /// Who acts for it.
+    pub actor: Actor,
+    /// All that is known.
+    pub record: Record,
+    /// How long its client still waits.
+    pub left: Duration,
+    /// The request itself; sent with the first step, and again where the keeper lacks it.
+    pub request: Option<Bytes>,
+}
+
+/// What a keeper says of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It has this step.
+    Kept,
+    /// It lacks the request's bytes.
+    Lacks,
+    /// Another acts for this identity.
+    Held(Actor),
+    /// It has ended so.
+    Ended(End),
+    /// The identity stands for another content.
+    Differs,
+    /// There is no room.
+    Full,
+    /// The one that asks has been followed by another: it acts no more.
+    Followed(Epoch),
+    /// Everybody who may have known this identity was lost a moment ago: nobody can say whether it ran.
+    Blind(Duration),
+}
+
+/// Anything that is said.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// Keep this.
+    Keep(Box<Keep>),
+    /// What came of it: the owner's number, the step, the verdict, and who else is to be asked first.
+    Kept(u64, u32, Verdict, Option<Life>),
+    /// Asks whether an identity is known: a number, and who asks.
+    Find(u64, Identity, Content),
+    /// What is known: `None` for nothing; and who else is to be asked.
+    Found(u64, Option<Verdict>, Option<Life>),
+    /// From an heir: what is kept of a life that ended, after an identity.
+    Estate(u64, Claim, Option<Identity>),
+    /// A part of that, and whether there is more.
+    Left(u64, Vec<Remains>, bool),
+}
+
+/// One request that an owner left behind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Remains {
+    /// The record.
+    pub record: Record,
+    /// How long its client still waits.
+    pub left: Duration,
+    /// For how long its group still surely drops repeats.
+    pub window: Option<Duration>,
+    /// The request.
+    pub request: Bytes,
+}
+
+impl Word {
+    /// The bytes of it.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default() // plain data always encodes
+    }
+
+    /// Reads one; bytes that are none are passed over, as lost.
+    pub fn decode(bytes: &[u8]) -> Option<Word> {
+        match postcard::take_from_bytes(bytes) {
+            Ok((word, [])) => Some(word),
+            _ => None,
+        }
+    }
+}
