--- a/crates/sandgap-takeover/src/lib.rs
+++ b/crates/sandgap-takeover/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`owner`] is what a proxy does with its own requests, [`keeper`] with those of others, [`heir`] with those of one
 //! that ended. Lives, leases and epochs are those of [`sandgap_agree::lives`].
 
+pub mod hands;
 pub mod heir;
 pub mod identity;
 pub mod keeper;
@@ -12,5 +13,6 @@
 pub mod record;
 pub mod words;
 
+pub use hands::{Hands, Output, Terms};
 pub use identity::{Content, Identity};
 pub use record::{Answer, Effect, End, Known, Plan, Record, Sent};
--- a/crates/sandgap-takeover/src/limits.rs
+++ b/crates/sandgap-takeover/src/limits.rs
@@ -20,5 +20,7 @@
 pub const PAGE: usize = 256 << 10;
 /// Earlier lists of who is enrolled that a keeper looks back on; the oldest go first.
 pub const ROLLS: usize = 64;
+/// Between two looks at a request that another has in hand: its client waits for that one's end.
+pub const JOIN: Duration = Duration::from_millis(25);
 /// Between two tries to reach a keeper: several ways there and back.
 pub const AGAIN: Duration = Duration::from_millis(20);
--- a/crates/sandgap-takeover/src/words.rs
+++ b/crates/sandgap-takeover/src/words.rs
@@ -57,21 +57,45 @@
     Blind(Duration),
 }
 
+/// A keeper's word on a step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The owner's number.
+    pub seq: u64,
+    /// The step.
+    pub step: u32,
+    /// What came of it.
+    pub verdict: Verdict,
+    /// Who else is to be asked before it counts.
+    pub also: Option<Life>,
+}
+
 /// Anything that is said.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Word {
     /// Keep this.
     Keep(Box<Keep>),
-    /// What came of it: the owner's number, the step, the verdict, and who else is to be asked first.
-    Kept(u64, u32, Verdict, Option<Life>),
+    /// What came of it.
+    Kept(Heard),
     /// Asks whether an identity is known: a number, and who asks.
     Find(u64, Identity, Content),
     /// What is known: `None` for nothing; and who else is to be asked.
     Found(u64, Option<Verdict>, Option<Life>),
     /// From an heir: what is kept of a life that ended, after an identity.
     Estate(u64, Claim, Option<Identity>),
-    /// A part of that, and whether there is more.
-    Left(u64, Vec<Remains>, bool),
+    /// A part of that: the question's number, the claim's epoch, and whether there is more.
+    Left(u64, Epoch, Vec<Remains>, bool),
+}
+
+/// A word, with the processes that say and hear it: what is meant for an earlier process of a name reaches no later one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Letter {
+    /// Who says it.
+    pub from: Life,
+    /// Who is to hear it.
+    pub to: Life,
+    /// What is said.
+    pub word: Word,
 }
 
 /// One request that an owner left behind.
@@ -87,16 +111,16 @@
     pub request: Bytes,
 }
 
-impl Word {
+impl Letter {
     /// The bytes of it.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).unwrap_or_default() // plain data always encodes
     }
 
     /// Reads one; bytes that are none are passed over, as lost.
-    pub fn decode(bytes: &[u8]) -> Option<Word> {
+    pub fn decode(bytes: &[u8]) -> Option<Letter> {
         match postcard::take_from_bytes(bytes) {
-            Ok((word, [])) => Some(word),
+            Ok((letter, [])) => Some(letter),
             _ => None,
         }
     }
