--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -1,6 +1,6 @@
 //! One proxy's whole part in agreed rules: its [`Follower`], its [`Voter`] if it is one, and whom it says what.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -335,7 +335,7 @@
             Word::Life(entry) => self.with_voter(|v, out| v.life(now, entry, out)),
             Word::Missed(name) => self.with_voter(|v, out| v.missed(now, name, out)),
             Word::FetchRoll(since) => self.fetch_roll(from, since),
-            Word::Roll(roll, all) => self.roll(roll, all),
+            Word::Roll(roll, all, departed) => self.roll(roll, all, departed),
             Word::Heir => {
                 self.next_ask = now;
                 self.fire(now);
@@ -418,15 +418,15 @@
         else {
             return;
         };
-        let all: Vec<(Life, Enrolled)> = lives.enrolled().iter().map(|(l, e)| (*l, e.clone())).collect();
-        let word = Word::Roll(lives.roll(), all);
+        let list = |of: &BTreeMap<Life, Enrolled>| of.iter().map(|(l, e)| (*l, e.clone())).collect();
+        let word = Word::Roll(lives.roll(), list(lives.enrolled()), list(lives.departed()));
         self.say(from.to_owned(), None, word);
     }
 
-    fn roll(&mut self, roll: u64, all: Vec<(Life, Enrolled)>) {
+    fn roll(&mut self, roll: u64, all: Vec<(Life, Enrolled)>, departed: Vec<(Life, Enrolled)>) {
         let mut turns = Vec::new();
         if let Some(holder) = self.follower.holder_mut() {
-            holder.heard_roll(roll, all, &mut turns);
+            holder.heard_roll(roll, all, departed, &mut turns);
         }
         self.out.extend(turns.into_iter().map(Output::Turn));
     }
--- a/crates/sandgap-agree/src/limits.rs
+++ b/crates/sandgap-agree/src/limits.rs
@@ -16,6 +16,8 @@
 pub const MEMBERS: usize = sandgap_fleet::limits::MEMBERS;
 /// Lives that ended and whose hands nobody has settled yet: several ends of each member.
 pub const ESTATES: usize = 4 * MEMBERS;
+/// How long it stays known who has ended: longer than any end of a request is remembered elsewhere.
+pub const REMEMBER: Duration = Duration::from_secs(60);
 /// Questions that wait for one confirmation by a majority; more are dropped and asked again.
 pub const ASKS: usize = 2 * MEMBERS;
 /// Confirmations under way at once.
--- a/crates/sandgap-agree/src/lives.rs
+++ b/crates/sandgap-agree/src/lives.rs
@@ -82,6 +82,8 @@
     },
     /// What it left has been settled.
     Settle(Claim),
+    /// It ended long enough ago.
+    Forget(Life),
 }
 
 /// All lives, as the log has them.
@@ -93,6 +95,8 @@
     epoch: Epoch,
     enrolled: BTreeMap<Life, Enrolled>,
     estates: BTreeMap<Life, Estate>,
+    /// Who ended a while ago: who comes now has to know whom it did not meet.
+    departed: BTreeMap<Life, Enrolled>,
 }
 
 impl Lives {
@@ -111,6 +115,11 @@
         &self.estates
     }
 
+    /// Who ended a while ago.
+    pub fn departed(&self) -> &BTreeMap<Life, Enrolled> {
+        &self.departed
+    }
+
     /// The life of a process, if it is enrolled.
     pub fn life_of(&self, draw: u64) -> Option<Life> {
         self.enrolled.iter().find(|(_, e)| e.draw == draw).map(|(life, _)| *life)
@@ -146,6 +155,10 @@
                 if self.estates.len() >= ESTATES {
                     self.estates.pop_first(); // nobody could be found to settle it for thousands of ends
                 }
+                if self.departed.len() >= ESTATES {
+                    self.departed.pop_first();
+                }
+                self.departed.insert(life, was.clone());
                 self.estates.insert(life, Estate { was, told, heir: None });
             }
             LifeEntry::Claim { life, heir, after } => {
@@ -156,6 +169,7 @@
                 self.epoch += 1;
                 estate.heir = Some((heir, self.epoch));
             }
+            LifeEntry::Forget(life) => drop(self.departed.remove(&life)),
             LifeEntry::Settle(claim) => {
                 if self.estates.get(&claim.life).is_some_and(|e| e.epoch() == claim.epoch) {
                     self.estates.remove(&claim.life);
@@ -205,8 +219,9 @@
 
     /// Notes ends that are in the log by now. Called whenever entries have been applied, by whoever applies them.
     pub fn applied(&mut self, now: Time, lives: &Lives) {
-        self.ended.retain(|life, _| lives.estates.contains_key(life));
-        for life in lives.estates.keys() {
+        let known = |life: &Life| lives.estates.contains_key(life) || lives.departed.contains_key(life);
+        self.ended.retain(|life, _| known(life));
+        for life in lives.estates.keys().chain(lives.departed.keys()) {
             self.ended.entry(*life).or_insert(now);
         }
     }
@@ -218,8 +233,14 @@
     }
 
     /// What a leader that has led since `led` puts into the log next.
-    pub fn decide(&self, now: Time, led: Time, lives: &Lives, span: Span) -> Vec<LifeEntry> {
-        let mut all = Vec::new();
+    ///
+    /// `remember` is how long it stays known who has ended.
+    pub fn decide(
+        &self, now: Time, led: Time, lives: &Lives, span: Span, remember: Duration,
+    ) -> Vec<LifeEntry> {
+        let old = |life: &&Life| self.ended.get(*life).is_some_and(|at| now > *at + remember);
+        let mut all: Vec<LifeEntry> =
+            lives.departed.keys().filter(old).map(|life| LifeEntry::Forget(*life)).collect();
         self.fence(now, led, lives, span, &mut all);
         self.claim(now, lives, span, &mut all);
         all
@@ -309,19 +330,22 @@
         let (mut lives, mut watch) = three();
         hear(&mut watch, 100, &[7, 8, 9]);
         hear(&mut watch, 650, &[7, 9]);
-        assert!(watch.decide(ms(700), ms(0), &lives, span()).is_empty());
-        let fence = watch.decide(ms(701), ms(0), &lives, span()).remove(0);
+        assert!(watch.decide(ms(700), ms(0), &lives, span(), ms(60_000)).is_empty());
+        let fence = watch.decide(ms(701), ms(0), &lives, span(), ms(60_000)).remove(0);
         assert_eq!(fence, LifeEntry::Fence { life: 2, told: false });
         lives.apply(fence);
         watch.applied(ms(710), &lives);
         hear(&mut watch, 1650, &[7, 9]);
-        let early = watch.decide(ms(1711), ms(0), &lives, span());
+        let early = watch.decide(ms(1711), ms(0), &lives, span(), ms(60_000));
         assert!(early.is_empty(), "its lease may run on a slow clock");
-        let claim = watch.decide(ms(1712), ms(0), &lives, span()).remove(0);
+        let claim = watch.decide(ms(1712), ms(0), &lives, span(), ms(60_000)).remove(0);
         assert!(matches!(claim, LifeEntry::Claim { life: 2, heir: 1 | 3, .. }), "{claim:?}");
         lives.apply(claim);
         watch.applied(ms(1715), &lives);
-        assert!(watch.decide(ms(1716), ms(0), &lives, span()).is_empty());
+        assert!(watch.decide(ms(1716), ms(0), &lives, span(), ms(60_000)).is_empty());
+        hear(&mut watch, 9000, &[7, 9]);
+        assert!(lives.departed().contains_key(&2));
+        assert_eq!(watch.decide(ms(9000), ms(0), &lives, span(), ms(5000)), [LifeEntry::Forget(2)]);
     }
 
     #[test]
@@ -331,7 +355,7 @@
         lives.apply(LifeEntry::Fence { life: 1, told: true });
         watch.applied(ms(110), &lives);
         assert!(matches!(
-            watch.decide(ms(111), ms(0), &lives, span())[..],
+            watch.decide(ms(111), ms(0), &lives, span(), ms(60_000))[..],
             [LifeEntry::Claim { life: 1, .. }]
         ));
         lives.apply(LifeEntry::Fence { life: 2, told: false });
@@ -339,10 +363,10 @@
         other.applied(ms(5000), &lives);
         hear(&mut other, 5500, &[9]);
         lives.apply(LifeEntry::Claim { life: 1, heir: 3, after: 0 });
-        assert!(other.decide(ms(5900), led, &lives, span()).is_empty());
+        assert!(other.decide(ms(5900), led, &lives, span(), ms(60_000)).is_empty());
         hear(&mut other, 6000, &[9]);
         assert_eq!(
-            other.decide(ms(6002), led, &lives, span()),
+            other.decide(ms(6002), led, &lives, span(), ms(60_000)),
             [LifeEntry::Claim { life: 2, heir: 3, after: 0 }]
         );
     }
@@ -352,9 +376,12 @@
         let (lives, mut watch) = three();
         hear(&mut watch, 100, &[7, 8, 9]);
         watch.missed(ms(150), "p8");
-        assert_eq!(watch.decide(ms(151), ms(0), &lives, span()), [LifeEntry::Fence { life: 2, told: false }]);
+        assert_eq!(
+            watch.decide(ms(151), ms(0), &lives, span(), ms(60_000)),
+            [LifeEntry::Fence { life: 2, told: false }]
+        );
         hear(&mut watch, 160, &[8]);
-        assert!(watch.decide(ms(161), ms(0), &lives, span()).is_empty());
+        assert!(watch.decide(ms(161), ms(0), &lives, span(), ms(60_000)).is_empty());
     }
 
     #[test]
@@ -369,9 +396,9 @@
         lives.apply(LifeEntry::Fence { life: 2, told: false });
         watch.applied(ms(100), &lives);
         hear(&mut watch, 1000, &[9]);
-        assert!(watch.decide(ms(1000), ms(0), &lives, span()).is_empty());
+        assert!(watch.decide(ms(1000), ms(0), &lives, span(), ms(60_000)).is_empty());
         let claim = LifeEntry::Claim { life: 1, heir: 3, after: first.epoch };
-        assert!(watch.decide(ms(1102), ms(0), &lives, span()).contains(&claim));
+        assert!(watch.decide(ms(1102), ms(0), &lives, span(), ms(60_000)).contains(&claim));
         lives.apply(claim);
         let second = lives.claims_of(3)[0].clone();
         assert!(second.epoch > first.epoch);
--- a/crates/sandgap-agree/src/tenure.rs
+++ b/crates/sandgap-agree/src/tenure.rs
@@ -25,8 +25,8 @@
     Ended(Life),
     /// It is the heir to what another left.
     Heir(Claim),
-    /// Who is enrolled.
-    Roll(u64, Roll),
+    /// Who is enrolled, and who ended a while ago.
+    Roll(u64, Roll, Roll),
 }
 
 /// See the module.
@@ -118,11 +118,15 @@
     }
 
     /// A list of who is enrolled.
-    pub fn heard_roll(&mut self, roll: u64, all: Vec<(Life, Enrolled)>, turns: &mut Vec<Turn>) {
+    pub fn heard_roll(
+        &mut self, roll: u64, all: Vec<(Life, Enrolled)>, departed: Vec<(Life, Enrolled)>,
+        turns: &mut Vec<Turn>,
+    ) {
         if roll > self.roll.0 {
             self.roll = (roll, Rc::new(all.into_iter().collect()));
             self.newer = false;
-            turns.push(Turn::Roll(roll, self.roll.1.clone()));
+            let departed = Rc::new(departed.into_iter().collect());
+            turns.push(Turn::Roll(roll, self.roll.1.clone(), departed));
         }
     }
 
@@ -241,8 +245,8 @@
         assert_eq!(h.wants_roll(), Some(0));
         let mut turns = Vec::new();
         let me = (5, Enrolled { draw: 77, name: "p1".into(), zone: None });
-        h.heard_roll(4, vec![me], &mut turns);
-        h.heard_roll(3, vec![], &mut turns);
+        h.heard_roll(4, vec![me], vec![], &mut turns);
+        h.heard_roll(3, vec![], vec![], &mut turns);
         assert_eq!((turns.len(), h.roll().1.len(), h.wants_roll()), (1, 1, None));
     }
 }
--- a/crates/sandgap-agree/src/voter.rs
+++ b/crates/sandgap-agree/src/voter.rs
@@ -14,7 +14,7 @@
 use sandgap_fleet::Time;
 
 use crate::agent::Terms;
-use crate::limits::{ASKS, LOG, MEMBERS, PUBLISHERS, ROUNDS, WRITES};
+use crate::limits::{ASKS, LOG, MEMBERS, PUBLISHERS, REMEMBER, ROUNDS, WRITES};
 use crate::lives::{Life, LifeEntry, Watch};
 use crate::log::{Damaged, Log, Saved, Write, decoded, encoded, machine_in, snapshot_of};
 use crate::machine::{Entry, Machine, Proposal, Seat, Verdict};
@@ -534,9 +534,13 @@
 
     /// What the leader does about lives. Each is said again only after a while.
     fn decide_lives(&mut self, now: Time, led: Time) {
-        let due = self.watch.decide(now, led, self.machine.lives(), self.terms.span);
+        let due = self.watch.decide(now, led, self.machine.lives(), self.terms.span, REMEMBER);
         for entry in due {
-            let (LifeEntry::Fence { life, .. } | LifeEntry::Claim { life, .. }) = entry else { continue };
+            let (LifeEntry::Fence { life, .. } | LifeEntry::Claim { life, .. } | LifeEntry::Forget(life)) =
+                entry
+            else {
+                continue;
+            };
             let again = self.life_proposed.get(&life).is_none_or(|at| self.ticks >= at + AGAIN);
             if again && self.propose(&Entry::Life(entry)) {
                 self.life_proposed.insert(life, self.ticks);
--- a/crates/sandgap-agree/src/words.rs
+++ b/crates/sandgap-agree/src/words.rs
@@ -177,8 +177,8 @@
     Missed(String),
     /// Asks who is enrolled, if that has changed since.
     FetchRoll(u64),
-    /// Who is enrolled, by number, and how often that has changed.
-    Roll(u64, Vec<(Life, Enrolled)>),
+    /// Who is enrolled, by number, how often that has changed, and who ended a while ago.
+    Roll(u64, Vec<(Life, Enrolled)>, Vec<(Life, Enrolled)>),
     /// To a proxy: it is the heir to something, and should ask.
     Heir,
 }
--- a/crates/sandgap-lab/src/agree/world.rs
+++ b/crates/sandgap-lab/src/agree/world.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use rand::RngExt;
 use sandgap_agree::follower::Span;
@@ -21,6 +20,7 @@
 use super::judge::{Findings, Judge};
 use super::{Flaw, Setup};
 use crate::calendar::{Calendar, MS, Nanos, SECOND};
+use crate::skew::Skewed;
 use crate::streams::{Stream, stream};
 
 /// The publisher, among the senders of words.
@@ -70,9 +70,7 @@
 struct Node {
     name: String,
     address: SocketAddr,
-    /// Of its clock to true time, and where it began.
-    rate: f64,
-    offset: Nanos,
+    clock: Skewed,
     agent: Option<Agent>,
     life: u32,
     /// Its timer is set for this local time.
@@ -90,18 +88,6 @@
     unusable: BTreeSet<u32>,
 }
 
-impl Node {
-    fn local(&self, now: Nanos) -> Time {
-        Duration::from_nanos(self.offset + (now as f64 * self.rate) as Nanos)
-    }
-
-    /// The first true time at which its clock shows a local one.
-    fn shown(&self, local: Time) -> Nanos {
-        let span = (local.as_nanos() as u64).saturating_sub(self.offset);
-        (span as f64 / self.rate).ceil() as Nanos
-    }
-}
-
 /// See the module.
 pub struct World {
     setup: Setup,
@@ -151,8 +137,10 @@
         let nodes = (0..setup.voters + setup.observers).map(|n| Node {
             name: format!("p{n}"),
             address: ([127, 0, 0, 1], n as u16 + 1).into(),
-            rate: 1.0 + part * rng.random_range(-1.0..=1.0),
-            offset: rng.random_range(0..1000 * SECOND),
+            clock: Skewed {
+                rate: 1.0 + part * rng.random_range(-1.0..=1.0),
+                offset: rng.random_range(0..1000 * SECOND),
+            },
             agent: None,
             life: 0,
             armed: None,
@@ -280,7 +268,7 @@
         node.life += 1;
         (node.armed, node.paused, node.busy) = (None, false, now);
         node.waiting.clear();
-        let local = node.local(now);
+        let local = node.clock.local(now);
         let mut agent = Agent::new(local, &node.name, terms, voters, chance);
         agent.enlist(None);
         if !with_disk && node.disk.is_some() {
@@ -340,7 +328,7 @@
     fn with(&mut self, n: usize, act: impl FnOnce(&mut Agent, Time)) {
         let now = self.now();
         let node = &mut self.nodes[n];
-        let local = node.local(now);
+        let local = node.clock.local(now);
         if let Some(agent) = &mut node.agent {
             act(agent, local);
             self.after(n);
@@ -357,7 +345,7 @@
         let Some(due) = node.agent.as_ref().map(Agent::next_due) else { return };
         if node.armed.is_none_or(|at| due < at) {
             node.armed = Some(due);
-            let at = node.shown(due).max(now);
+            let at = node.clock.shown(due).max(now);
             let life = node.life;
             self.events.push(at, Event::Timer { node: n, life });
         }
@@ -372,7 +360,7 @@
                     true => Err("this one can't".to_owned()),
                     false => Ok(()),
                 };
-                let now = self.nodes[n].local(self.now());
+                let now = self.nodes[n].clock.local(self.now());
                 if let Some(agent) = &mut self.nodes[n].agent {
                     agent.checked(now, version, usable);
                 }
@@ -400,8 +388,8 @@
     /// Under which life a process may act, and until when.
     fn hand(node: &Node, now: Nanos) -> Option<(Life, Nanos)> {
         let holder = node.agent.as_ref()?.holder()?;
-        let until = holder.right(node.local(now))?.until();
-        Some((holder.life()?, node.shown(until)))
+        let until = holder.right(node.clock.local(now))?.until();
+        Some((holder.life()?, node.clock.shown(until)))
     }
 
     fn send(&mut self, from: usize, to: &str, word: Word) {
@@ -451,9 +439,9 @@
             self.hands.acts(life, until);
         }
         let node = &mut self.nodes[n];
-        let local = node.local(now);
+        let local = node.clock.local(now);
         let right = node.agent.as_ref().and_then(|a| a.take(local)).map(|t| (t.version, t.right.until()));
-        let right = right.map(|(version, until)| (version, node.shown(until)));
+        let right = right.map(|(version, until)| (version, node.clock.shown(until)));
         let before = node.right.take();
         if let Some((version, from, until)) = before {
             self.judge.acted(version, from, until.min(now));
@@ -634,7 +622,7 @@
                     "p{n} acts on {acting} (lease: {lease}), {standing} is in force, long after"
                 ));
             }
-            if agent.holder().is_none_or(|h| h.right(node.local(self.events.now())).is_none()) {
+            if agent.holder().is_none_or(|h| h.right(node.clock.local(self.events.now())).is_none()) {
                 wrong.push(format!("p{n} has no life, long after"));
             }
             if n < self.setup.voters {
--- a/crates/sandgap-lab/src/main.rs
+++ b/crates/sandgap-lab/src/main.rs
@@ -10,7 +10,7 @@
 use sandgap_lab::fleet::Plan;
 use sandgap_lab::rivals::PolicyKind;
 use sandgap_lab::run::MEASURES;
-use sandgap_lab::{agree, checks, cost, hunt, limiters, report, run};
+use sandgap_lab::{agree, checks, cost, hunt, limiters, report, run, takeover};
 
 /// A file or a call that is wrong.
 const WRONG: u8 = 2;
@@ -144,6 +144,30 @@
         #[arg(long, value_enum)]
         flaw: Option<agree::Flaw>,
     },
+    /// Plays takeover under faults; exits 1 where a request took effect twice or got two answers
+    Takeover {
+        /// How many seeds
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        /// The first of them
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// Proxies that do not vote, beside five that do
+        #[arg(long, default_value_t = 7, value_parser = clap::value_parser!(u16).range(0..=1000))]
+        observers: u16,
+        /// Proxies beside its owner that keep each request
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=2))]
+        keepers: u8,
+        /// Between two requests in the mean, ms
+        #[arg(long, default_value_t = 8)]
+        every_ms: u64,
+        /// Nothing goes wrong
+        #[arg(long)]
+        calm: bool,
+        /// Something wrong by intent
+        #[arg(long, value_enum)]
+        flaw: Option<takeover::Flaw>,
+    },
     /// Measures how fast the laboratory itself is
     Speed,
 }
@@ -294,6 +318,15 @@
             println!("{found}");
             Ok(found.broken.is_empty())
         }
+        Command::Takeover { seeds, from, observers, keepers, every_ms, calm, flaw } => {
+            let fleet =
+                agree::Setup { observers: observers.into(), faults: !calm, ..agree::Setup::default() };
+            let every = every_ms.max(1) * sandgap_lab::calendar::MS;
+            let setup = takeover::Setup { fleet, keepers: keepers.into(), every, flaw };
+            let found = takeover::hunt(&setup, from..from.saturating_add(seeds));
+            println!("{found}");
+            Ok(found.broken.is_empty())
+        }
         Command::Speed => {
             print!("{}", checks::speed().map_err(|e| e.to_string())?);
             Ok(true)
--- a/crates/sandgap-takeover/src/hands.rs
+++ b/crates/sandgap-takeover/src/hands.rs
@@ -12,6 +12,7 @@
 
 use crate::heir::Heir;
 use crate::keeper::{self, Keeper};
+use crate::limits::AGAIN;
 use crate::owner::{self, Order, Owner, Why};
 use crate::record::{End, Plan, Record, Sent};
 use crate::words::{Bytes, Heard, Letter, Word};
@@ -80,6 +81,8 @@
     epoch: Epoch,
     request: Bytes,
     plan: Plan,
+    /// When it is tried again, where no keeper could be had.
+    again: Option<Time>,
     /// The step after which it may go on, or after which it is over.
     step: u32,
     begun: bool,
@@ -97,6 +100,7 @@
     terms: Terms,
     part: Option<Part>,
     roll: (u64, Roll),
+    departed: Roll,
     heirs: BTreeMap<Epoch, (Heir, Count)>,
     inherited: BTreeMap<u64, Inherited>,
     out: VecDeque<Output>,
@@ -112,8 +116,8 @@
 impl Hands {
     /// Hands that hold nothing, of a process that has no life yet.
     pub fn new(terms: Terms) -> Self {
-        let (part, roll, heirs, inherited, out, own) = Default::default();
-        Hands { terms, part, roll, heirs, inherited, out, own, look: Time::ZERO }
+        let (part, roll, departed, heirs, inherited, out, own) = Default::default();
+        Hands { terms, part, roll, departed, heirs, inherited, out, own, look: Time::ZERO }
     }
 
     /// What is to be done next.
@@ -154,8 +158,8 @@
                 self.out.push_back(Output::Over(part.owner.all().collect()));
             }
             Turn::Heir(claim) => self.heir(now, claim),
-            Turn::Roll(number, roll) => {
-                self.roll = (number, roll);
+            Turn::Roll(number, roll, departed) => {
+                (self.roll, self.departed) = ((number, roll), departed);
                 self.enrolled(now);
             }
         }
@@ -166,7 +170,7 @@
         let (number, roll) = self.roll.clone();
         let Some(part) = self.part.as_mut().filter(|part| roll.contains_key(&part.life)) else { return };
         let mut orders = Vec::new();
-        part.keeper.roll(now, roll.clone());
+        part.keeper.roll(now, roll.clone(), &self.departed);
         part.owner.roll(now, roll.clone(), &mut orders);
         let mut say = Vec::new();
         for (heir, _) in self.heirs.values_mut() {
@@ -225,6 +229,15 @@
         step
     }
 
+    /// Tries again what no keeper has said in time that it has.
+    pub fn retry(&mut self, now: Time, seq: u64) {
+        let Some(part) = &mut self.part else { return };
+        let mut orders = Vec::new();
+        part.owner.retry(now, seq, &mut orders);
+        self.obey(now, orders);
+        self.own_letters(now);
+    }
+
     /// Lets go of a request whose client has its answer, or whose attempt was refused before anything went out.
     pub fn release(&mut self, seq: u64) {
         if let Some(part) = &mut self.part {
@@ -248,7 +261,7 @@
     }
 
     fn take_in(&mut self, now: Time, letter: Letter) {
-        let Some(part) = &mut self.part else { return };
+        let Some(part) = self.part.as_mut().filter(|part| part.keeper.is_ready()) else { return };
         let (from, mut orders) = (letter.from, Vec::new());
         match letter.word {
             Word::Keep(keep) => {
@@ -265,7 +278,7 @@
                 self.say(from, Word::Left(number, claim.epoch, all, more));
             }
             Word::Kept(heard) => part.owner.kept(now, from, heard, &mut orders),
-            Word::Found(seq, verdict, also) => part.owner.found(now, from, seq, verdict, also, &mut orders),
+            Word::Found(seq, verdict, also) => part.owner.found(now, from, seq, verdict, &also, &mut orders),
             Word::Left(number, epoch, all, more) => {
                 let mut say = Vec::new();
                 if let Some((heir, _)) = self.heirs.get_mut(&epoch) {
@@ -329,11 +342,9 @@
     fn stopped(&mut self, now: Time, seq: u64, why: Why) {
         match why {
             Why::NoKeeper | Why::Full => {
-                let mut orders = Vec::new();
-                if let Some(part) = &mut self.part {
-                    part.owner.retry(now, seq, &mut orders);
+                if let Some(inherited) = self.inherited.get_mut(&seq) {
+                    inherited.again = Some(now + AGAIN);
                 }
-                self.obey(now, orders);
             }
             // Somebody else has it by now, or it has ended: there it is seen to.
             _ => {
@@ -385,7 +396,8 @@
                 };
                 let (step, over) = (record.step, end.is_some());
                 let seq = part.owner.take(now, *epoch, record, left, request.clone(), &mut orders);
-                let inherited = Inherited { epoch: *epoch, request, plan, step, begun: false, over };
+                let inherited =
+                    Inherited { epoch: *epoch, request, plan, again: None, step, begun: false, over };
                 self.inherited.insert(seq, inherited);
             }
         }
@@ -412,7 +424,8 @@
     pub fn next_due(&self) -> Option<Time> {
         let part = self.part.as_ref()?;
         let heirs = self.heirs.values().filter_map(|(heir, _)| heir.next_due());
-        heirs.chain(part.owner.next_due()).chain([self.look]).min()
+        let again = self.inherited.values().filter_map(|i| i.again);
+        heirs.chain(again).chain(part.owner.next_due()).chain([self.look]).min()
     }
 
     /// Does what is due by now.
@@ -430,7 +443,15 @@
         self.obey(now, orders);
         self.say_all(say);
         self.own_letters(now);
+        self.try_again(now);
         self.go_on(now);
         self.own_letters(now);
     }
+
+    /// Inherited requests for which no keeper could be had.
+    fn try_again(&mut self, now: Time) {
+        let due = |i: &mut Inherited| i.again.take_if(|at| *at <= now).is_some();
+        let all: Vec<u64> = self.inherited.iter_mut().filter_map(|(seq, i)| due(i).then_some(*seq)).collect();
+        all.into_iter().for_each(|seq| self.retry(now, seq));
+    }
 }
--- a/crates/sandgap-takeover/src/heir.rs
+++ b/crates/sandgap-takeover/src/heir.rs
@@ -11,7 +11,7 @@
 
 use crate::identity::Identity;
 use crate::limits::AGAIN;
-use crate::record::{Known, Plan};
+use crate::record::{End, Known, Plan};
 use crate::words::{Bytes, Remains, Word};
 
 /// A request that an heir has to see to.
@@ -44,7 +44,7 @@
     numbered: u64,
     seen: BTreeSet<Identity>,
     waiting: BinaryHeap<Reverse<(Time, Identity)>>,
-    held: BTreeMap<Identity, (Known, Bytes)>,
+    held: BTreeMap<Identity, (Known, Bytes, bool)>,
     out: usize,
     /// Requests let go at once.
     at_once: usize,
@@ -107,7 +107,7 @@
         let since = asked.since;
         let last = all.last().map(|r| r.record.identity);
         for remains in all {
-            let Remains { record, left, window, request } = remains;
+            let Remains { record, left, doubtful, window, request } = remains;
             let identity = record.identity;
             if !self.seen.insert(identity) {
                 continue;
@@ -116,7 +116,7 @@
             let until = window.map(|window| since + self.drift.at_most(window));
             let known = Known { record, deadline: now + left, until };
             self.waiting.push(Reverse((known.deadline, identity)));
-            self.held.insert(identity, (known, request));
+            self.held.insert(identity, (known, request, doubtful));
         }
         match last.filter(|_| more) {
             Some(last) => self.ask(now, from, Some(last), say),
@@ -131,9 +131,10 @@
             return None;
         }
         let Reverse((_, identity)) = self.waiting.pop()?;
-        let (known, request) = self.held.remove(&identity)?;
+        let (known, request, doubtful) = self.held.remove(&identity)?;
         self.out += 1;
-        let plan = known.plan(now);
+        // Nothing went out under it, and perhaps another has it: its client finds that out when it comes again.
+        let plan = if doubtful { Plan::End(End::Refused) } else { known.plan(now) };
         Some(Inherited { known, request, plan })
     }
 
@@ -176,7 +177,7 @@
 
     use super::*;
     use crate::record::tests::{ms, record, sent};
-    use crate::record::{Effect, End, Record};
+    use crate::record::{Effect, Record};
 
     fn roll(lives: &[Life]) -> Roll {
         let who = |life: &Life| Enrolled { draw: *life, name: format!("p{life}"), zone: None };
@@ -191,7 +192,7 @@
         let record = Record { identity: Identity::of(None, "book", &n.to_string()), ..record(effect) };
         let record = if out { record.sending(sent(0)).expect("room") } else { record };
         let window = out.then(|| ms(800));
-        Remains { record, left: ms(left), window, request: Bytes::from(&b"r"[..]) }
+        Remains { record, left: ms(left), doubtful: false, window, request: Bytes::from(&b"r"[..]) }
     }
 
     fn number(word: &Word) -> u64 {
--- a/crates/sandgap-takeover/src/identity.rs
+++ b/crates/sandgap-takeover/src/identity.rs
@@ -34,7 +34,7 @@
     }
 
     /// Rendezvous weight of a proxy for it (Thaler and Ravishankar, IEEE/ACM Transactions on Networking 6, 1998).
-    fn weight(&self, life: Life) -> u64 {
+    pub(crate) fn weight(&self, life: Life) -> u64 {
         let hash = blake3::hash(&[&self.0[..], &life.to_le_bytes()].concat());
         u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("eight of thirty-two"))
     }
--- a/crates/sandgap-takeover/src/keeper.rs
+++ b/crates/sandgap-takeover/src/keeper.rs
@@ -1,6 +1,6 @@
 //! What a proxy keeps for others: records of their requests, and the answer to who acts for an identity.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -9,7 +9,7 @@
 use sandgap_fleet::{Drift, Time};
 
 use crate::identity::{Content, Identity, keepers};
-use crate::limits::{BYTES, ENTRIES, OWNER_ENTRIES, PAGE, REQUEST, ROLLS, TENANT_PART};
+use crate::limits::{BYTES, ENTRIES, LOST, OWNER_ENTRIES, PAGE, REQUEST, ROLLS, TENANT_PART};
 use crate::record::{Answer, End, Known, State};
 use crate::words::{Actor, Bytes, Keep, Remains, Verdict};
 
@@ -29,8 +29,12 @@
 
 struct Kept {
     actor: Actor,
+    /// Its owner's number for it: the same wish that comes again is another request.
+    seq: u64,
     known: Known,
     request: Bytes,
+    /// Somebody else had to be asked first, and nothing says yet that it was.
+    doubtful: bool,
     /// When it may be forgotten.
     expires: Time,
     /// What it counts for.
@@ -64,9 +68,13 @@
     bytes: usize,
     owners: BTreeMap<Life, usize>,
     tenants: BTreeMap<Option<String>, (usize, usize)>,
-    /// Who is enrolled, and who was: each until when.
+    /// Who is enrolled, and since when; none for those that were there before this one.
     roll: Roll,
-    before: VecDeque<(Time, Roll)>,
+    since: BTreeMap<Life, Option<Time>>,
+    /// Who was, and when that was heard.
+    lost: BTreeMap<Life, (Enrolled, Time)>,
+    /// Whose end the last list told of.
+    departed: BTreeSet<Life>,
     /// Lives that an heir has asked for: nothing of theirs is taken in any more.
     followed: BTreeMap<Life, Epoch>,
 }
@@ -84,7 +92,9 @@
             owners: BTreeMap::new(),
             tenants: BTreeMap::new(),
             roll: Roll::default(),
-            before: VecDeque::new(),
+            since: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            departed: BTreeSet::new(),
             followed: BTreeMap::new(),
         }
     }
@@ -94,67 +104,92 @@
         (self.kept.len(), self.open.len(), self.bytes)
     }
 
-    /// Another list of who is enrolled.
-    pub fn roll(&mut self, now: Time, roll: Roll) {
-        let old = if self.roll.is_empty() {
-            // Whoever was there before this one may know what this one does not.
-            let elder = roll.iter().filter(|(life, _)| **life < self.me);
-            Roll::new(elder.map(|(life, who)| (*life, who.clone())).collect::<BTreeMap<Life, Enrolled>>())
-        } else {
-            self.roll.clone()
-        };
-        if self.before.len() == ROLLS {
-            self.before.pop_front();
+    /// Another list of who is enrolled; `departed` are those that ended a while ago, whether this one met them or not.
+    pub fn roll(&mut self, now: Time, roll: Roll, departed: &Roll) {
+        let first = self.roll.is_empty();
+        for life in roll.keys() {
+            // Of those that were there before it, this one asks; they know whether they are older than others.
+            let since = (!first || *life >= self.me).then_some(now);
+            self.since.entry(*life).or_insert(since);
+        }
+        let old = std::mem::replace(&mut self.roll, roll);
+        let roll = &self.roll;
+        let unmet = departed.iter().filter(|(life, _)| !self.departed.contains(life));
+        for (life, who) in old.iter().filter(|(life, _)| !roll.contains_key(life)).chain(unmet) {
+            self.lost.entry(*life).or_insert_with(|| (who.clone(), now));
         }
-        if !old.is_empty() {
-            self.before.push_back((now, old));
+        self.departed = departed.keys().copied().collect();
+        self.since.retain(|life, _| roll.contains_key(life));
+        while self.lost.len() > LOST {
+            self.lost.pop_first();
         }
-        self.roll = roll;
+    }
+
+    /// Whether it knows who is enrolled, itself among them: before that it can't say who may know more.
+    pub fn is_ready(&self) -> bool {
+        !self.roll.is_empty()
     }
 
     /// Keeps a step. With the verdict comes who else has to be asked before it counts.
-    pub fn keep(&mut self, now: Time, keep: Keep) -> (Verdict, Option<Life>) {
+    pub fn keep(&mut self, now: Time, keep: Keep) -> (Verdict, Vec<Life>) {
         if let Some(epoch) = self.followed.get(&keep.actor.life) {
-            return (Verdict::Followed(*epoch), None);
+            return (Verdict::Followed(*epoch), Vec::new());
         }
         let identity = keep.record.identity;
         match self.kept.get(&identity) {
-            Some(kept) if kept.known.record.content != keep.record.content => (Verdict::Differs, None),
-            Some(kept) if kept.actor == keep.actor => {
+            Some(kept) if kept.known.record.content != keep.record.content => (Verdict::Differs, Vec::new()),
+            Some(kept) if (kept.actor, kept.seq) == (keep.actor, keep.seq) => {
+                let again = kept.doubtful && keep.fresh;
                 self.advance(now, keep);
-                (Verdict::Kept, None)
+                if !again {
+                    return (Verdict::Kept, Vec::new());
+                }
+                // Its answer was lost on the way, or who was to be asked has ended.
+                match self.who_knows(now, identity) {
+                    Ok(also) => (Verdict::Kept, also),
+                    Err(blind) => (Verdict::Blind(blind), Vec::new()),
+                }
+            }
+            // That one never ran and never will: who was told to come again may. What others know counts all the same, as
+            // that one may have ended before anybody was asked.
+            Some(kept) if kept.known.record.end == Some(End::Refused) => {
+                self.forget(identity);
+                self.keep_new(now, keep)
             }
             Some(kept) => {
                 if let Some(end) = &kept.known.record.end {
-                    return (Verdict::Ended(end.clone()), None);
+                    return (Verdict::Ended(end.clone()), Vec::new());
                 }
                 // Only the heir to the one that acted takes its place; nobody else, under whatever epoch.
                 let ended = self.followed.contains_key(&kept.actor.life);
                 if !ended || keep.actor.epoch <= kept.actor.epoch {
-                    return (Verdict::Held(kept.actor), None);
+                    return (Verdict::Held(kept.actor), Vec::new());
                 }
                 let request = keep.request.clone().unwrap_or_else(|| kept.request.clone());
                 self.forget(identity);
                 self.insert(now, keep, request);
-                (Verdict::Kept, None)
+                (Verdict::Kept, Vec::new())
             }
             None => self.keep_new(now, keep),
         }
     }
 
-    fn keep_new(&mut self, now: Time, keep: Keep) -> (Verdict, Option<Life>) {
-        let Some(request) = keep.request.clone() else { return (Verdict::Lacks, None) };
+    fn keep_new(&mut self, now: Time, keep: Keep) -> (Verdict, Vec<Life>) {
+        let Some(request) = keep.request.clone() else { return (Verdict::Lacks, Vec::new()) };
         if request.len() > REQUEST || !self.has_room(&keep, request.len()) {
-            return (Verdict::Full, None);
+            return (Verdict::Full, Vec::new());
         }
         let first = keep.record.keepers.first() == Some(&self.me);
-        // An heir's have been found already; and the first step alone asks whose the identity is.
-        let asks = first && keep.actor.epoch == 0 && keep.record.step == 0;
-        let who = if asks { self.who_knows(now, keep.record.identity) } else { Ok(None) };
+        let who =
+            if first && keep.fresh { self.who_knows(now, keep.record.identity) } else { Ok(Vec::new()) };
         match who {
-            Err(blind) => (Verdict::Blind(blind), None),
+            Err(blind) => (Verdict::Blind(blind), Vec::new()),
             Ok(also) => {
+                let identity = keep.record.identity;
                 self.insert(now, keep, request);
+                if let Some(kept) = self.kept.get_mut(&identity) {
+                    kept.doubtful = !also.is_empty();
+                }
                 (Verdict::Kept, also)
             }
         }
@@ -179,11 +214,11 @@
     }
 
     fn insert(&mut self, now: Time, keep: Keep, request: Bytes) {
-        let Keep { actor, record, left, .. } = keep;
+        let Keep { actor, seq, record, left, .. } = keep;
         let known = Known::new(now, record, left, self.terms.drift);
         let expires = self.expiry(now, &known);
         let identity = known.record.identity;
-        let mut kept = Kept { actor, known, request, expires, bytes: 0 };
+        let mut kept = Kept { actor, seq, known, request, doubtful: false, expires, bytes: 0 };
         kept.bytes = kept.weigh();
         self.bytes += kept.bytes;
         *self.owners.entry(actor.life).or_default() += 1;
@@ -203,6 +238,7 @@
         let (drift, identity) = (self.terms.drift, keep.record.identity);
         let Some(mut kept) = self.kept.remove(&identity) else { return };
         let (was_open, expired) = (kept.open(), kept.expires);
+        kept.doubtful &= keep.fresh;
         if kept.known.advance(now, keep.record, drift) {
             if !kept.open() {
                 kept.request = Bytes::from([]); // nobody sends it again
@@ -243,37 +279,64 @@
     }
 
     /// What is known of an identity, and who else has to be asked where nothing is.
-    pub fn find(&self, now: Time, identity: Identity, content: Content) -> (Option<Verdict>, Option<Life>) {
+    pub fn find(&self, now: Time, identity: Identity, content: Content) -> (Option<Verdict>, Vec<Life>) {
         match self.kept.get(&identity) {
-            Some(kept) if kept.known.record.content != content => (Some(Verdict::Differs), None),
-            Some(kept) => {
+            Some(kept) if kept.known.record.content != content => (Some(Verdict::Differs), Vec::new()),
+            // One that was refused may never have asked who knows more: it says nothing of what others did.
+            Some(kept) if kept.known.record.end != Some(End::Refused) => {
                 let end = kept.known.record.end.clone();
-                (Some(end.map_or(Verdict::Held(kept.actor), Verdict::Ended)), None)
+                (Some(end.map_or(Verdict::Held(kept.actor), Verdict::Ended)), Vec::new())
             }
-            None => match self.who_knows(now, identity) {
+            _ => match self.who_knows(now, identity) {
                 Ok(also) => (None, also),
-                Err(blind) => (Some(Verdict::Blind(blind)), None),
+                Err(blind) => (Some(Verdict::Blind(blind)), Vec::new()),
             },
         }
     }
 
-    /// Who kept an identity under the lists of a while ago, where this one did not; or for how long nobody can say.
-    fn who_knows(&self, now: Time, identity: Identity) -> Result<Option<Life>, Duration> {
-        for (until, roll) in self.before.iter().rev() {
-            let left = (*until + self.terms.retention).saturating_sub(now);
-            if left.is_zero() {
-                break;
-            }
-            let set = keepers(identity, roll, 0, self.terms.keepers);
-            if set.contains(&self.me) {
-                continue;
-            }
-            match set.iter().find(|life| self.roll.contains_key(life)) {
-                Some(life) => return Ok(Some(*life)),
-                None => return Err(left),
+    /// Who else may know an identity of which this one knows nothing; or for how long nobody can say.
+    ///
+    /// Whoever ranks first is asked about an identity. So one that ranks before all that have been there throughout may
+    /// have been asked, if it came or went of late: if it lives it has to be asked now, and if it does not, one that
+    /// kept along with it.
+    fn who_knows(&self, now: Time, identity: Identity) -> Result<Vec<Life>, Duration> {
+        let mut ranked: Vec<(u64, Life)> =
+            self.roll.keys().chain(self.lost.keys()).map(|life| (identity.weight(*life), *life)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let settled = |life: &Life| match self.since.get(life) {
+            Some(Some(since)) => now >= *since + self.terms.retention,
+            Some(None) => true,
+            None => false,
+        };
+        let mut also = Vec::new();
+        for (_, life) in ranked {
+            if let Some((who, at)) = self.lost.get(&life) {
+                let left = (*at + self.terms.retention).saturating_sub(now);
+                if left.is_zero() {
+                    continue;
+                }
+                let mut then: BTreeMap<Life, Enrolled> = (*self.roll).clone();
+                then.insert(life, who.clone());
+                let along = keepers(identity, &then, 0, self.terms.keepers);
+                let along = along.into_iter().find(|other| *other != life && settled(other));
+                match along {
+                    Some(other) if other == self.me => {}
+                    Some(other) => also.push(other),
+                    None => return Err(left),
+                }
+            } else {
+                if life != self.me {
+                    also.push(life);
+                }
+                if settled(&life) {
+                    break;
+                }
             }
         }
-        Ok(None)
+        also.sort_unstable();
+        also.dedup();
+        also.truncate(ROLLS);
+        Ok(also)
     }
 
     /// An heir asks for what a life left behind: from here on nothing of that life is taken in. In parts, each after
@@ -299,6 +362,7 @@
             page.push(Remains {
                 record: kept.known.record.clone(),
                 left: kept.known.deadline.saturating_sub(now),
+                doubtful: kept.doubtful,
                 window: kept.known.until.map(|until| until.saturating_sub(now)),
                 request: kept.request.clone(),
             });
@@ -315,9 +379,8 @@
                 self.forget(identity);
             }
         }
-        while self.before.front().is_some_and(|(until, _)| *until + self.terms.retention <= now) {
-            self.before.pop_front();
-        }
+        let retention = self.terms.retention;
+        self.lost.retain(|_, (_, at)| now < *at + retention);
     }
 
     /// How many requests are kept in each state.
@@ -361,15 +424,16 @@
 
     fn keeper() -> Keeper {
         let mut keeper = Keeper::new(ME, terms());
-        keeper.roll(ms(0), roll(&[1, 2]));
+        keeper.roll(ms(0), roll(&[1, 2]), &Roll::default());
         // Long ago: nobody knows anything that this one does not.
-        keeper.before.clear();
+        keeper.since.insert(ME, None);
         keeper
     }
 
     fn keep(life: Life, epoch: Epoch, record: &Record) -> Keep {
         let request = Some(Bytes::from(&b"POST /book/x"[..]));
-        Keep { seq: 1, actor: Actor { epoch, life }, record: record.clone(), left: ms(1000), request }
+        let fresh = epoch == 0 && record.step == 0;
+        Keep { seq: 1, actor: Actor { epoch, life }, record: record.clone(), fresh, left: ms(1000), request }
     }
 
     fn claim(life: Life, epoch: Epoch) -> Claim {
@@ -384,14 +448,14 @@
     fn of_two_that_come_at_once_one_has_it_and_the_other_is_told() {
         let mut k = keeper();
         let taken = record(Effect::Keyed);
-        assert_eq!(k.keep(ms(1), keep(7, 0, &taken)), (Verdict::Kept, None));
+        assert_eq!(k.keep(ms(1), keep(7, 0, &taken)), (Verdict::Kept, vec![]));
         assert_eq!(k.keep(ms(2), keep(8, 0, &taken)).0, Verdict::Held(Actor { epoch: 0, life: 7 }));
         let other = Record { content: Content::of("POST", "/book/x", b"else"), ..taken.clone() };
         assert_eq!(k.keep(ms(3), keep(8, 0, &other)).0, Verdict::Differs);
         let done = taken.sending(sent(0)).expect("room").ended(answered());
         assert_eq!(k.keep(ms(4), keep(7, 0, &done)).0, Verdict::Kept);
         assert_eq!(k.keep(ms(5), keep(8, 0, &taken)).0, Verdict::Ended(answered()));
-        assert_eq!(k.find(ms(6), taken.identity, taken.content), (Some(Verdict::Ended(answered())), None));
+        assert_eq!(k.find(ms(6), taken.identity, taken.content), (Some(Verdict::Ended(answered())), vec![]));
     }
 
     #[test]
@@ -412,6 +476,22 @@
         assert_eq!(k.estate(ms(15), &claim(9, 6), None).0[0].record, out);
     }
 
+    #[test]
+    fn who_was_told_to_come_again_may_and_who_has_an_end_has_it() {
+        let mut k = keeper();
+        let taken = record(Effect::Unsafe);
+        k.keep(ms(1), keep(7, 0, &taken));
+        k.keep(ms(2), keep(7, 0, &taken.ended(End::Refused)));
+        let again = Keep { seq: 2, ..keep(7, 0, &taken) };
+        assert_eq!(k.keep(ms(3), again.clone()).0, Verdict::Kept);
+        assert_eq!(k.states(), BTreeMap::from([("taken", 1)]));
+        // A late copy of the first changes nothing of the second.
+        assert_eq!(k.keep(ms(4), keep(7, 0, &taken)).0, Verdict::Held(again.actor));
+        k.keep(ms(5), Keep { record: taken.ended(End::Unknown), ..again });
+        let third = Keep { seq: 3, ..keep(7, 0, &taken) };
+        assert_eq!(k.keep(ms(6), third).0, Verdict::Ended(End::Unknown), "also to the same owner");
+    }
+
     #[test]
     fn nobody_takes_the_place_of_one_that_lives_whatever_its_epoch() {
         let mut k = keeper();
@@ -429,32 +509,39 @@
             })
             .collect();
         let mut k = Keeper::new(ME, terms());
-        k.roll(ms(0), roll(&[1, 2, 3]));
-        k.before.clear();
+        k.roll(ms(0), roll(&[1, 2, 3]), &Roll::default());
+        k.since.insert(ME, None);
         let was_mine = |r: &Record| keepers(r.identity, &roll(&[1, 2, 3]), 0, 1)[0];
-        k.roll(ms(100), roll(&[2, 3]));
+        k.roll(ms(100), roll(&[2, 3]), &Roll::default());
         let mut seen = [0; 2];
         for r in identities.iter().filter(|r| keepers(r.identity, &roll(&[2, 3]), 0, 1)[0] == ME) {
             let (found, also) = k.find(ms(200), r.identity, r.content);
             match was_mine(r) {
-                ME => assert_eq!((found, also), (None, None)),
+                ME => assert_eq!((found, also), (None, vec![])),
                 1 => {
                     assert_eq!(found, Some(Verdict::Blind(ms(4900))), "its only keeper was lost");
                     seen[0] += 1;
                 }
                 other => panic!("{other} lives and is preferred to this one"),
             }
-            assert_eq!(k.find(ms(5100), r.identity, r.content), (None, None), "long enough ago");
+            assert_eq!(k.find(ms(5100), r.identity, r.content), (None, vec![]), "long enough ago");
         }
         // One that has just come knows nothing, and names the elder ones.
         let mut young = Keeper::new(9, terms());
-        young.roll(ms(0), roll(&[1, 2, 9]));
+        young.roll(ms(0), roll(&[1, 2, 9]), &Roll::default());
         for r in &identities {
             let elder = keepers(r.identity, &roll(&[1, 2]), 0, 1)[0];
-            assert_eq!(young.find(ms(1), r.identity, r.content), (None, Some(elder)));
+            assert_eq!(young.find(ms(1), r.identity, r.content), (None, vec![elder]));
             seen[1] += 1;
         }
         assert!(seen.iter().all(|n| *n > 20), "{seen:?}");
+        // Where all that were there before it have gone, it knows that somebody may have known.
+        let mut heir = Keeper::new(9, terms());
+        heir.roll(ms(0), roll(&[8, 9]), &roll(&[1, 2]));
+        let mine = identities.iter().filter(|r| keepers(r.identity, &roll(&[1, 2, 8]), 0, 1)[0] != 8);
+        for r in mine {
+            assert_eq!(heir.find(ms(1), r.identity, r.content), (Some(Verdict::Blind(ms(4999))), vec![]));
+        }
     }
 
     #[test]
--- a/crates/sandgap-takeover/src/limits.rs
+++ b/crates/sandgap-takeover/src/limits.rs
@@ -18,7 +18,10 @@
 pub const TENANT_PART: usize = 4;
 /// Bytes of one page of what an owner left behind; a frame of the links takes more.
 pub const PAGE: usize = 256 << 10;
-/// Earlier lists of who is enrolled that a keeper looks back on; the oldest go first.
+/// Lives that ended of late and that a keeper remembers; the oldest go first.
+pub const LOST: usize = 2048;
+/// Others that are asked about one identity: after so many changes of who is enrolled in so short a time more would be
+/// of little use.
 pub const ROLLS: usize = 64;
 /// Between two looks at a request that another has in hand: its client waits for that one's end.
 pub const JOIN: Duration = Duration::from_millis(25);
--- a/crates/sandgap-takeover/src/owner.rs
+++ b/crates/sandgap-takeover/src/owner.rs
@@ -8,7 +8,7 @@
 use sandgap_fleet::Time;
 
 use crate::identity::keepers;
-use crate::limits::{AGAIN, JOIN};
+use crate::limits::{AGAIN, JOIN, ROLLS};
 use crate::record::{End, Record, Sent};
 use crate::words::{Actor, Bytes, Heard, Keep, Verdict, Word};
 
@@ -58,8 +58,10 @@
     request: Bytes,
     /// By keeper, the step that it has.
     has: BTreeMap<Life, u32>,
-    /// Others that have to be asked before the first step counts.
+    /// Others that have to be asked before the first step counts, and those that have been: each is asked once, as two
+    /// of them may name each other.
     finds: Vec<Life>,
+    asked: Vec<Life>,
     /// When the step in hand was first told, and when it is told again.
     since: Time,
     again: Time,
@@ -67,6 +69,7 @@
     cleared: Option<u32>,
     /// It was stopped at the step in hand.
     stopped: bool,
+    retried: bool,
     /// Another acts for its identity: it waits for that one's end, or to be let in.
     joined: Option<Actor>,
 }
@@ -132,10 +135,12 @@
             request,
             has: BTreeMap::new(),
             finds: Vec::new(),
+            asked: Vec::new(),
             since: now,
             again: now + AGAIN,
             cleared: None,
             stopped: false,
+            retried: false,
             joined: None,
         };
         self.own.insert(seq, own);
@@ -188,20 +193,28 @@
         let Some(own) = self.own.get_mut(&seq) else { return };
         own.again = now + if own.joined.is_some() { JOIN } else { AGAIN };
         let others = own.record.keepers.iter().any(|life| *life != self.life);
-        if !others && !own.stopped {
-            own.stopped = true;
-            return orders.push(Order::Stop(seq, Why::NoKeeper));
+        if !others {
+            // At once the first time; one that is tried again is stopped only after its wait.
+            if !std::mem::replace(&mut own.retried, true) {
+                own.stopped = true;
+                orders.push(Order::Stop(seq, Why::NoKeeper));
+            }
+            return;
         }
         // The first decides whose it is: nobody else keeps anything before it has said so, or two that come at once
         // would each be held at another keeper.
+        // Nor before those have answered that may know more: an heir would take its copy for a request that may go out.
         let decided = own.record.keepers.first().is_some_and(|first| own.has.contains_key(first));
+        let decided = decided && own.finds.is_empty();
         let told = if decided { own.record.keepers.len() } else { 1 };
         for life in &own.record.keepers[..told] {
             if own.has.get(life).is_none_or(|step| *step < own.record.step) {
                 // A keeper that has an earlier step has the request itself.
                 let request = (!own.has.contains_key(life)).then(|| own.request.clone());
                 let left = own.deadline.saturating_sub(now);
-                let keep = Keep { seq, actor: own.actor, record: own.record.clone(), left, request };
+                let (actor, record) = (own.actor, own.record.clone());
+                let fresh = own.cleared.is_none() && actor.epoch == 0 && record.end.is_none();
+                let keep = Keep { seq, actor, record, fresh, left, request };
                 orders.push(Order::Say(*life, Word::Keep(Box::new(keep))));
             }
         }
@@ -226,11 +239,13 @@
                 *has = (*has).max(step);
                 if first {
                     own.since = now;
-                    self.tell(now, seq, orders);
                 }
-                let Some(own) = self.own.get_mut(&seq) else { return };
-                if let Some(also) = also.filter(|_| own.cleared.is_none()) {
-                    self.find(now, seq, also, orders);
+                let clear = own.cleared.is_some();
+                if !clear && self.find(now, seq, &also, orders) {
+                    return;
+                }
+                if first {
+                    self.tell(now, seq, orders);
                 }
                 self.clear(seq, orders);
             }
@@ -246,7 +261,7 @@
     /// Tries again what no keeper said in time that it has.
     pub fn retry(&mut self, now: Time, seq: u64, orders: &mut Vec<Order>) {
         if let Some(own) = self.own.get_mut(&seq) {
-            (own.since, own.stopped) = (now, false);
+            (own.since, own.stopped, own.retried) = (now, false, true);
             self.tell(now, seq, orders);
         }
     }
@@ -263,7 +278,7 @@
 
     /// Another's word on whether it knows the identity.
     pub fn found(
-        &mut self, now: Time, from: Life, seq: u64, verdict: Option<Verdict>, also: Option<Life>,
+        &mut self, now: Time, from: Life, seq: u64, verdict: Option<Verdict>, also: &[Life],
         orders: &mut Vec<Order>,
     ) {
         let Some(own) = self.own.get_mut(&seq).filter(|own| own.finds.contains(&from)) else { return };
@@ -276,23 +291,34 @@
                 own.joined = Some(actor);
                 own.finds.push(from); // until that one has come to its end
                 own.again = now + JOIN;
+                return;
             }
             Some(verdict) => return self.stop(seq, verdict, orders),
             None => {}
         }
-        if let Some(also) = also {
-            self.find(now, seq, also, orders);
+        let asks = self.find(now, seq, also, orders);
+        let unheard = self.own.get(&seq).is_some_and(|own| !own.finds.is_empty());
+        if !asks && !unheard {
+            self.tell(now, seq, orders);
+            self.clear(seq, orders);
         }
-        self.clear(seq, orders);
     }
 
-    fn find(&mut self, now: Time, seq: u64, whom: Life, orders: &mut Vec<Order>) {
-        let Some(own) = self.own.get_mut(&seq) else { return };
-        let known = own.has.contains_key(&whom) || own.finds.contains(&whom);
-        if !known && whom != self.life {
-            own.finds.push(whom);
+    /// Asks those that have not been asked; says whether there are any.
+    fn find(&mut self, now: Time, seq: u64, whom: &[Life], orders: &mut Vec<Order>) -> bool {
+        let Some(own) = self.own.get_mut(&seq) else { return false };
+        let before = own.finds.len();
+        for whom in whom {
+            if !own.has.contains_key(whom) && !own.asked.contains(whom) && own.asked.len() < ROLLS {
+                own.finds.push(*whom);
+                own.asked.push(*whom);
+            }
+        }
+        let asks = own.finds.len() > before;
+        if asks {
             self.tell(now, seq, orders);
         }
+        asks
     }
 
     fn clear(&mut self, seq: u64, orders: &mut Vec<Order>) {
@@ -326,10 +352,17 @@
         let (roll, life, count) = (self.roll.clone(), self.life, self.terms.keepers);
         let mut moved = Vec::new();
         for (seq, own) in &mut self.own {
-            own.finds.retain(|life| roll.contains_key(life));
-            if own.record.keepers.iter().all(|keeper| roll.contains_key(keeper)) {
+            let lives = |life: &Life| roll.contains_key(life);
+            // What one that ended could have said has to be asked after anew.
+            let unheard = !own.finds.iter().all(lives);
+            if own.record.keepers.iter().all(lives) && !unheard {
                 continue;
             }
+            if own.cleared.is_none() {
+                own.has.clear();
+                own.finds.clear();
+                own.asked.clear();
+            }
             let keepers = named(&own.record, &own.record.keepers, &roll, life, count);
             own.record = Record { keepers, step: own.record.step + 1, ..own.record.clone() };
             (own.since, own.stopped) = (now, false);
@@ -409,7 +442,7 @@
 
         fn says(&mut self, now: u64, from: Life, verdict: Verdict) {
             let step = self.owner.record(self.seq).expect("held").step;
-            let heard = Heard { seq: self.seq, step, verdict, also: None };
+            let heard = Heard { seq: self.seq, step, verdict, also: vec![] };
             self.owner.kept(ms(now), from, heard, &mut self.orders);
         }
 
@@ -439,7 +472,7 @@
         let step = case.owner.sending(ms(3), case.seq, sent(0), &mut case.orders);
         assert_eq!(step, Some(1));
         // An answer to the step before clears nothing.
-        let late = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: None };
+        let late = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: vec![] };
         case.owner.kept(ms(4), keepers[0], late, &mut case.orders);
         let says = |o: &Order| matches!(o, Order::Say(_, Word::Keep(keep)) if keep.request.is_none());
         let orders = case.orders();
@@ -470,7 +503,7 @@
         let mut case = Case::new(&[1, 2, 3, 4], 1);
         let keepers = case.keepers();
         let elder = (1..9).find(|life| !keepers.contains(life) && *life != ME).expect("one");
-        let heard = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: Some(elder) };
+        let heard = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: vec![elder] };
         case.owner.kept(ms(1), keepers[0], heard, &mut case.orders);
         for keeper in &keepers[1..] {
             case.says(1, *keeper, Verdict::Kept);
@@ -484,14 +517,14 @@
         let mut other = Case::new(&[1, 2, 3, 4], 1);
         std::mem::swap(&mut other.owner.own, &mut case.owner.own);
         other.orders();
-        other.owner.found(ms(2), elder, case.seq, Some(Verdict::Held(held)), None, &mut other.orders);
+        other.owner.found(ms(2), elder, case.seq, Some(Verdict::Held(held)), &[], &mut other.orders);
         assert!(other.orders().is_empty(), "it waits for that one's end");
         other.owner.found(
             ms(30),
             elder,
             case.seq,
             Some(Verdict::Ended(End::Unknown)),
-            None,
+            &[],
             &mut other.orders,
         );
         assert_eq!(other.orders(), [Order::Stop(case.seq, Why::Ended(End::Unknown))]);
@@ -502,13 +535,13 @@
         let mut case = Case::new(&[1, 2, 3, 4], 1);
         let keepers = case.keepers();
         let elder = (1..9).find(|life| !keepers.contains(life) && *life != ME).expect("one");
-        let heard = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: Some(elder) };
+        let heard = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: vec![elder] };
         case.owner.kept(ms(1), keepers[0], heard, &mut case.orders);
         for keeper in &keepers[1..] {
             case.says(1, *keeper, Verdict::Kept);
         }
         assert_eq!(case.cleared(), None);
-        case.owner.found(ms(2), elder, case.seq, None, None, &mut case.orders);
+        case.owner.found(ms(2), elder, case.seq, None, &[], &mut case.orders);
         assert_eq!(case.cleared(), Some(0));
     }
 
--- a/crates/sandgap-takeover/src/words.rs
+++ b/crates/sandgap-takeover/src/words.rs
@@ -30,6 +30,8 @@
     pub actor: Actor,
     /// All that is known.
     pub record: Record,
+    /// Whether nothing has been done under it yet: then the first keeper looks who else may know the identity.
+    pub fresh: bool,
     /// How long its client still waits.
     pub left: Duration,
     /// The request itself; sent with the first step, and again where the keeper lacks it.
@@ -67,7 +69,7 @@
     /// What came of it.
     pub verdict: Verdict,
     /// Who else is to be asked before it counts.
-    pub also: Option<Life>,
+    pub also: Vec<Life>,
 }
 
 /// Anything that is said.
@@ -80,7 +82,7 @@
     /// Asks whether an identity is known: a number, and who asks.
     Find(u64, Identity, Content),
     /// What is known: `None` for nothing; and who else is to be asked.
-    Found(u64, Option<Verdict>, Option<Life>),
+    Found(u64, Option<Verdict>, Vec<Life>),
     /// From an heir: what is kept of a life that ended, after an identity.
     Estate(u64, Claim, Option<Identity>),
     /// A part of that: the question's number, the claim's epoch, and whether there is more.
@@ -105,6 +107,8 @@
     pub record: Record,
     /// How long its client still waits.
     pub left: Duration,
+    /// Somebody else was still to be asked whether it knows the identity: nothing has gone out for it.
+    pub doubtful: bool,
     /// For how long its group still surely drops repeats.
     pub window: Option<Duration>,
     /// The request.
