--- a/crates/sandgap-takeover/src/keeper.rs
+++ b/crates/sandgap-takeover/src/keeper.rs
@@ -308,7 +308,7 @@
             Some(None) => true,
             None => false,
         };
-        let mut also = Vec::new();
+        let (mut also, mut gone) = (Vec::new(), 0);
         for (_, life) in ranked {
             if let Some((who, at)) = self.lost.get(&life) {
                 let left = (*at + self.terms.retention).saturating_sub(now);
@@ -319,7 +319,9 @@
                 then.insert(life, who.clone());
                 let along = keepers(identity, &then, 0, self.terms.keepers);
                 let along = along.into_iter().find(|other| *other != life && settled(other));
-                match along {
+                // As many as keep a request are lost: they may have kept this one between them.
+                gone += 1;
+                match along.filter(|_| gone < self.terms.keepers) {
                     Some(other) if other == self.me => {}
                     Some(other) => also.push(other),
                     None => return Err(left),
@@ -544,6 +546,23 @@
         }
     }
 
+    #[test]
+    fn two_keepers_of_one_request_may_both_be_lost() {
+        let mut k = Keeper::new(ME, Terms { keepers: 2, ..terms() });
+        k.roll(ms(0), roll(&[1, 2, 3, 4]), &Roll::default());
+        k.since = [1, 2, 3, 4].map(|life| (life, None)).into(); // all have been there for long
+        k.roll(ms(100), roll(&[2, 3]), &roll(&[1, 4]));
+        let mut blind = 0;
+        for n in 0..200 {
+            let identity = Identity::of(None, "book", &n.to_string());
+            let (found, _) = k.find(ms(200), identity, Content::default());
+            let both = keepers(identity, &roll(&[1, 2, 3, 4]), 0, 2).iter().all(|life| [1, 4].contains(life));
+            assert_eq!(found.is_some(), both, "{found:?}");
+            blind += usize::from(both);
+        }
+        assert!((10..70).contains(&blind), "{blind}");
+    }
+
     #[test]
     fn what_may_have_run_stays_for_its_time_and_what_is_done_goes_first() {
         let mut k = keeper();
