Simplify takeover's cores: one rendezvous weight, one way to an owner's orders

Seen on a second reading: the weight of lives and of identities was written twice, as was a step of a random sequence; five calls of Hands each did the same three things round an owner's; a keeper chose its file of expiries in five places, and cloned the list of who is enrolled for each lost life before it knew whether it needed it; a voter carried a life through a Result that was none. Each is one piece now. Three copies of a test's list of lives are one.

--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -9,7 +9,7 @@
 
 use crate::follower::{Follower, Span, Step, Taking};
 use crate::limits::{HOLD, RELAYED};
-use crate::lives::{Enrolled, Epoch, Life};
+use crate::lives::{Enrolled, Epoch, Life, drawn};
 use crate::log::{Damaged, Saved, Write};
 use crate::machine::Proposal;
 use crate::rulebook::{Rulebook, Version};
@@ -273,7 +273,7 @@
         self.say(voter, Some(address), Word::Ask(ask.clone()));
         if self.unanswered > ALONE && !self.others.is_empty() {
             // The one that first brings an answer counts; the numbers are the same.
-            self.draw = self.draw.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+            self.draw = drawn(self.draw);
             let at = (self.draw >> 33) as usize % self.others.len();
             let other = self.others[at].clone();
             self.say(other, None, Word::Ask(ask));
--- a/crates/sandgap-agree/src/lives.rs
+++ b/crates/sandgap-agree/src/lives.rs
@@ -190,6 +190,12 @@
     }
 }
 
+/// The next number of a sequence by chance (Knuth's linear congruence for 64 bits, The Art of Computer Programming,
+/// volume 2, section 3.3.4); its upper bits are the better ones.
+pub fn drawn(last: u64) -> u64 {
+    last.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f)
+}
+
 /// What a leader knows of lives beside the log, and what it does about them. A new leader begins with none of it, and
 /// waits as long as the last one could have had to.
 #[derive(Debug, Default)]
@@ -271,7 +277,8 @@
             None => ended(life),
         };
         // The same choice at each leader, another for each life: hands of proxies that end together are spread.
-        let heir = |life: Life| lives.enrolled.keys().copied().max_by_key(|heir| weight(life, *heir));
+        let heir =
+            |life: Life| lives.enrolled.keys().copied().max_by_key(|heir| weight(&life.to_le_bytes(), *heir));
         let claim = |(life, estate): (&Life, &Estate)| {
             Some(LifeEntry::Claim { life: *life, heir: heir(*life)?, after: estate.epoch() })
         };
@@ -279,10 +286,10 @@
     }
 }
 
-/// Rendezvous weight of an heir for a life (Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
-/// IEEE/ACM Transactions on Networking 6, 1998).
-fn weight(life: Life, heir: Life) -> u64 {
-    let hash = blake3::hash(&[life.to_le_bytes(), heir.to_le_bytes()].concat());
+/// Rendezvous weight of a life for a key: whoever has the highest is chosen, the same everywhere (Thaler and
+/// Ravishankar, "Using name-based mappings to increase hit rates", IEEE/ACM Transactions on Networking 6, 1998).
+pub fn weight(key: &[u8], life: Life) -> u64 {
+    let hash = blake3::hash(&[key, &life.to_le_bytes()].concat());
     u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("eight of thirty-two"))
 }
 
--- a/crates/sandgap-agree/src/tenure.rs
+++ b/crates/sandgap-agree/src/tenure.rs
@@ -10,7 +10,7 @@
 use sandgap_fleet::lease::{Lease, Right};
 
 use crate::follower::Span;
-use crate::lives::{Claim, Enrolled, Epoch, Life, LifeEntry};
+use crate::lives::{Claim, Enrolled, Epoch, Life, LifeEntry, drawn};
 use crate::words::Tenure;
 
 /// Who is enrolled.
@@ -102,8 +102,7 @@
         self.lease.give_back();
         self.claims.clear();
         // The next number is another process's, as far as the log knows.
-        self.me.draw =
-            self.me.draw.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f).max(1);
+        self.me.draw = drawn(self.me.draw).max(1);
         turns.push(Turn::Ended(old));
     }
 
--- a/crates/sandgap-agree/src/voter.rs
+++ b/crates/sandgap-agree/src/voter.rs
@@ -750,17 +750,13 @@
     fn apply_entry(&mut self, entry: &raft::eraftpb::Entry, out: &mut Vec<Action>) {
         // A leader begins its term with an empty entry.
         let Ok(entry) = postcard::from_bytes::<Entry>(entry.get_data()) else { return };
-        let claimed = match &entry {
-            Entry::Life(LifeEntry::Fence { life, .. }) => Err(*life),
-            Entry::Life(LifeEntry::Claim { life, heir, .. }) => Ok((*life, *heir)),
-            _ => Err(0),
-        };
-        let verdict = self.machine.apply(entry);
-        match claimed {
-            Ok((life, heir)) => self.tell_heir(life, heir, out),
-            Err(life) => drop(self.life_proposed.remove(&life)), // its heir is to be named without a wait
+        match &entry {
+            // Its heir is to be named without a wait.
+            Entry::Life(LifeEntry::Fence { life, .. }) => drop(self.life_proposed.remove(life)),
+            Entry::Life(LifeEntry::Claim { life, heir, .. }) => self.tell_heir(*life, *heir, out),
+            _ => {}
         }
-        let Some((id, verdict)) = verdict else { return };
+        let Some((id, verdict)) = self.machine.apply(entry) else { return };
         if let Some(at) = self.publishers.iter().position(|(n, _)| *n == id)
             && let Some((_, who)) = self.publishers.remove(at)
         {
--- a/crates/sandgap-lab/src/takeover/proxy.rs
+++ b/crates/sandgap-lab/src/takeover/proxy.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sandgap_agree::lives::drawn;
 use sandgap_fleet::Time;
 use sandgap_takeover::hands::Begun;
 use sandgap_takeover::owner::Why;
@@ -90,7 +91,7 @@
     }
 
     fn drawn(&mut self, of: u64) -> u64 {
-        self.draw = self.draw.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        self.draw = drawn(self.draw);
         (self.draw >> 33) % of
     }
 
--- a/crates/sandgap-takeover/src/hands.rs
+++ b/crates/sandgap-takeover/src/hands.rs
@@ -105,7 +105,7 @@
     inherited: BTreeMap<u64, Inherited>,
     out: VecDeque<Output>,
     /// Letters to itself.
-    own: VecDeque<Letter>,
+    mine: VecDeque<Letter>,
     /// Looked over for expiries next.
     look: Time,
 }
@@ -116,8 +116,8 @@
 impl Hands {
     /// Hands that hold nothing, of a process that has no life yet.
     pub fn new(terms: Terms) -> Self {
-        let (part, roll, departed, heirs, inherited, out, own) = Default::default();
-        Hands { terms, part, roll, departed, heirs, inherited, out, own, look: Time::ZERO }
+        let (part, roll, departed, heirs, inherited, out, mine) = Default::default();
+        Hands { terms, part, roll, departed, heirs, inherited, out, mine, look: Time::ZERO }
     }
 
     /// What is to be done next.
@@ -154,7 +154,7 @@
                 let Some(part) = self.part.take() else { return };
                 self.heirs.clear();
                 self.inherited.clear();
-                self.own.clear();
+                self.mine.clear();
                 self.out.push_back(Output::Over(part.owner.all().collect()));
             }
             Turn::Heir(claim) => self.heir(now, claim),
@@ -190,52 +190,42 @@
         self.say_all(say);
     }
 
-    /// Takes a request in hand. `None` while this process has no life.
-    pub fn take(&mut self, now: Time, record: Record, left: Duration, request: Bytes) -> Option<u64> {
+    /// Does something with its own requests, and what follows from it. `None` while this process has no life.
+    fn own<R>(&mut self, now: Time, act: impl FnOnce(&mut Owner, &mut Vec<Order>) -> R) -> Option<R> {
         let (part, mut orders) = (self.part.as_mut()?, Vec::new());
-        let seq = part.owner.take(now, 0, record, left, request, &mut orders);
+        let result = act(&mut part.owner, &mut orders);
         self.obey(now, orders);
         self.own_letters(now);
-        Some(seq)
+        Some(result)
+    }
+
+    /// Takes a request in hand. `None` while this process has no life.
+    pub fn take(&mut self, now: Time, record: Record, left: Duration, request: Bytes) -> Option<u64> {
+        self.own(now, |owner, orders| owner.take(now, 0, record, left, request, orders))
     }
 
     /// An attempt is about to go out: it may once [`Output::Clear`] names this step.
     pub fn sending(&mut self, now: Time, seq: u64, sent: Sent) -> Option<u32> {
-        let (part, mut orders) = (self.part.as_mut()?, Vec::new());
-        let step = part.owner.sending(now, seq, sent, &mut orders);
-        self.obey(now, orders);
-        self.own_letters(now);
-        step
+        self.own(now, |owner, orders| owner.sending(now, seq, sent, orders))?
     }
 
     /// An attempt has not gone out, or was turned away unseen.
     pub fn unsent(&mut self, now: Time, seq: u64, attempt: u32) {
-        let Some(part) = &mut self.part else { return };
-        let mut orders = Vec::new();
-        part.owner.unsent(now, seq, attempt, &mut orders);
-        self.obey(now, orders);
-        self.own_letters(now);
+        self.own(now, |owner, orders| owner.unsent(now, seq, attempt, orders));
     }
 
     /// It has ended: its client may be told once [`Output::Clear`] names this step.
     pub fn ended(&mut self, now: Time, seq: u64, end: End) -> Option<u32> {
-        let (part, mut orders) = (self.part.as_mut()?, Vec::new());
-        let step = part.owner.ended(now, seq, end, &mut orders);
-        if let (Some(step), Some(inherited)) = (step, self.inherited.get_mut(&seq)) {
+        let step = self.part.as_ref()?.owner.record(seq)?.step + 1;
+        if let Some(inherited) = self.inherited.get_mut(&seq) {
             (inherited.step, inherited.over) = (step, true);
         }
-        self.obey(now, orders);
-        self.own_letters(now);
-        step
+        self.own(now, |owner, orders| owner.ended(now, seq, end, orders))?
     }
 
     /// Tries again what no keeper has said in time that it has.
     pub fn retry(&mut self, now: Time, seq: u64) {
-        let Some(part) = &mut self.part else { return };
-        let mut orders = Vec::new();
-        part.owner.retry(now, seq, &mut orders);
-        self.obey(now, orders);
-        self.own_letters(now);
+        self.own(now, |owner, orders| owner.retry(now, seq, orders));
     }
 
     /// Lets go of a request whose client has its answer, or whose attempt was refused before anything went out.
@@ -255,7 +245,7 @@
     }
 
     fn own_letters(&mut self, now: Time) {
-        while let Some(letter) = self.own.pop_front() {
+        while let Some(letter) = self.mine.pop_front() {
             self.take_in(now, letter);
         }
     }
@@ -295,7 +285,7 @@
         let Some(from) = self.part.as_ref().map(|part| part.life) else { return };
         let letter = Letter { from, to, word };
         if from == to {
-            self.own.push_back(letter);
+            self.mine.push_back(letter);
         } else if let Some(who) = self.roll.1.get(&to) {
             self.out.push_back(Output::Say(who.name.clone(), letter));
         }
--- a/crates/sandgap-takeover/src/heir.rs
+++ b/crates/sandgap-takeover/src/heir.rs
@@ -173,17 +173,10 @@
 
 #[cfg(test)]
 mod tests {
-    use sandgap_agree::lives::Enrolled;
-
     use super::*;
-    use crate::record::tests::{ms, record, sent};
+    use crate::record::tests::{ms, record, roll, sent};
     use crate::record::{Effect, Record};
 
-    fn roll(lives: &[Life]) -> Roll {
-        let who = |life: &Life| Enrolled { draw: *life, name: format!("p{life}"), zone: None };
-        Roll::new(lives.iter().map(|life| (*life, who(life))).collect())
-    }
-
     fn heir() -> Heir {
         Heir::new(Claim { life: 7, name: "p7".into(), epoch: 3 }, 5, Drift::ppm(0), 2)
     }
--- a/crates/sandgap-takeover/src/identity.rs
+++ b/crates/sandgap-takeover/src/identity.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use sandgap_agree::lives::{Enrolled, Life};
+use sandgap_agree::lives::{Enrolled, Life, weight};
 use serde::{Deserialize, Serialize};
 
 /// What makes two requests the same wish: tenant, class and key (the Idempotency-Key, else the request's id).
@@ -33,10 +33,11 @@
         Identity(hash([some, tenant.as_bytes(), class.as_bytes(), key.as_bytes()]))
     }
 
-    /// Rendezvous weight of a proxy for it (Thaler and Ravishankar, IEEE/ACM Transactions on Networking 6, 1998).
-    pub(crate) fn weight(&self, life: Life) -> u64 {
-        let hash = blake3::hash(&[&self.0[..], &life.to_le_bytes()].concat());
-        u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("eight of thirty-two"))
+    /// All of these by how they rank for it, the first first.
+    pub(crate) fn rank<'a>(&self, lives: impl Iterator<Item = &'a Life>) -> Vec<Life> {
+        let mut all: Vec<(u64, Life)> = lives.map(|life| (weight(&self.0, *life), *life)).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.into_iter().map(|(_, life)| life).collect()
     }
 }
 
@@ -52,13 +53,11 @@
 ///
 /// After the first, those of another zone than the first's come before those of its own.
 pub fn keepers(identity: Identity, roll: &BTreeMap<Life, Enrolled>, owner: Life, count: usize) -> Vec<Life> {
-    let mut ranked: Vec<(u64, Life)> = roll.keys().map(|life| (identity.weight(*life), *life)).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    let Some((_, first)) = ranked.first().copied() else { return Vec::new() };
+    let ranked = identity.rank(roll.keys());
+    let Some(first) = ranked.first().copied() else { return Vec::new() };
     let zone = |life: Life| roll.get(&life).and_then(|e| e.zone.as_deref());
     let (away, near): (Vec<Life>, Vec<Life>) = ranked
         .into_iter()
-        .map(|(_, life)| life)
         .filter(|life| *life != first)
         .partition(|life| zone(first).is_some() && zone(*life) != zone(first));
     let mut all = vec![first];
@@ -75,7 +74,7 @@
 mod tests {
     use super::*;
 
-    pub(crate) fn roll(lives: &[(Life, &str)]) -> BTreeMap<Life, Enrolled> {
+    fn roll(lives: &[(Life, &str)]) -> BTreeMap<Life, Enrolled> {
         let one = |(life, zone): &(Life, &str)| {
             let who = Enrolled { draw: *life, name: format!("p{life}"), zone: Some((*zone).to_owned()) };
             (*life, who)
--- a/crates/sandgap-takeover/src/keeper.rs
+++ b/crates/sandgap-takeover/src/keeper.rs
@@ -167,7 +167,7 @@
                 }
                 let request = keep.request.clone().unwrap_or_else(|| kept.request.clone());
                 self.forget(identity);
-                self.insert(now, keep, request);
+                self.insert(now, keep, request, false);
                 (Verdict::Kept, Vec::new())
             }
             None => self.keep_new(now, keep),
@@ -185,11 +185,7 @@
         match who {
             Err(blind) => (Verdict::Blind(blind), Vec::new()),
             Ok(also) => {
-                let identity = keep.record.identity;
-                self.insert(now, keep, request);
-                if let Some(kept) = self.kept.get_mut(&identity) {
-                    kept.doubtful = !also.is_empty();
-                }
+                self.insert(now, keep, request, !also.is_empty());
                 (Verdict::Kept, also)
             }
         }
@@ -213,19 +209,23 @@
         true
     }
 
-    fn insert(&mut self, now: Time, keep: Keep, request: Bytes) {
+    /// Where requests that have ended, or have not, are filed by when they may be forgotten.
+    fn file(&mut self, open: bool) -> &mut BTreeSet<(Time, Identity)> {
+        if open { &mut self.open } else { &mut self.ended }
+    }
+
+    fn insert(&mut self, now: Time, keep: Keep, request: Bytes, doubtful: bool) {
         let Keep { actor, seq, record, left, .. } = keep;
         let known = Known::new(now, record, left, self.terms.drift);
         let expires = self.expiry(now, &known);
         let identity = known.record.identity;
-        let mut kept = Kept { actor, seq, known, request, doubtful: false, expires, bytes: 0 };
+        let mut kept = Kept { actor, seq, known, request, doubtful, expires, bytes: 0 };
         kept.bytes = kept.weigh();
         self.bytes += kept.bytes;
         *self.owners.entry(actor.life).or_default() += 1;
         let tenant = self.tenants.entry(kept.known.record.tenant.clone()).or_default();
         *tenant = (tenant.0 + 1, tenant.1 + kept.bytes);
-        let set = if kept.open() { &mut self.open } else { &mut self.ended };
-        set.insert((expires, identity));
+        self.file(kept.open()).insert((expires, identity));
         self.kept.insert(identity, kept);
     }
 
@@ -250,10 +250,8 @@
                 *held = *held + bytes - kept.bytes;
             }
             kept.bytes = bytes;
-            let set = if was_open { &mut self.open } else { &mut self.ended };
-            set.remove(&(expired, identity));
-            let set = if kept.open() { &mut self.open } else { &mut self.ended };
-            set.insert((kept.expires, identity));
+            self.file(was_open).remove(&(expired, identity));
+            self.file(kept.open()).insert((kept.expires, identity));
         }
         self.kept.insert(identity, kept);
     }
@@ -261,8 +259,7 @@
     fn forget(&mut self, identity: Identity) {
         let Some(kept) = self.kept.remove(&identity) else { return };
         self.bytes -= kept.bytes;
-        let set = if kept.open() { &mut self.open } else { &mut self.ended };
-        set.remove(&(kept.expires, identity));
+        self.file(kept.open()).remove(&(kept.expires, identity));
         if let Some(n) = self.owners.get_mut(&kept.actor.life) {
             *n -= 1;
             if *n == 0 {
@@ -300,28 +297,26 @@
     /// have been asked, if it came or went of late: if it lives it has to be asked now, and if it does not, one that
     /// kept along with it.
     fn who_knows(&self, now: Time, identity: Identity) -> Result<Vec<Life>, Duration> {
-        let mut ranked: Vec<(u64, Life)> =
-            self.roll.keys().chain(self.lost.keys()).map(|life| (identity.weight(*life), *life)).collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
         let settled = |life: &Life| match self.since.get(life) {
             Some(Some(since)) => now >= *since + self.terms.retention,
             Some(None) => true,
             None => false,
         };
         let (mut also, mut gone) = (Vec::new(), 0);
-        for (_, life) in ranked {
+        for life in identity.rank(self.roll.keys().chain(self.lost.keys())) {
             if let Some((who, at)) = self.lost.get(&life) {
                 let left = (*at + self.terms.retention).saturating_sub(now);
                 if left.is_zero() {
                     continue;
                 }
+                gone += 1;
+                if gone >= self.terms.keepers {
+                    return Err(left); // as many as keep a request: they may have kept this one between them
+                }
                 let mut then: BTreeMap<Life, Enrolled> = (*self.roll).clone();
                 then.insert(life, who.clone());
                 let along = keepers(identity, &then, 0, self.terms.keepers);
-                let along = along.into_iter().find(|other| *other != life && settled(other));
-                // As many as keep a request are lost: they may have kept this one between them.
-                gone += 1;
-                match along.filter(|_| gone < self.terms.keepers) {
+                match along.into_iter().find(|other| *other != life && settled(other)) {
                     Some(other) if other == self.me => {}
                     Some(other) => also.push(other),
                     None => return Err(left),
@@ -376,8 +371,8 @@
     pub fn fire(&mut self, now: Time) {
         for ended in [true, false] {
             loop {
-                let set = if ended { &self.ended } else { &self.open };
-                let Some((_, identity)) = set.first().copied().filter(|(at, _)| *at <= now) else { break };
+                let first = self.file(!ended).first().copied();
+                let Some((_, identity)) = first.filter(|(at, _)| *at <= now) else { break };
                 self.forget(identity);
             }
         }
@@ -410,7 +405,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::record::tests::{ms, record, sent};
+    use crate::record::tests::{ms, record, roll, sent};
     use crate::record::{Answer, Effect, Record};
 
     const ME: Life = 2;
@@ -419,11 +414,6 @@
         Terms { drift: Drift::ppm(0), keepers: 1, retention: ms(5000) }
     }
 
-    fn roll(lives: &[Life]) -> Roll {
-        let who = |life: &Life| Enrolled { draw: *life, name: format!("p{life}"), zone: None };
-        Roll::new(lives.iter().map(|life| (*life, who(life))).collect())
-    }
-
     fn keeper() -> Keeper {
         let mut keeper = Keeper::new(ME, terms());
         keeper.roll(ms(0), roll(&[1, 2]), &Roll::default());
--- a/crates/sandgap-takeover/src/owner.rs
+++ b/crates/sandgap-takeover/src/owner.rs
@@ -75,6 +75,11 @@
 }
 
 impl Own {
+    /// Whether somebody has still to say something about the step in hand.
+    fn waits(&self) -> bool {
+        !self.is_clear() && !self.stopped
+    }
+
     fn is_clear(&self) -> bool {
         let all = |life: &Life| self.has.get(life).is_some_and(|step| *step >= self.record.step);
         self.finds.is_empty() && !self.record.keepers.is_empty() && self.record.keepers.iter().all(all)
@@ -204,8 +209,8 @@
         // The first decides whose it is: nobody else keeps anything before it has said so, or two that come at once
         // would each be held at another keeper.
         // Nor before those have answered that may know more: an heir would take its copy for a request that may go out.
-        let decided = own.record.keepers.first().is_some_and(|first| own.has.contains_key(first));
-        let decided = decided && own.finds.is_empty();
+        let has_it = own.record.keepers.first().is_some_and(|first| own.has.contains_key(first));
+        let decided = has_it && own.finds.is_empty();
         let told = if decided { own.record.keepers.len() } else { 1 };
         for life in &own.record.keepers[..told] {
             if own.has.get(life).is_none_or(|step| *step < own.record.step) {
@@ -240,8 +245,8 @@
                 if first {
                     own.since = now;
                 }
-                let clear = own.cleared.is_some();
-                if !clear && self.find(now, seq, &also, orders) {
+                let undecided = own.cleared.is_none();
+                if undecided && self.find(now, seq, &also, orders) {
                     return;
                 }
                 if first {
@@ -375,18 +380,13 @@
 
     /// When something is due next.
     pub fn next_due(&self) -> Option<Time> {
-        let waits = |own: &&Own| !own.is_clear() && !own.stopped;
-        self.own.values().filter(waits).map(|own| own.again).min()
+        self.own.values().filter(|own| own.waits()).map(|own| own.again).min()
     }
 
     /// Does what is due by now.
     pub fn fire(&mut self, now: Time, orders: &mut Vec<Order>) {
-        let due: Vec<u64> = self
-            .own
-            .iter()
-            .filter(|(_, own)| !own.is_clear() && !own.stopped && own.again <= now)
-            .map(|(seq, _)| *seq)
-            .collect();
+        let is_due = |(_, own): &(&u64, &Own)| own.again <= now && own.waits();
+        let due: Vec<u64> = self.own.iter().filter(is_due).map(|(seq, _)| *seq).collect();
         for seq in due {
             let Some(own) = self.own.get_mut(&seq) else { continue };
             let (end, why) = match own.joined {
@@ -405,21 +405,12 @@
 
 #[cfg(test)]
 mod tests {
-    use std::collections::BTreeMap;
-
-    use sandgap_agree::lives::Enrolled;
-
     use super::*;
-    use crate::record::tests::{ms, record, sent};
+    use crate::record::tests::{ms, record, roll, sent};
     use crate::record::{Answer, Effect, State};
 
     const ME: Life = 1;
 
-    fn roll(lives: &[Life]) -> Roll {
-        let who = |life: &Life| Enrolled { draw: *life, name: format!("p{life}"), zone: None };
-        Roll::new(lives.iter().map(|life| (*life, who(life))).collect::<BTreeMap<_, _>>())
-    }
-
     struct Case {
         owner: Owner,
         orders: Vec<Order>,
@@ -436,6 +427,19 @@
             Case { owner, orders, seq }
         }
 
+        /// One whose keepers have it, and whose first keeper names another that may know more.
+        fn with_elder() -> (Self, Life) {
+            let mut case = Case::new(&[1, 2, 3, 4], 1);
+            let keepers = case.keepers();
+            let elder = (1..9).find(|life| !keepers.contains(life) && *life != ME).expect("one");
+            let heard = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: vec![elder] };
+            case.owner.kept(ms(1), keepers[0], heard, &mut case.orders);
+            for keeper in &keepers[1..] {
+                case.says(1, *keeper, Verdict::Kept);
+            }
+            (case, elder)
+        }
+
         fn keepers(&self) -> Vec<Life> {
             self.owner.record(self.seq).expect("held").keepers.clone()
         }
@@ -500,46 +504,23 @@
 
     #[test]
     fn one_that_knows_better_has_to_be_asked_first() {
-        let mut case = Case::new(&[1, 2, 3, 4], 1);
-        let keepers = case.keepers();
-        let elder = (1..9).find(|life| !keepers.contains(life) && *life != ME).expect("one");
-        let heard = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: vec![elder] };
-        case.owner.kept(ms(1), keepers[0], heard, &mut case.orders);
-        for keeper in &keepers[1..] {
-            case.says(1, *keeper, Verdict::Kept);
-        }
+        let (mut case, elder) = Case::with_elder();
         let orders = case.orders();
         assert!(
             orders.iter().any(|o| matches!(o, Order::Say(to, Word::Find(..)) if *to == elder)),
             "{orders:?}"
         );
-        let held = Actor { epoch: 0, life: 9 };
-        let mut other = Case::new(&[1, 2, 3, 4], 1);
-        std::mem::swap(&mut other.owner.own, &mut case.owner.own);
-        other.orders();
-        other.owner.found(ms(2), elder, case.seq, Some(Verdict::Held(held)), &[], &mut other.orders);
-        assert!(other.orders().is_empty(), "it waits for that one's end");
-        other.owner.found(
-            ms(30),
-            elder,
-            case.seq,
-            Some(Verdict::Ended(End::Unknown)),
-            &[],
-            &mut other.orders,
-        );
-        assert_eq!(other.orders(), [Order::Stop(case.seq, Why::Ended(End::Unknown))]);
+        let held = Some(Verdict::Held(Actor { epoch: 0, life: 9 }));
+        case.owner.found(ms(2), elder, case.seq, held, &[], &mut case.orders);
+        assert!(case.orders().is_empty(), "it waits for that one's end");
+        let ended = Some(Verdict::Ended(End::Unknown));
+        case.owner.found(ms(30), elder, case.seq, ended, &[], &mut case.orders);
+        assert_eq!(case.orders(), [Order::Stop(case.seq, Why::Ended(End::Unknown))]);
     }
 
     #[test]
     fn with_nothing_known_there_it_goes_on() {
-        let mut case = Case::new(&[1, 2, 3, 4], 1);
-        let keepers = case.keepers();
-        let elder = (1..9).find(|life| !keepers.contains(life) && *life != ME).expect("one");
-        let heard = Heard { seq: case.seq, step: 0, verdict: Verdict::Kept, also: vec![elder] };
-        case.owner.kept(ms(1), keepers[0], heard, &mut case.orders);
-        for keeper in &keepers[1..] {
-            case.says(1, *keeper, Verdict::Kept);
-        }
+        let (mut case, elder) = Case::with_elder();
         assert_eq!(case.cleared(), None);
         case.owner.found(ms(2), elder, case.seq, None, &[], &mut case.orders);
         assert_eq!(case.cleared(), Some(0));
--- a/crates/sandgap-takeover/src/record.rs
+++ b/crates/sandgap-takeover/src/record.rs
@@ -215,12 +215,20 @@
 
 #[cfg(test)]
 pub(crate) mod tests {
+    use sandgap_agree::lives::Enrolled;
+    use sandgap_agree::tenure::Roll;
+
     use super::*;
 
     pub(crate) fn ms(ms: u64) -> Time {
         Duration::from_millis(ms)
     }
 
+    pub(crate) fn roll(lives: &[Life]) -> Roll {
+        let who = |life: &Life| Enrolled { draw: *life, name: format!("p{life}"), zone: None };
+        Roll::new(lives.iter().map(|life| (*life, who(life))).collect())
+    }
+
     pub(crate) fn record(effect: Effect) -> Record {
         Record {
             identity: Identity::of(None, "book", "k1"),
