Let both worlds of the laboratory stand on one host and one net

The worlds of agreed rules and of takeover each had the same clocks, disks, timers, starts, ways and founding, run for run, and two computed the same quantile and the same fan-out over seeds. agree::host has them once now.

--- a/crates/sandgap-lab/src/agree/judge.rs
+++ b/crates/sandgap-lab/src/agree/judge.rs
@@ -58,14 +58,6 @@
         self.time += other.time;
         self
     }
-
-    /// A quantile of the delays, in ms.
-    pub fn delay(&self, part: f64) -> f64 {
-        let mut all = self.delays.clone();
-        all.sort_unstable();
-        let at = (all.len().saturating_sub(1) as f64 * part).round() as usize;
-        all.get(at).map_or(f64::NAN, |d| *d as f64 / MS as f64)
-    }
 }
 
 impl fmt::Display for Findings {
@@ -84,21 +76,19 @@
             "longest contradiction {:.1} ms of {:.0} stated; publish to last switch p50 {:.1}, p99 {:.1} ms ({} seen)",
             ms(self.longest),
             ms(self.bound),
-            self.delay(0.5),
-            self.delay(0.99),
+            quantile_ms(&self.delays, 0.5),
+            quantile_ms(&self.delays, 0.99),
             self.delays.len()
         )?;
-        let heir = |of: fn(&(Nanos, Nanos)) -> Nanos, part: f64| {
-            ms(quantile(self.heirs.iter().map(of).collect(), part))
-        };
+        let (kills, leases): (Vec<Nanos>, Vec<Nanos>) = self.heirs.iter().copied().unzip();
         writeln!(
             f,
             "{} kills followed by an heir: p50 {:.0}, p99 {:.0} ms after the kill; p50 {:.0}, p99 {:.0} ms after the lease",
             self.heirs.len(),
-            heir(|h| h.0, 0.5),
-            heir(|h| h.0, 0.99),
-            heir(|h| h.1, 0.5),
-            heir(|h| h.1, 0.99)
+            quantile_ms(&kills, 0.5),
+            quantile_ms(&kills, 0.99),
+            quantile_ms(&leases, 0.5),
+            quantile_ms(&leases, 0.99)
         )?;
         let part = 1.0 - self.lapsed as f64 / self.lived.max(1) as f64;
         write!(
@@ -111,9 +101,12 @@
     }
 }
 
-fn quantile(mut all: Vec<Nanos>, part: f64) -> Nanos {
+/// A quantile in ms, from 0 to 1; not a number of none.
+pub fn quantile_ms(all: &[Nanos], part: f64) -> f64 {
+    let mut all = all.to_vec();
     all.sort_unstable();
-    all.get((all.len().saturating_sub(1) as f64 * part).round() as usize).copied().unwrap_or(0)
+    let at = (all.len().saturating_sub(1) as f64 * part).round() as usize;
+    all.get(at).map_or(f64::NAN, |n| *n as f64 / MS as f64)
 }
 
 /// One version, as far as it was acted on.
--- a/crates/sandgap-lab/src/agree/mod.rs
+++ b/crates/sandgap-lab/src/agree/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod faults;
 pub mod hands;
+pub mod host;
 pub mod judge;
 pub mod world;
 
@@ -92,8 +93,15 @@
 
 /// Plays many seeds side by side and adds up what was found.
 pub fn hunt(setup: &Setup, seeds: std::ops::Range<u64>) -> Findings {
-    let all: Vec<Findings> = seeds.into_par_iter().map(|seed| play(setup, seed)).collect();
-    all.into_iter().reduce(Findings::merge).unwrap_or_default()
+    play_all(seeds, |seed| play(setup, seed), Findings::merge)
+}
+
+/// Plays seeds side by side and adds up what was found, in the order of the seeds.
+pub fn play_all<F: Default + Send>(
+    seeds: std::ops::Range<u64>, play: impl Fn(u64) -> F + Send + Sync, merge: impl Fn(F, F) -> F,
+) -> F {
+    let all: Vec<F> = seeds.into_par_iter().map(play).collect();
+    all.into_iter().reduce(merge).unwrap_or_default()
 }
 
 #[cfg(test)]
--- a/crates/sandgap-lab/src/agree/world.rs
+++ b/crates/sandgap-lab/src/agree/world.rs
@@ -1,38 +1,31 @@
 //! The world of one run: processes, their clocks and disks, the net, publishers.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use rand::RngExt;
 use sandgap_agree::follower::Span;
 use sandgap_agree::lives::{Claim, Epoch, Life};
-use sandgap_agree::log::{Saved, Write};
-use sandgap_agree::machine::{Proposal, Seat, Verdict};
+use sandgap_agree::log::Write;
+use sandgap_agree::machine::{Proposal, Verdict};
 use sandgap_agree::rulebook::{Class, Effect, Limits, OnLapse, digest};
 use sandgap_agree::tenure::Turn;
-use sandgap_agree::voter::fresh_seat;
 use sandgap_agree::words::Word;
 use sandgap_agree::{Agent, Digest, Output, Rulebook, Terms, Version};
 use sandgap_fleet::{Drift, Time};
 
 use super::faults::{Fault, draw};
 use super::hands::Hands;
+use super::host::{self, Host, LOOK, Net, WAY};
 use super::judge::{Findings, Judge};
 use super::{Flaw, Setup};
 use crate::calendar::{Calendar, MS, Nanos, SECOND};
-use crate::skew::Skewed;
 use crate::streams::{Stream, stream};
 
 /// The publisher, among the senders of words.
 const HAND: &str = "hand";
 /// How long all has to be well again after the last fault: elections, a rebuilt disk, members that are missed.
 const HEALED: Nanos = 15 * SECOND;
-/// What a disk takes for a write.
-const DISK: std::ops::Range<Nanos> = 100_000..4 * MS;
-/// What a word takes.
-const WAY: std::ops::Range<Nanos> = 100_000..3 * MS;
-/// Between two looks at who is there; the daemon's is its membership's.
-const LOOK: Nanos = 500 * MS;
 
 enum Event {
     /// A word arrives at a process.
@@ -68,19 +61,8 @@
 }
 
 struct Node {
-    name: String,
-    address: SocketAddr,
-    clock: Skewed,
+    host: Host<Event>,
     agent: Option<Agent>,
-    life: u32,
-    /// Its timer is set for this local time.
-    armed: Option<Time>,
-    paused: bool,
-    waiting: VecDeque<Event>,
-    disk: Option<Saved>,
-    /// When the disk has done what it was told.
-    busy: Nanos,
-    stalled: Nanos,
     /// The version that it can act on, since when, and until when at the most.
     right: Option<(Version, Nanos, Nanos)>,
     /// When it last held none, once it has held one.
@@ -94,10 +76,7 @@
     seed: u64,
     nodes: Vec<Node>,
     events: Calendar<Event>,
-    cut: BTreeSet<(usize, usize)>,
-    lost: f64,
-    doubled: f64,
-    late: Nanos,
+    net: Net,
     rng: Stream,
     judge: Judge,
     hands: Hands,
@@ -135,20 +114,8 @@
         let mut rng = stream(seed, "agree", 0);
         let part = f64::from(setup.ppm) / 1e6 * if setup.flaw == Some(Flaw::Drift) { 60.0 } else { 1.0 };
         let nodes = (0..setup.voters + setup.observers).map(|n| Node {
-            name: format!("p{n}"),
-            address: ([127, 0, 0, 1], n as u16 + 1).into(),
-            clock: Skewed {
-                rate: 1.0 + part * rng.random_range(-1.0..=1.0),
-                offset: rng.random_range(0..1000 * SECOND),
-            },
+            host: Host::new(n, part, &mut rng),
             agent: None,
-            life: 0,
-            armed: None,
-            paused: false,
-            waiting: VecDeque::new(),
-            disk: None,
-            busy: 0,
-            stalled: 0,
             right: None,
             without: None,
             unusable: BTreeSet::new(),
@@ -158,10 +125,7 @@
             setup,
             seed,
             events: Calendar::default(),
-            cut: BTreeSet::new(),
-            lost: 0.0,
-            doubled: 0.0,
-            late: 0,
+            net: Net::default(),
             rng,
             judge: Judge::default(),
             hands: Hands::default(),
@@ -175,15 +139,7 @@
     }
 
     fn found_fleet(&mut self) {
-        let seats: BTreeMap<u64, Seat> = (0..self.setup.voters)
-            .map(|n| {
-                let node = &self.nodes[n];
-                (fresh_seat(&node.name, 0), Seat { name: node.name.clone(), address: node.address })
-            })
-            .collect();
-        for n in 0..self.setup.voters {
-            self.nodes[n].disk = Some(Saved::founding(fresh_seat(&self.nodes[n].name, 0), &seats));
-        }
+        host::found(self.nodes[..self.setup.voters].iter_mut().map(|node| &mut node.host));
         for n in 0..self.nodes.len() {
             self.events.push(0, Event::Start(n, true));
         }
@@ -225,13 +181,13 @@
             Event::Publish => self.publish(),
             Event::Look => self.look(),
             Event::Settled { node, life, epoch } => {
-                if self.nodes[node].life == life {
+                if self.nodes[node].host.life == life {
                     self.with(node, |agent, now| agent.settled(now, epoch));
                 }
             }
             Event::Missed(node, gone) => {
-                if self.nodes[gone].agent.is_none() && !self.nodes[node].paused {
-                    let name = self.nodes[gone].name.clone();
+                if self.nodes[gone].agent.is_none() && !self.nodes[node].host.paused {
+                    let name = self.nodes[gone].host.name.clone();
                     self.with(node, |agent, now| agent.missed(now, &name));
                 }
             }
@@ -258,25 +214,15 @@
     fn start(&mut self, n: usize, with_disk: bool) {
         let terms = self.terms(n);
         let voters: Vec<(String, SocketAddr)> =
-            self.nodes[..self.setup.voters].iter().map(|v| (v.name.clone(), v.address)).collect();
+            self.nodes[..self.setup.voters].iter().map(|v| (v.host.name.clone(), v.host.address)).collect();
         let now = self.now();
         let chance = self.rng.random();
         let node = &mut self.nodes[n];
         if node.agent.is_some() {
             return;
         }
-        node.life += 1;
-        (node.armed, node.paused, node.busy) = (None, false, now);
-        node.waiting.clear();
-        let local = node.clock.local(now);
-        let mut agent = Agent::new(local, &node.name, terms, voters, chance);
-        agent.enlist(None);
-        if !with_disk && node.disk.is_some() {
-            node.disk = Some(Saved::blank(chance.max(1)));
-        }
-        if let Some(saved) = &node.disk
-            && let Err(e) = agent.vote(local, saved, node.address)
-        {
+        let (agent, votes) = node.host.start(now, with_disk, terms, voters, chance);
+        if let Err(e) = votes {
             self.judge.broken.push(format!("p{n} can't start from its disk: {e}"));
         }
         self.nodes[n].agent = Some(agent);
@@ -284,38 +230,38 @@
     }
 
     fn timer(&mut self, n: usize, life: u32) {
-        if self.nodes[n].life != life {
+        if self.nodes[n].host.life != life {
             return;
         }
-        if self.nodes[n].paused {
-            self.nodes[n].waiting.push_back(Event::Timer { node: n, life });
+        if self.nodes[n].host.paused {
+            self.nodes[n].host.waiting.push_back(Event::Timer { node: n, life });
             return;
         }
-        self.nodes[n].armed = None;
+        self.nodes[n].host.fired();
         self.with(n, |agent, now| agent.fire(now));
     }
 
     fn word(&mut self, to: usize, from: String, word: Word) {
-        if self.nodes[to].paused {
-            self.nodes[to].waiting.push_back(Event::Word { to, from, word });
+        if self.nodes[to].host.paused {
+            self.nodes[to].host.waiting.push_back(Event::Word { to, from, word });
             return;
         }
         self.with(to, |agent, now| agent.hear(now, &from, word));
     }
 
     fn kept(&mut self, n: usize, life: u32, write: Write) {
-        if self.nodes[n].life != life {
+        if self.nodes[n].host.life != life {
             return; // lost with the process, before it was on the disk
         }
         let number = write.number;
         if self.setup.flaw != Some(Flaw::Unsynced)
-            && let Some(disk) = &mut self.nodes[n].disk
+            && let Some(disk) = &mut self.nodes[n].host.disk
         {
             disk.put(&write);
         }
-        if self.nodes[n].paused {
+        if self.nodes[n].host.paused {
             // The disk goes on while the process stands still; it hears of it when it wakes.
-            self.nodes[n].waiting.push_back(Event::Kept {
+            self.nodes[n].host.waiting.push_back(Event::Kept {
                 node: n,
                 life,
                 write: Write { number, ..Write::default() },
@@ -328,7 +274,7 @@
     fn with(&mut self, n: usize, act: impl FnOnce(&mut Agent, Time)) {
         let now = self.now();
         let node = &mut self.nodes[n];
-        let local = node.clock.local(now);
+        let local = node.host.clock.local(now);
         if let Some(agent) = &mut node.agent {
             act(agent, local);
             self.after(n);
@@ -343,10 +289,8 @@
         self.rights(n);
         let (now, node) = (self.now(), &mut self.nodes[n]);
         let Some(due) = node.agent.as_ref().map(Agent::next_due) else { return };
-        if node.armed.is_none_or(|at| due < at) {
-            node.armed = Some(due);
-            let at = node.clock.shown(due).max(now);
-            let life = node.life;
+        if let Some(at) = node.host.arm(now, due) {
+            let life = node.host.life;
             self.events.push(at, Event::Timer { node: n, life });
         }
     }
@@ -360,7 +304,7 @@
                     true => Err("this one can't".to_owned()),
                     false => Ok(()),
                 };
-                let now = self.nodes[n].clock.local(self.now());
+                let now = self.nodes[n].host.clock.local(self.now());
                 if let Some(agent) = &mut self.nodes[n].agent {
                     agent.checked(now, version, usable);
                 }
@@ -376,7 +320,7 @@
 
     fn heir(&mut self, n: usize, claim: &Claim) {
         let (now, node) = (self.now(), &self.nodes[n]);
-        let (of, epoch) = (node.life, claim.epoch);
+        let (of, epoch) = (node.host.life, claim.epoch);
         if let Some((life, until)) = Self::hand(node, now) {
             self.hands.acts(life, until);
             self.hands.heir(now, life, claim);
@@ -388,34 +332,26 @@
     /// Under which life a process may act, and until when.
     fn hand(node: &Node, now: Nanos) -> Option<(Life, Nanos)> {
         let holder = node.agent.as_ref()?.holder()?;
-        let until = holder.right(node.clock.local(now))?.until();
-        Some((holder.life()?, node.clock.shown(until)))
+        let until = holder.right(node.host.clock.local(now))?.until();
+        Some((holder.life()?, node.host.clock.shown(until)))
     }
 
     fn send(&mut self, from: usize, to: &str, word: Word) {
         if let Word::Published(id, verdict) = &word {
             return self.heard_back(*id, verdict);
         }
-        let Some(to) = self.nodes.iter().position(|node| node.name == to) else { return };
+        let Some(to) = self.nodes.iter().position(|node| node.host.name == to) else { return };
         self.found.words += 1;
         self.found.bytes += word.encode().len() as u64;
-        if self.cut.contains(&(from, to)) || self.lost > 0.0 && self.rng.random_bool(self.lost) {
-            return;
-        }
-        let copies = if self.doubled > 0.0 && self.rng.random_bool(self.doubled) { 2 } else { 1 };
-        for _ in 0..copies {
-            let late = if self.late > 0 { self.rng.random_range(0..=self.late) } else { 0 };
-            let at = self.now() + self.rng.random_range(WAY) + late;
-            let from = self.nodes[from].name.clone();
+        for at in self.net.ways(self.now(), from, to, &mut self.rng) {
+            let from = self.nodes[from].host.name.clone();
             self.events.push(at, Event::Word { to, from, word: word.clone() });
         }
     }
 
     fn write(&mut self, n: usize, write: Write) {
-        let took = self.rng.random_range(DISK);
         let (now, node) = (self.now(), &mut self.nodes[n]);
-        node.busy = node.busy.max(now).max(node.stalled) + took;
-        let (at, life) = (node.busy, node.life);
+        let (at, life) = (node.host.writes(now, &mut self.rng), node.host.life);
         if self.setup.flaw == Some(Flaw::Unsynced) {
             // It says so at once, and keeps it when it comes to it.
             let number = write.number;
@@ -423,7 +359,7 @@
             self.events.push(now + 1, Event::Kept { node: n, life, write: told });
             let late = self.rng.random_range(0..50 * MS);
             if late < 25 * MS
-                && let Some(disk) = &mut self.nodes[n].disk
+                && let Some(disk) = &mut self.nodes[n].host.disk
             {
                 disk.put(&write);
             }
@@ -439,9 +375,9 @@
             self.hands.acts(life, until);
         }
         let node = &mut self.nodes[n];
-        let local = node.clock.local(now);
+        let local = node.host.clock.local(now);
         let right = node.agent.as_ref().and_then(|a| a.take(local)).map(|t| (t.version, t.right.until()));
-        let right = right.map(|(version, until)| (version, node.clock.shown(until)));
+        let right = right.map(|(version, until)| (version, node.host.clock.shown(until)));
         let before = node.right.take();
         if let Some((version, from, until)) = before {
             self.judge.acted(version, from, until.min(now));
@@ -517,10 +453,14 @@
 
     fn look(&mut self) {
         self.events.push(self.now() + LOOK, Event::Look);
-        let up: Vec<String> =
-            self.nodes.iter().filter(|n| n.agent.is_some() && !n.paused).map(|n| n.name.clone()).collect();
+        let up: Vec<String> = self
+            .nodes
+            .iter()
+            .filter(|n| n.agent.is_some() && !n.host.paused)
+            .map(|n| n.host.name.clone())
+            .collect();
         for node in &mut self.nodes {
-            let others = up.iter().filter(|name| **name != node.name).cloned().collect();
+            let others = up.iter().filter(|name| **name != node.host.name).cloned().collect();
             if let Some(agent) = &mut node.agent {
                 agent.present(others);
             }
@@ -530,22 +470,15 @@
     fn fault(&mut self, fault: Fault) {
         let now = self.now();
         match fault {
-            Fault::Cut(pairs) => self.cut = pairs.into_iter().collect(),
-            Fault::Heal => {
-                self.cut.clear();
-                (self.lost, self.doubled, self.late) = (0.0, 0.0, 0);
-            }
-            Fault::Weather(lost, doubled, late) => {
-                (self.lost, self.doubled, self.late) = (lost, doubled, late)
-            }
-            Fault::Pause(n, span) if !self.nodes[n].paused && self.nodes[n].agent.is_some() => {
-                self.nodes[n].paused = true;
+            Fault::Pause(n, span) if !self.nodes[n].host.paused && self.nodes[n].agent.is_some() => {
+                self.nodes[n].host.paused = true;
                 self.events.push(now + span, Event::Wake(n));
             }
             Fault::Kill(n, span) => self.kill(n, now + span, true),
             Fault::Disk(n, span) => self.kill(n, now + span, false),
-            Fault::Stall(n, span) => self.nodes[n].stalled = now + span,
+            Fault::Stall(n, span) => self.nodes[n].host.stalled = now + span,
             Fault::Pause(..) => {}
+            fault => self.net.suffer(&fault),
         }
     }
 
@@ -563,17 +496,16 @@
         }
         self.rights(n);
         let node = &mut self.nodes[n];
-        node.life += 1;
-        (node.paused, node.without) = (false, None);
-        node.waiting.clear();
+        node.host.stop();
+        node.without = None;
         self.events.push(back, Event::Start(n, with_disk));
     }
 
     fn wake(&mut self, n: usize) {
-        if !std::mem::take(&mut self.nodes[n].paused) {
+        if !std::mem::take(&mut self.nodes[n].host.paused) {
             return;
         }
-        for event in std::mem::take(&mut self.nodes[n].waiting) {
+        for event in std::mem::take(&mut self.nodes[n].host.waiting) {
             self.happen(event);
         }
     }
@@ -622,7 +554,7 @@
                     "p{n} acts on {acting} (lease: {lease}), {standing} is in force, long after"
                 ));
             }
-            if agent.holder().is_none_or(|h| h.right(node.clock.local(self.events.now())).is_none()) {
+            if agent.holder().is_none_or(|h| h.right(node.host.clock.local(self.events.now())).is_none()) {
                 wrong.push(format!("p{n} has no life, long after"));
             }
             if n < self.setup.voters {
@@ -637,7 +569,7 @@
                     wrong.push(format!("p{n} votes, but has not been brought up to {standing}"));
                 }
                 for (version, record) in voter.machine().versions() {
-                    self.judge.known(version, record.digest, &node.name);
+                    self.judge.known(version, record.digest, &node.host.name);
                 }
             }
         }
--- a/crates/sandgap-lab/src/takeover/judge.rs
+++ b/crates/sandgap-lab/src/takeover/judge.rs
@@ -4,7 +4,8 @@
 
 use sandgap_takeover::Effect;
 
-use crate::calendar::{MS, Nanos};
+use crate::agree::judge::quantile_ms;
+use crate::calendar::Nanos;
 
 /// Breaches that are spelled out.
 const SPELLED: usize = 8;
@@ -91,12 +92,6 @@
 
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let mut delays = self.delays.clone();
-        delays.sort_unstable();
-        let at = |part: f64| {
-            let at = (delays.len().saturating_sub(1) as f64 * part).round() as usize;
-            delays.get(at).map_or(f64::NAN, |d| *d as f64 / MS as f64)
-        };
         let part = |n: u64, of: u64| 100.0 * n as f64 / of.max(1) as f64;
         writeln!(
             f,
@@ -114,8 +109,8 @@
             self.lost,
             part(self.saved, self.lost),
             part(self.lost_unknown, self.lost),
-            at(0.5),
-            at(0.99)
+            quantile_ms(&self.delays, 0.5),
+            quantile_ms(&self.delays, 0.99)
         )?;
         write!(f, "{} broken", self.broken.len())?;
         self.broken.iter().take(SPELLED).try_for_each(|(seed, what)| write!(f, "\n  seed {seed}: {what}"))
--- a/crates/sandgap-lab/src/takeover/mod.rs
+++ b/crates/sandgap-lab/src/takeover/mod.rs
@@ -8,8 +8,6 @@
 pub mod proxy;
 pub mod world;
 
-use rayon::prelude::*;
-
 use crate::agree;
 use crate::calendar::{MS, Nanos};
 pub use judge::Findings;
@@ -50,8 +48,7 @@
 
 /// Plays many seeds side by side and adds up what was found.
 pub fn hunt(setup: &Setup, seeds: std::ops::Range<u64>) -> Findings {
-    let all: Vec<Findings> = seeds.into_par_iter().map(|seed| play(setup, seed)).collect();
-    all.into_iter().reduce(Findings::merge).unwrap_or_default()
+    agree::play_all(seeds, |seed| play(setup, seed), Findings::merge)
 }
 
 #[cfg(test)]
--- a/crates/sandgap-lab/src/takeover/world.rs
+++ b/crates/sandgap-lab/src/takeover/world.rs
@@ -1,12 +1,10 @@
 //! The world of one run: processes, their clocks, the net, clients and backends.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use rand::RngExt;
-use sandgap_agree::log::{Saved, Write};
-use sandgap_agree::machine::Seat;
-use sandgap_agree::voter::fresh_seat;
+use sandgap_agree::log::Write;
 use sandgap_agree::words::Word;
 use sandgap_agree::{Agent, Output as AgentOutput};
 use sandgap_fleet::Time;
@@ -18,15 +16,12 @@
 use super::judge::{Findings, Judge, Told, Wish};
 use super::proxy::{Deed, Proxy, WINDOW, span};
 use crate::agree::faults::{Fault, draw};
+use crate::agree::host::{self, Host, LOOK, Net, WAY};
 use crate::calendar::{Calendar, MS, Nanos, SECOND};
-use crate::skew::Skewed;
 use crate::streams::{Stream, stream};
 
 /// How long all is well again after the last fault, and after the last request.
 const HEALED: Nanos = 12 * SECOND;
-/// What a disk takes for a write, and a word for its way.
-const DISK: std::ops::Range<Nanos> = 100_000..4 * MS;
-const WAY: std::ops::Range<Nanos> = 100_000..3 * MS;
 /// What a backend takes.
 const SERVICE: std::ops::Range<Nanos> = MS..80 * MS;
 /// How long a client waits at one proxy, how often it comes, and how soon again.
@@ -35,8 +30,6 @@
 const BACK: std::ops::Range<Nanos> = 30 * MS..400 * MS;
 /// The part of attempts that break after they have run, and before.
 const BROKEN: f64 = 0.02;
-/// Between two looks at who is there.
-const LOOK: Nanos = 500 * MS;
 
 enum Event {
     Word {
@@ -99,17 +92,8 @@
 }
 
 struct Node {
-    name: String,
-    address: SocketAddr,
-    clock: Skewed,
+    host: Host<Event>,
     process: Option<Process>,
-    life: u32,
-    armed: Option<Time>,
-    paused: bool,
-    waiting: VecDeque<Event>,
-    disk: Option<Saved>,
-    busy: Nanos,
-    stalled: Nanos,
 }
 
 /// See the module.
@@ -118,10 +102,7 @@
     seed: u64,
     nodes: Vec<Node>,
     events: Calendar<Event>,
-    cut: BTreeSet<(usize, usize)>,
-    lost: f64,
-    doubled: f64,
-    late: Nanos,
+    net: Net,
     rng: Stream,
     judge: Judge,
     found: Findings,
@@ -137,31 +118,14 @@
     pub fn new(setup: Setup, seed: u64) -> Self {
         let mut rng = stream(seed, "takeover", 0);
         let part = f64::from(setup.fleet.ppm) / 1e6;
-        let nodes = (0..setup.fleet.voters + setup.fleet.observers).map(|n| Node {
-            name: format!("p{n}"),
-            address: ([127, 0, 0, 1], n as u16 + 1).into(),
-            clock: Skewed {
-                rate: 1.0 + part * rng.random_range(-1.0..=1.0),
-                offset: rng.random_range(0..1000 * SECOND),
-            },
-            process: None,
-            life: 0,
-            armed: None,
-            paused: false,
-            waiting: VecDeque::new(),
-            disk: None,
-            busy: 0,
-            stalled: 0,
-        });
+        let nodes = (0..setup.fleet.voters + setup.fleet.observers)
+            .map(|n| Node { host: Host::new(n, part, &mut rng), process: None });
         let mut world = World {
             nodes: nodes.collect(),
             setup,
             seed,
             events: Calendar::default(),
-            cut: BTreeSet::new(),
-            lost: 0.0,
-            doubled: 0.0,
-            late: 0,
+            net: Net::default(),
             rng,
             judge: Judge::default(),
             found: Findings { runs: 1, ..Findings::default() },
@@ -174,13 +138,7 @@
     }
 
     fn found_fleet(&mut self) {
-        let seats: BTreeMap<u64, Seat> = self.nodes[..self.setup.fleet.voters]
-            .iter()
-            .map(|node| (fresh_seat(&node.name, 0), Seat { name: node.name.clone(), address: node.address }))
-            .collect();
-        for node in &mut self.nodes[..self.setup.fleet.voters] {
-            node.disk = Some(Saved::founding(fresh_seat(&node.name, 0), &seats));
-        }
+        host::found(self.nodes[..self.setup.fleet.voters].iter_mut().map(|node| &mut node.host));
         for n in 0..self.nodes.len() {
             self.events.push(0, Event::Start(n, true));
         }
@@ -210,7 +168,7 @@
     /// Once all is healed, every proxy has a life and nothing is left to inherit.
     fn recovered(&mut self) {
         for (n, node) in self.nodes.iter().enumerate() {
-            let local = node.clock.local(self.events.now());
+            let local = node.host.clock.local(self.events.now());
             let Some(process) = &node.process else { continue };
             if process.agent.holder().is_none_or(|h| h.right(local).is_none()) {
                 self.judge.broken.push(format!("p{n} has no life, long after"));
@@ -234,12 +192,12 @@
             Event::Reply { back, .. } => back.node,
             _ => return None,
         };
-        self.nodes[n].paused.then_some(n)
+        self.nodes[n].host.paused.then_some(n)
     }
 
     fn happen(&mut self, event: Event) {
         if let Some(n) = self.stands(&event) {
-            return self.nodes[n].waiting.push_back(event);
+            return self.nodes[n].host.waiting.push_back(event);
         }
         match event {
             Event::Word { to, from, word } => self.with(to, |p, now| p.agent.hear(now, &from, word)),
@@ -251,8 +209,8 @@
             Event::Start(n, disk) => self.start(n, disk),
             Event::Look => self.look(),
             Event::Missed(node, gone) => {
-                if self.nodes[gone].process.is_none() && !self.nodes[node].paused {
-                    let name = self.nodes[gone].name.clone();
+                if self.nodes[gone].process.is_none() && !self.nodes[node].host.paused {
+                    let name = self.nodes[gone].host.name.clone();
                     self.with(node, |p, now| p.agent.missed(now, &name));
                 }
             }
@@ -273,26 +231,18 @@
 
     fn start(&mut self, n: usize, with_disk: bool) {
         let terms = self.setup.fleet.terms();
-        let voters: Vec<(String, SocketAddr)> =
-            self.nodes[..self.setup.fleet.voters].iter().map(|v| (v.name.clone(), v.address)).collect();
+        let voters: Vec<(String, SocketAddr)> = self.nodes[..self.setup.fleet.voters]
+            .iter()
+            .map(|v| (v.host.name.clone(), v.host.address))
+            .collect();
         let now = self.now();
         let chance: u64 = self.rng.random();
         let node = &mut self.nodes[n];
         if node.process.is_some() {
             return;
         }
-        node.life += 1;
-        (node.armed, node.paused, node.busy) = (None, false, now);
-        node.waiting.clear();
-        let local = node.clock.local(now);
-        let mut agent = Agent::new(local, &node.name, terms, voters, chance);
-        agent.enlist(None);
-        if !with_disk && node.disk.is_some() {
-            node.disk = Some(Saved::blank(chance.max(1)));
-        }
-        if let Some(saved) = &node.disk
-            && let Err(e) = agent.vote(local, saved, node.address)
-        {
+        let (agent, votes) = node.host.start(now, with_disk, terms, voters, chance);
+        if let Err(e) = votes {
             self.judge.broken.push(format!("p{n} can't start from its disk: {e}"));
         }
         let hands = Hands::new(Terms {
@@ -310,7 +260,7 @@
     fn with(&mut self, n: usize, act: impl FnOnce(&mut Process, Time)) {
         let now = self.now();
         let node = &mut self.nodes[n];
-        let local = node.clock.local(now);
+        let local = node.host.clock.local(now);
         if let Some(process) = &mut node.process {
             act(process, local);
             self.after(n);
@@ -322,10 +272,10 @@
     }
 
     fn timer(&mut self, n: usize, life: u32) {
-        if self.nodes[n].life != life {
+        if self.nodes[n].host.life != life {
             return;
         }
-        self.nodes[n].armed = None;
+        self.nodes[n].host.fired();
         self.with(n, |p, now| {
             p.agent.fire(now);
             // Without the right to act it says nothing; what it waits for is said again once it has it.
@@ -357,14 +307,12 @@
         let (now, node) = (self.now(), &mut self.nodes[n]);
         let Some(process) = &node.process else { return };
         // Hands without the right to act are looked at again with the next question.
-        let local = node.clock.local(now);
+        let local = node.host.clock.local(now);
         let hands = process.hands.next_due().map(|at| at.max(local + span(MS)));
         let due = process.agent.next_due();
         let due = hands.map_or(due, |at| at.min(due));
-        if node.armed.is_none_or(|at| due < at) {
-            node.armed = Some(due);
-            let at = node.clock.shown(due).max(now);
-            let life = node.life;
+        if let Some(at) = node.host.arm(now, due) {
+            let life = node.host.life;
             self.events.push(at, Event::Timer { node: n, life });
         }
     }
@@ -372,23 +320,18 @@
     fn carry_out(&mut self, n: usize, output: AgentOutput) {
         match output {
             AgentOutput::Say(to, _, word) => {
-                let from = self.nodes[n].name.clone();
-                let to = self.nodes.iter().position(|node| node.name == to);
-                for (to, at) in self.ways(n, to) {
-                    let (from, word) = (from.clone(), word.clone());
+                for (to, at) in self.ways(n, &to) {
+                    let (from, word) = (self.nodes[n].host.name.clone(), word.clone());
                     self.events.push(at, Event::Word { to, from, word });
                 }
             }
             AgentOutput::Write(write) => {
-                let took = self.rng.random_range(DISK);
-                let now = self.now();
-                let node = &mut self.nodes[n];
-                node.busy = node.busy.max(now).max(node.stalled) + took;
-                let (at, life) = (node.busy, node.life);
+                let (now, node) = (self.now(), &mut self.nodes[n]);
+                let (at, life) = (node.host.writes(now, &mut self.rng), node.host.life);
                 self.events.push(at, Event::Kept { node: n, life, write });
             }
             AgentOutput::Turn(turn) => {
-                let local = self.nodes[n].clock.local(self.now());
+                let local = self.nodes[n].host.clock.local(self.now());
                 if let Some(process) = &mut self.nodes[n].process {
                     process.hands.turn(local, turn);
                 }
@@ -399,7 +342,7 @@
 
     fn carry_out_hands(&mut self, n: usize, output: Output) {
         let now = self.now();
-        let local = self.nodes[n].clock.local(now);
+        let local = self.nodes[n].host.clock.local(now);
         let Some(process) = &mut self.nodes[n].process else { return };
         let right = Self::right(process, local);
         let mut deeds = Vec::new();
@@ -430,7 +373,7 @@
                         continue;
                     };
                     let wish = job.wish;
-                    let back = Back { node: n, life: self.nodes[n].life, seq, attempt };
+                    let back = Back { node: n, life: self.nodes[n].host.life, seq, attempt };
                     self.events.push(now, Event::Runs { backend, wish, back });
                 }
                 Deed::Tell(wish, told) => {
@@ -449,40 +392,32 @@
     }
 
     fn kept(&mut self, n: usize, life: u32, write: Write) {
-        if self.nodes[n].life != life {
+        if self.nodes[n].host.life != life {
             return;
         }
         let number = write.number;
-        if let Some(disk) = &mut self.nodes[n].disk {
+        if let Some(disk) = &mut self.nodes[n].host.disk {
             disk.put(&write);
         }
-        if self.nodes[n].paused {
+        if self.nodes[n].host.paused {
             let write = Write { number, ..Write::default() };
-            return self.nodes[n].waiting.push_back(Event::Kept { node: n, life, write });
+            return self.nodes[n].host.waiting.push_back(Event::Kept { node: n, life, write });
         }
         self.with(n, |p, now| p.agent.written(now, number));
     }
 
     // ---- the net ----
 
-    /// When a word arrives, each copy of it; never, where it is lost.
-    fn ways(&mut self, from: usize, to: Option<usize>) -> Vec<(usize, Nanos)> {
-        let Some(to) = to else { return Vec::new() };
-        if self.cut.contains(&(from, to)) || self.lost > 0.0 && self.rng.random_bool(self.lost) {
-            return Vec::new();
-        }
-        let copies = if self.doubled > 0.0 && self.rng.random_bool(self.doubled) { 2 } else { 1 };
-        let mut way = || {
-            let late = if self.late > 0 { self.rng.random_range(0..=self.late) } else { 0 };
-            (to, self.events.now() + self.rng.random_range(WAY) + late)
-        };
-        (0..copies).map(|_| way()).collect()
+    /// Where a proxy of a name is and when a word arrives there, each copy of it.
+    fn ways(&mut self, from: usize, to: &str) -> Vec<(usize, Nanos)> {
+        let Some(to) = self.nodes.iter().position(|node| node.host.name == to) else { return Vec::new() };
+        let all = self.net.ways(self.events.now(), from, to, &mut self.rng);
+        all.into_iter().map(|at| (to, at)).collect()
     }
 
     fn post(&mut self, n: usize, to: &str, letter: Letter) {
         self.found.words += 1;
         self.found.bytes += letter.encode().len() as u64;
-        let to = self.nodes.iter().position(|node| node.name == to);
         for (to, at) in self.ways(n, to) {
             self.events.push(at, Event::Letter { to, letter: letter.clone() });
         }
@@ -490,10 +425,14 @@
 
     fn look(&mut self) {
         self.events.push(self.now() + LOOK, Event::Look);
-        let up: Vec<String> =
-            self.nodes.iter().filter(|n| n.process.is_some() && !n.paused).map(|n| n.name.clone()).collect();
+        let up: Vec<String> = self
+            .nodes
+            .iter()
+            .filter(|n| n.process.is_some() && !n.host.paused)
+            .map(|n| n.host.name.clone())
+            .collect();
         for node in &mut self.nodes {
-            let others = up.iter().filter(|name| **name != node.name).cloned().collect();
+            let others = up.iter().filter(|name| **name != node.host.name).cloned().collect();
             if let Some(process) = &mut node.process {
                 process.agent.present(others);
             }
@@ -505,22 +444,15 @@
     fn fault(&mut self, fault: Fault) {
         let now = self.now();
         match fault {
-            Fault::Cut(pairs) => self.cut = pairs.into_iter().collect(),
-            Fault::Heal => {
-                self.cut.clear();
-                (self.lost, self.doubled, self.late) = (0.0, 0.0, 0);
-            }
-            Fault::Weather(lost, doubled, late) => {
-                (self.lost, self.doubled, self.late) = (lost, doubled, late)
-            }
-            Fault::Pause(n, span) if !self.nodes[n].paused && self.nodes[n].process.is_some() => {
-                self.nodes[n].paused = true;
+            Fault::Pause(n, span) if !self.nodes[n].host.paused && self.nodes[n].process.is_some() => {
+                self.nodes[n].host.paused = true;
                 self.events.push(now + span, Event::Wake(n));
             }
             Fault::Kill(n, span) => self.kill(n, now + span, true),
             Fault::Disk(n, span) => self.kill(n, now + span, false),
-            Fault::Stall(n, span) => self.nodes[n].stalled = now + span,
+            Fault::Stall(n, span) => self.nodes[n].host.stalled = now + span,
             Fault::Pause(..) => {}
+            fault => self.net.suffer(&fault),
         }
     }
 
@@ -528,9 +460,7 @@
         let now = self.now();
         let node = &mut self.nodes[n];
         let Some(process) = node.process.take() else { return };
-        node.life += 1;
-        node.paused = false;
-        node.waiting.clear();
+        node.host.stop();
         for job in process.proxy.jobs.values().filter(|job| job.kept) {
             let wish = &mut self.judge.wishes[job.wish];
             if wish.told.is_none() && wish.at.is_some_and(|(at, _)| at == n) {
@@ -549,10 +479,10 @@
     }
 
     fn wake(&mut self, n: usize) {
-        if !std::mem::take(&mut self.nodes[n].paused) {
+        if !std::mem::take(&mut self.nodes[n].host.paused) {
             return;
         }
-        for event in std::mem::take(&mut self.nodes[n].waiting) {
+        for event in std::mem::take(&mut self.nodes[n].host.waiting) {
             self.happen(event);
         }
     }
@@ -675,7 +605,7 @@
     }
 
     fn reply(&mut self, back: Back, answer: Option<u64>) {
-        if self.nodes[back.node].life != back.life {
+        if self.nodes[back.node].host.life != back.life {
             return;
         }
         let mut deeds = Vec::new();
