--- a/crates/sandgap-rig/src/fleet/site.rs
+++ b/crates/sandgap-rig/src/fleet/site.rs
@@ -12,6 +12,7 @@
 
 use super::net::Net;
 use super::plan::Size;
+use crate::proxy::cpu_ns;
 
 /// Classes of the fleet: safe, keyed and unsafe.
 pub const CLASSES: [&str; 3] = ["page", "book", "submit"];
@@ -136,9 +137,7 @@
     /// Processor time that a proxy has used so far, µs.
     pub fn cpu_us(&self, n: usize) -> f64 {
         let children = self.children.borrow();
-        let Some(child) = &children[n] else { return 0.0 };
-        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", child.id())).unwrap_or_default();
-        text.split(' ').next().and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0) / 1e3
+        children[n].as_ref().map_or(0.0, cpu_ns) / 1e3
     }
 
     /// Starts a proxy.
--- a/crates/sandgap-rig/src/proxy.rs
+++ b/crates/sandgap-rig/src/proxy.rs
@@ -223,10 +223,7 @@
     /// Processor time of its process so far, ms: user and system together.
     pub fn cpu_ms(&self) -> f64 {
         let child = self.child.borrow();
-        let Some(child) = child.as_ref() else { return 0.0 };
-        let path = format!("/proc/{}/schedstat", child.id());
-        let text = std::fs::read_to_string(path).unwrap_or_default();
-        text.split(' ').next().and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0) / 1e6
+        child.as_ref().map_or(0.0, cpu_ns) / 1e6
     }
 
     /// Peak of its resident memory, KiB.
@@ -245,3 +242,9 @@
         self.kill();
     }
 }
+
+/// Processor time of a process so far, ns: user and system together (proc(5), schedstat).
+pub fn cpu_ns(child: &std::process::Child) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/schedstat", child.id())).unwrap_or_default();
+    text.split(' ').next().and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0)
+}
