--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -186,6 +186,10 @@
     lines: Arc<Mutex<Vec<String>>>,
     pub asked: Seen,
     hushed: Arc<AtomicUsize>,
+    /// So many watches, the first ones, stay open and say nothing more.
+    frozen: Arc<AtomicUsize>,
+    /// Calls that have ended.
+    pub ended: Arc<AtomicUsize>,
     _stop: Sender<()>,
 }
 
@@ -197,16 +201,19 @@
         let (stop, stopped) = channel();
         let stopped = Arc::new(Mutex::new(stopped));
         let (told, heard) = (lines.clone(), asked.clone());
-        let hushed = Arc::<AtomicUsize>::default();
-        let quiet = hushed.clone();
+        let [hushed, frozen, ended] = std::array::from_fn(|_| Arc::<AtomicUsize>::default());
+        let (quiet, still, over) = (hushed.clone(), frozen.clone(), ended.clone());
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (told, heard, stopped) = (told.clone(), heard.clone(), stopped.clone());
-                let quiet = quiet.clone();
-                thread::spawn(move || watch(stream.expect("a connection"), &told, &heard, &stopped, &quiet));
+                let (quiet, still, over) = (quiet.clone(), still.clone(), over.clone());
+                thread::spawn(move || {
+                    watch(stream.expect("a connection"), &told, &heard, &stopped, &quiet, &still);
+                    over.fetch_add(1, Ordering::SeqCst);
+                });
             }
         });
-        Discovery { address, lines, asked, hushed, _stop: stop }
+        Discovery { address, lines, asked, hushed, frozen, ended, _stop: stop }
     }
 
     /// Watches that are opened from now on get no answer.
@@ -214,6 +221,21 @@
         self.hushed.store(1, Ordering::SeqCst);
     }
 
+    /// Whoever asks from now on is answered; those that asked before never are.
+    pub fn speak(&self) {
+        self.hushed.store(0, Ordering::SeqCst);
+    }
+
+    /// All watches that are open now, and so many that come next, stay open and say nothing more.
+    pub fn freeze(&self, next: usize) {
+        self.frozen.store(self.calls() + next, Ordering::SeqCst);
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> usize {
+        self.asked.lock().expect("no panic").len()
+    }
+
     pub fn say(&self, line: &str) {
         self.lines.lock().expect("no panic").push(line.to_owned());
     }
@@ -221,25 +243,40 @@
 
 fn watch(
     mut stream: TcpStream, lines: &Mutex<Vec<String>>, asked: &Seen, stop: &Mutex<Receiver<()>>,
-    hushed: &AtomicUsize,
+    hushed: &AtomicUsize, frozen: &AtomicUsize,
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
     let Some(request) = read_message(&mut reader) else { return };
-    // A watch that resumes gets only what is said from now on.
-    let resumes = request.first.contains("after=");
-    asked.lock().expect("no panic").push(request);
+    // A watch that resumes gets what has been said since that version; what can't be read has none.
+    let after = request.first.split_once("after=").map(|(_, rest)| rest.split(' ').next().unwrap_or(rest));
+    let after: Option<u64> = after.and_then(|n| n.parse().ok());
+    let mut all = asked.lock().expect("no panic");
+    let number = all.len();
+    all.push(request);
+    drop(all);
     if hushed.load(Ordering::SeqCst) == 1 {
         let _ = stream.read(&mut [0; 1]); // until the proxy gives it up
         return;
     }
-    let mut sent = if resumes { lines.lock().expect("no panic").len() } else { 0 };
+    let seq = |line: &String| serde_json::from_str::<serde_json::Value>(line).ok()?["seq"].as_u64();
+    let mut sent = match after {
+        Some(after) => {
+            let lines = lines.lock().expect("no panic");
+            lines.iter().position(|l| seq(l).is_some_and(|s| s > after)).unwrap_or(lines.len())
+        }
+        None => 0,
+    };
     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     let mut silence = 0;
     loop {
-        let fresh: Vec<String> = lines.lock().expect("no panic")[sent..].to_vec();
+        let still = number < frozen.load(Ordering::SeqCst);
+        let fresh = match still {
+            true => Vec::new(),
+            false => lines.lock().expect("no panic")[sent..].to_vec(),
+        };
         sent += fresh.len();
         silence = if fresh.is_empty() { silence + 1 } else { 0 };
-        let beat = if silence % 100 == 99 { "\n" } else { "" };
+        let beat = if silence % 100 == 99 && !still { "\n" } else { "" };
         let text = fresh.iter().map(|l| format!("{l}\n")).collect::<String>() + beat;
         if !text.is_empty() && write!(stream, "{:x}\r\n{text}\r\n", text.len()).is_err() {
             return;
