--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -3,17 +3,18 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use sandgap_fleet::Time;
 
-use crate::follower::{Follower, Span, Step, Taking};
-use crate::limits::{HOLD, RELAYED};
+use crate::follower::{Follower, Step, Taking};
+use crate::limits::RELAYED;
 use crate::lives::{Enrolled, Epoch, Life, drawn};
 use crate::log::{Damaged, Saved, Write};
 use crate::machine::Proposal;
+use crate::rider::{Riders, Tag};
 use crate::rulebook::{Rulebook, Version};
 use crate::tenure::{Holder, Turn};
+use crate::terms::Terms;
 use crate::voter::{Action, Voter};
 use crate::words::{Ask, Grant, Seating, Standing, Word};
 
@@ -24,34 +25,6 @@
 /// After so many questions in a row without an answer, others are asked to pass them on as well.
 const ALONE: u32 = 2;
 
-/// What the installation states.
-#[derive(Clone, Copy, Debug)]
-pub struct Terms {
-    /// The stated time, and the drift of clocks.
-    pub span: Span,
-    /// Between two looks of a voter.
-    pub tick: Duration,
-    /// Contradicting versions are kept apart by waiting until old leases have ended, instead of letting them overlap
-    /// for T at the most.
-    pub apart: bool,
-    /// See [`HOLD`].
-    pub hold: Duration,
-}
-
-impl Terms {
-    /// Terms for a stated time: the voters' pace follows it, so that a lost leader is followed by another within
-    /// half of it, and leases do not lapse meanwhile.
-    pub fn new(span: Span, apart: bool) -> Self {
-        Terms { span, tick: (span.bound / 50).max(Duration::from_millis(5)), apart, hold: HOLD }
-    }
-
-    /// A proxy that has not been heard of for so long holds no lease: T, and as much again as a question may be on
-    /// its way.
-    pub fn live(&self) -> Duration {
-        self.span.drift.at_least(self.span.bound) + self.span.bound / 2
-    }
-}
-
 /// What is to be done.
 #[derive(Debug, PartialEq)]
 pub enum Output {
@@ -65,6 +38,8 @@
     Act(Version, Rc<Rulebook>),
     /// This process's place among the lives, or who is enrolled, has changed.
     Turn(Turn),
+    /// A rider of the log says this to the proxy, with a lease.
+    Told(Tag, Vec<u8>),
     /// For the log.
     Note(String),
 }
@@ -126,8 +101,10 @@
     ///
     /// # Errors
     /// Where what the disk had is damaged.
-    pub fn vote(&mut self, now: Time, saved: &Saved, address: SocketAddr) -> Result<(), Damaged> {
-        self.voter = Some(Voter::new(now, &self.name, self.terms, saved, self.draw)?);
+    pub fn vote(
+        &mut self, now: Time, saved: &Saved, riders: Riders, address: SocketAddr,
+    ) -> Result<(), Damaged> {
+        self.voter = Some(Voter::new(now, &self.name, self.terms, saved, riders, self.draw)?);
         self.rebuild = saved.snapshot.is_none().then_some((address, now));
         Ok(())
     }
@@ -183,6 +160,11 @@
         }
     }
 
+    /// What a rider of the log is told with each question from now on.
+    pub fn tell(&mut self, tag: Tag, bytes: Vec<u8>) {
+        self.follower.tell(tag, bytes);
+    }
+
     /// Counts a request that was refused for the want of a lease.
     pub fn count_refused(&mut self) {
         self.follower.count_refused();
@@ -340,7 +322,19 @@
                 self.next_ask = now;
                 self.fire(now);
             }
+            Word::Put(number, tag, entry) => {
+                let is_voter = self.voter.is_some();
+                self.with_voter(|v, out| v.put(now, from, number, tag, entry, out));
+                if !is_voter {
+                    let why = format!("'{}' is no voter", self.name);
+                    self.say(from.to_owned(), None, Word::Unput(number, why));
+                }
+            }
+            Word::Look(number, tag, question) => {
+                self.with_voter(|v, out| v.look(now, from, number, tag, &question, out));
+            }
             // Answers to those that call by hand; a proxy asks none of these.
+            Word::Came(..) | Word::Unput(..) | Word::Seen(..) => {}
             Word::Published(..) | Word::Unpublished(..) | Word::Status(..) | Word::Seated(..) => {}
         }
     }
@@ -398,6 +392,7 @@
         let mut turns = Vec::new();
         let steps = self.follower.granted(now, &grant, &mut turns);
         self.turned(now, turns);
+        self.out.extend(grant.told.iter().map(|(tag, bytes)| Output::Told(*tag, bytes.clone())));
         if let Some(since) = self.follower.holder().and_then(Holder::wants_roll) {
             self.say(from.to_owned(), None, Word::FetchRoll(since));
         }
--- a/crates/sandgap-agree/src/follower.rs
+++ b/crates/sandgap-agree/src/follower.rs
@@ -8,27 +8,20 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
+use sandgap_fleet::Time;
 use sandgap_fleet::lease::{Asker, Lease, Right};
-use sandgap_fleet::{Drift, Time};
 
+use crate::limits::{RIDERS, TOLD};
+use crate::rider::{Tag, Told};
 use crate::rulebook::{Digest, Rulebook, Version, digest};
 use crate::tenure::{Holder, Turn};
+use crate::terms::Span;
 use crate::words::{Grant, Report, Standing};
 
 /// Versions of which the book is held: the one acted on, the one in force, the one put forward, and one that was.
 const HELD: usize = 4;
 
-/// What the stated time asks of a proxy.
-#[derive(Clone, Copy, Debug)]
-pub struct Span {
-    /// T: contradicting rules are acted on together for no longer than this, in true time.
-    pub bound: Duration,
-    /// How far a clock may drift.
-    pub drift: Drift,
-}
-
 /// A rulebook that this proxy has, and whether it can use it.
 #[derive(Clone, Debug)]
 struct Held {
@@ -79,6 +72,8 @@
     refused: u64,
     /// Its place among the lives, where it wants one.
     holder: Option<Holder>,
+    /// What it says to riders of the log with each question.
+    telling: Told,
 }
 
 impl Follower {
@@ -96,6 +91,15 @@
             looked: None,
             refused: 0,
             holder: None,
+            telling: Told::new(),
+        }
+    }
+
+    /// What a rider of the log is told with each question from now on; empty for nothing.
+    pub fn tell(&mut self, tag: Tag, bytes: Vec<u8>) {
+        self.telling.retain(|(t, _)| *t != tag);
+        if !bytes.is_empty() && bytes.len() <= TOLD && self.telling.len() < RIDERS {
+            self.telling.push((tag, bytes));
         }
     }
 
@@ -120,8 +124,8 @@
         let lease_ms = u32::try_from(self.lease.left(now).as_millis()).unwrap_or(u32::MAX);
         let looked = self.looked.clone();
         let draw = self.holder.as_ref().map_or(0, Holder::draw);
-        let report =
-            Report { serial: number, acting: self.acting, looked, lease_ms, refused: self.refused, draw };
+        let (acting, refused, told) = (self.acting, self.refused, self.telling.clone());
+        let report = Report { serial: number, acting, looked, lease_ms, refused, draw, told };
         (number, report)
     }
 
@@ -291,6 +295,10 @@
 
 #[cfg(test)]
 mod tests {
+    use std::time::Duration;
+
+    use sandgap_fleet::Drift;
+
     use super::*;
     use crate::rulebook::example;
 
@@ -318,7 +326,7 @@
 
     fn grant(f: &mut Follower, asked: u64, now: u64, standing: Standing) -> Vec<Step> {
         let (number, _) = f.ask(ms(asked));
-        let grant = Grant { number, origin: None, standing, voters: Vec::new(), tenure: None };
+        let grant = Grant { number, origin: None, standing, voters: Vec::new(), tenure: None, told: vec![] };
         f.granted(ms(now), &grant, &mut Vec::new())
     }
 
--- a/crates/sandgap-agree/src/lib.rs
+++ b/crates/sandgap-agree/src/lib.rs
@@ -12,12 +12,16 @@
 pub mod lives;
 pub mod log;
 pub mod machine;
+pub mod rider;
 pub mod rulebook;
 pub mod store;
 pub mod tenure;
+pub mod terms;
 pub mod voter;
 pub mod words;
 
-pub use agent::{Agent, Output, Terms};
+pub use agent::{Agent, Output};
 pub use contradict::{Contradiction, contradicts};
+pub use rider::{Rider, Tag};
 pub use rulebook::{Digest, Rulebook, Version};
+pub use terms::{Span, Terms};
--- a/crates/sandgap-agree/src/limits.rs
+++ b/crates/sandgap-agree/src/limits.rs
@@ -26,6 +26,12 @@
 pub const PUBLISHERS: usize = 64;
 /// Bytes of a reason, a note or who published.
 pub const TEXT: usize = 400;
+/// Bytes that a rider says to a proxy with a lease, or a proxy to it with a question: some kB for each of hundreds.
+pub const TOLD: usize = 16 << 10;
+/// Bytes of a rider's entry or question: a plan for a few hundred targets.
+pub const ENTRY: usize = 64 << 10;
+/// Riders that a proxy says something to.
+pub const RIDERS: usize = 8;
 /// Questions that are passed on for others at once.
 pub const RELAYED: usize = 256;
 /// Writes that wait for the disk. A voter with more has a disk that stalls, and steps down.
--- a/crates/sandgap-agree/src/lives.rs
+++ b/crates/sandgap-agree/src/lives.rs
@@ -11,8 +11,8 @@
 use sandgap_fleet::Time;
 use serde::{Deserialize, Serialize};
 
-use crate::follower::Span;
 use crate::limits::{ESTATES, MEMBERS, cut};
+use crate::terms::Span;
 
 /// The number of a process: given by the log in the order of enrolment, never twice.
 pub type Life = u64;
--- a/crates/sandgap-agree/src/log.rs
+++ b/crates/sandgap-agree/src/log.rs
@@ -8,7 +8,8 @@
 use raft::{GetEntriesContext, RaftState, Storage, StorageError};
 
 use crate::limits::LAG;
-use crate::machine::{Machine, Seat};
+use crate::machine::{Entry as Agreed, Machine, Seat};
+use crate::rider::{Riders, Told, Unreadable};
 
 /// Room between what one voter has and whatever a lost majority may have agreed on beyond it.
 const GAP: u64 = 1_000_000;
@@ -43,13 +44,40 @@
 
 /// Why what a disk had can't be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the voter's store is damaged: {0}")]
-pub struct Damaged(pub &'static str);
+pub enum Damaged {
+    /// It is not what was written.
+    #[error("the voter's store is damaged: {0}")]
+    Broken(&'static str),
+    /// It was written by another build of the program.
+    #[error("the voter's store: {0}")]
+    Foreign(#[from] Unreadable),
+    /// It was written by a later build of the program.
+    #[error(
+        "the voter's store has form {0}, and this build of sandgap reads up to {FORM}: start the later build"
+    )]
+    Later(u8),
+}
+
+/// What a log has built: rules and lives, and the states of the machines that it carries.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Image {
+    /// Rules, voters and lives.
+    pub machine: Machine,
+    /// The others, by tag.
+    pub parts: Told,
+}
+
+/// What a snapshot's bytes begin with, but for those of the form before there were any: no number of that form begins
+/// so.
+const MARK: [u8; 10] = [0xff; 10];
+/// The form of snapshots that this build writes, and the latest that it reads.
+const FORM: u8 = 1;
 
 impl Saved {
     /// What each voter's disk has at the founding of a fleet: its seat, and who the voters are.
     pub fn founding(seat: u64, seats: &BTreeMap<u64, Seat>) -> Self {
-        let snapshot = snapshot_of(&Machine::new(seats.clone()), 1, 1, conf(seats));
+        let image = Image { machine: Machine::new(seats.clone()), parts: Told::new() };
+        let snapshot = snapshot_of(&image, 1, 1, conf(seats));
         Saved { seat, snapshot: Some((1, encoded(&snapshot))), ..Saved::default() }
     }
 
@@ -64,22 +92,28 @@
     ///
     /// # Errors
     /// Where the store is damaged, or has no seat among the voters.
-    pub fn alone(&self) -> Result<Saved, Damaged> {
-        let (log, mut machine) = Log::load(self)?;
-        let seat =
-            machine.seats.get(&self.seat).cloned().ok_or(Damaged("it has no seat among the voters"))?;
+    pub fn alone(&self, mut riders: Riders) -> Result<Saved, Damaged> {
+        let (log, image) = Log::load(self)?;
+        riders.restore(&image.parts)?;
+        let mut machine = image.machine;
+        let seated = machine.seats.get(&self.seat).cloned();
+        let seat = seated.ok_or(Damaged::Broken("it has no seat among the voters"))?;
         let from = self.snapshot.as_ref().map_or(0, |(index, _)| *index);
         // What stands at the end may have been agreed on by others that are lost: it counts.
         for entry in log.entries.iter().filter(|e| e.index > from) {
-            if let Ok(entry) = postcard::from_bytes(entry.get_data()) {
-                machine.apply(entry);
+            match postcard::from_bytes(entry.get_data()) {
+                Ok(Agreed::Rider(tag, entry)) => drop(riders.apply(tag, &entry)?),
+                Ok(entry) => drop(machine.apply(entry)),
+                Err(_) => {} // a leader's first one, or a change of seats
             }
         }
         machine.seats = BTreeMap::from([(self.seat, seat)]);
         machine.skip(GAP);
+        riders.skip(GAP);
         let term = log.entries.back().map_or(log.before.1, |e| e.term).max(log.hard.term);
         let (index, term) = (log.last() + GAP, term + GAP);
-        let snapshot = snapshot_of(&machine, index, term, conf(&machine.seats));
+        let conf = conf(&machine.seats);
+        let snapshot = snapshot_of(&Image { machine, parts: riders.snapshot() }, index, term, conf);
         Ok(Saved { seat: self.seat, snapshot: Some((index, encoded(&snapshot))), ..Saved::default() })
     }
 
@@ -118,9 +152,11 @@
     M::parse_from_bytes(bytes).ok()
 }
 
-pub(crate) fn snapshot_of(machine: &Machine, index: u64, term: u64, conf: ConfState) -> Snapshot {
+pub(crate) fn snapshot_of(image: &Image, index: u64, term: u64, conf: ConfState) -> Snapshot {
+    let mut data = [&MARK[..], &[FORM]].concat();
+    data.extend(postcard::to_stdvec(&(&image.machine, &image.parts)).unwrap_or_default());
     let mut snapshot = Snapshot::default();
-    snapshot.set_data(postcard::to_stdvec(machine).unwrap_or_default().into());
+    snapshot.set_data(data.into());
     let meta = snapshot.mut_metadata();
     meta.index = index;
     meta.term = term;
@@ -128,11 +164,21 @@
     snapshot
 }
 
-/// The machine in a snapshot.
-pub(crate) fn machine_in(snapshot: &Snapshot) -> Option<Machine> {
-    match postcard::take_from_bytes(snapshot.get_data()) {
-        Ok((machine, [])) => Some(machine),
-        _ => None,
+/// What is in a snapshot. One of the form before there were forms is read as what it was: rules and lives alone.
+pub(crate) fn image_in(snapshot: &Snapshot) -> Result<Image, Damaged> {
+    let data = snapshot.get_data();
+    let broken = Damaged::Broken("the snapshot's contents");
+    match data.strip_prefix(&MARK).map(<[u8]>::split_first) {
+        Some(Some((&FORM, rest))) => match postcard::take_from_bytes(rest) {
+            Ok(((machine, parts), [])) => Ok(Image { machine, parts }),
+            _ => Err(broken),
+        },
+        Some(Some((form, _))) if *form > FORM => Err(Damaged::Later(*form)),
+        Some(_) => Err(broken),
+        None => match postcard::take_from_bytes(data) {
+            Ok((machine, [])) => Ok(Image { machine, parts: Told::new() }),
+            _ => Err(broken),
+        },
     }
 }
 
@@ -148,16 +194,16 @@
 
 impl Log {
     /// The log that a disk had, and the machine of its snapshot.
-    pub fn load(saved: &Saved) -> Result<(Self, Machine), Damaged> {
+    pub fn load(saved: &Saved) -> Result<(Self, Image), Damaged> {
         let hard = match &saved.hard {
-            Some(bytes) => decoded(bytes).ok_or(Damaged("term and vote"))?,
+            Some(bytes) => decoded(bytes).ok_or(Damaged::Broken("term and vote"))?,
             None => HardState::default(),
         };
-        let (snapshot, machine) = match &saved.snapshot {
+        let (snapshot, image) = match &saved.snapshot {
             Some((_, bytes)) => {
-                let snapshot: Snapshot = decoded(bytes).ok_or(Damaged("the snapshot"))?;
-                let machine = machine_in(&snapshot).ok_or(Damaged("the snapshot's contents"))?;
-                (snapshot, machine)
+                let snapshot: Snapshot = decoded(bytes).ok_or(Damaged::Broken("the snapshot"))?;
+                let image = image_in(&snapshot)?;
+                (snapshot, image)
             }
             None => Default::default(),
         };
@@ -171,15 +217,15 @@
             snapshot: snapshot.clone(),
         };
         for (index, bytes) in &saved.entries {
-            let entry: Entry = decoded(bytes).ok_or(Damaged("an entry"))?;
+            let entry: Entry = decoded(bytes).ok_or(Damaged::Broken("an entry"))?;
             if entry.index != *index {
-                return Err(Damaged("an entry's number"));
+                return Err(Damaged::Broken("an entry's number"));
             }
             match log.entries.back().map(|e| e.index) {
                 None if *index <= at.0 => log.before = (index - 1, 0), // entries kept for those that lag
                 None if *index == at.0 + 1 => {}
                 Some(last) if last + 1 == *index => {}
-                _ => return Err(Damaged("a gap between entries")),
+                _ => return Err(Damaged::Broken("a gap between entries")),
             }
             log.entries.push_back(entry);
         }
@@ -190,9 +236,9 @@
         log.hard.commit = log.hard.commit.max(at.0);
         log.hard.term = log.hard.term.max(at.1);
         if log.hard.commit > log.last() {
-            return Err(Damaged("entries that were acknowledged are missing"));
+            return Err(Damaged::Broken("entries that were acknowledged are missing"));
         }
-        Ok((log, machine))
+        Ok((log, image))
     }
 
     fn first(&self) -> u64 {
@@ -316,8 +362,8 @@
 
     #[test]
     fn a_founded_store_knows_the_voters() {
-        let (log, machine) = Log::load(&Saved::founding(2, &seats())).expect("good");
-        assert_eq!(machine.seats, seats());
+        let (log, image) = Log::load(&Saved::founding(2, &seats())).expect("good");
+        assert_eq!(image.machine.seats, seats());
         assert_eq!(log.conf().get_voters(), [1, 2, 3]);
         assert_eq!((log.first(), log.last()), (2, 1));
     }
@@ -337,11 +383,12 @@
     fn a_voter_left_alone_goes_on_from_what_it_has() {
         let mut saved = Saved::founding(2, &seats());
         saved.put(&Write { entries: vec![entry(2, 5), entry(3, 5)], ..Write::default() });
-        let (log, machine) = Log::load(&saved.alone().expect("sound")).expect("sound");
+        let alone = saved.alone(Riders::none()).expect("sound");
+        let (log, image) = Log::load(&alone).expect("sound");
         assert_eq!(log.conf().get_voters(), [2]);
-        assert_eq!(machine.seats.len(), 1);
+        assert_eq!(image.machine.seats.len(), 1);
         assert!(log.last() > 3 + GAP / 2 && log.term(log.last()).expect("there") > 5);
-        assert!(Saved::blank(9).alone().is_err());
+        assert!(Saved::blank(9).alone(Riders::none()).is_err());
     }
 
     #[test]
@@ -353,7 +400,10 @@
         assert!(Log::load(&saved).is_ok());
         let mut torn = saved.clone();
         torn.entries.pop();
-        assert_eq!(Log::load(&torn).err(), Some(Damaged("entries that were acknowledged are missing")));
+        assert_eq!(
+            Log::load(&torn).err(),
+            Some(Damaged::Broken("entries that were acknowledged are missing"))
+        );
         let mut swapped = saved.clone();
         swapped.entries[0].0 = 3;
         assert!(Log::load(&swapped).is_err());
@@ -361,12 +411,34 @@
         assert!(Log::load(&saved).is_err());
     }
 
+    #[test]
+    fn an_older_snapshot_is_read_and_a_later_one_refused_by_its_form() {
+        let machine = Machine::new(seats());
+        let mut saved = Saved::founding(1, &seats());
+        let mut with = |data: Vec<u8>| {
+            let mut snapshot = Snapshot::default();
+            snapshot.set_data(data.into());
+            snapshot.mut_metadata().index = 1;
+            snapshot.mut_metadata().set_conf_state(conf(&seats()));
+            saved.snapshot = Some((1, encoded(&snapshot)));
+            Log::load(&saved).map(|(_, image)| image)
+        };
+        let old = postcard::to_stdvec(&machine).expect("plain");
+        assert_eq!(with(old), Ok(Image { machine: machine.clone(), parts: vec![] }));
+        assert_eq!(with([&MARK[..], &[FORM + 1, 3, 4]].concat()), Err(Damaged::Later(FORM + 1)));
+        let parts = vec![(9, vec![1])];
+        let new = postcard::to_stdvec(&(&machine, &parts)).expect("plain");
+        let image = with([&MARK[..], &[FORM], &new].concat()).expect("of this form");
+        assert_eq!(image.parts, parts);
+        assert_eq!(Riders::none().restore(&image.parts), Err(Unreadable::Unknown(9)));
+    }
+
     #[test]
     fn a_cut_log_still_tells_terms_at_its_edge() {
         let mut saved = Saved::founding(1, &seats());
         saved.put(&Write { entries: (2..200).map(|i| entry(i, 1)).collect(), ..Write::default() });
-        let (mut log, machine) = Log::load(&saved).expect("good");
-        let went = log.compact(snapshot_of(&machine, 150, 1, log.conf().clone()));
+        let (mut log, image) = Log::load(&saved).expect("good");
+        let went = log.compact(snapshot_of(&image, 150, 1, log.conf().clone()));
         assert_eq!(went, 150 - LAG);
         assert_eq!(log.term(went).expect("the edge"), 1);
         assert!(log.term(went - 1).is_err());
--- a/crates/sandgap-agree/src/machine.rs
+++ b/crates/sandgap-agree/src/machine.rs
@@ -10,6 +10,7 @@
 use crate::contradict::contradicts;
 use crate::limits::{HISTORY, HISTORY_BYTES, cut};
 use crate::lives::{LifeEntry, Lives};
+use crate::rider::Tag;
 use crate::rulebook::{Digest, Rulebook, Version, digest};
 
 /// A voter's seat: who sits there. A voter that lost its disk gets a new seat, never its old one.
@@ -34,6 +35,8 @@
     Abandon(Version, Vec<(String, String)>),
     /// About processes and what they left.
     Life(LifeEntry),
+    /// Of a state machine that the log carries, see [`crate::rider`].
+    Rider(Tag, Vec<u8>),
 }
 
 /// A rulebook that somebody wants in force.
@@ -186,6 +189,7 @@
                 self.lives.apply(entry);
                 None
             }
+            Entry::Rider(..) => None, // its own machine's
             Entry::Abandon(version, why) => {
                 if self.pending == Some(version) {
                     (self.pending, self.closed) = (None, false);
--- a/crates/sandgap-agree/src/store.rs
+++ b/crates/sandgap-agree/src/store.rs
@@ -12,6 +12,7 @@
 use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, StorageError, TableDefinition};
 
 use crate::limits::WRITES;
+use crate::log::Damaged::{Broken, Foreign, Later};
 use crate::log::{Log, Saved, Write};
 
 const STATE: TableDefinition<&str, &[u8]> = TableDefinition::new("state");
@@ -106,8 +107,12 @@
             db.check_integrity().map_err(|e| e.to_string())?;
             let store = Store { db, path: path.to_owned() };
             let saved = store.read()?;
-            Log::load(&saved).map_err(|e| e.to_string())?;
-            Ok::<_, String>(Opened::Sound(store, saved))
+            match Log::load(&saved) {
+                Ok(_) => Ok::<_, String>(Opened::Sound(store, saved)),
+                Err(Broken(what)) => Err(Broken(what).to_string()),
+                // Another build's is no less sound for that: it is neither moved away nor begun anew.
+                Err(e @ (Foreign(_) | Later(_))) => Ok(Opened::Unavailable(e.to_string())),
+            }
         });
         match read {
             Ok(Ok(opened)) => opened,
--- a/crates/sandgap-agree/src/tenure.rs
+++ b/crates/sandgap-agree/src/tenure.rs
@@ -9,8 +9,8 @@
 use sandgap_fleet::Time;
 use sandgap_fleet::lease::{Lease, Right};
 
-use crate::follower::Span;
 use crate::lives::{Claim, Enrolled, Epoch, Life, LifeEntry, drawn};
+use crate::terms::Span;
 use crate::words::Tenure;
 
 /// Who is enrolled.
--- a/crates/sandgap-agree/src/voter.rs
+++ b/crates/sandgap-agree/src/voter/mod.rs
@@ -1,36 +1,39 @@
-//! A voter: the agreed log by the `raft` engine, which does no I/O, and what a leader does about versions.
+//! A voter: the agreed log by the `raft` engine, which does no I/O. [`lead`] is what a leader does about versions, lives
+//! and riders, [`rounds`] how questions are confirmed, [`seats`] who votes.
 //!
 //! Leases are given after a read-index round (Ongaro's thesis, section 6.4): a majority confirms, after the question
 //! came, that its leader led. No voter's clock counts for that. Pre-vote and check-quorum are on, so that a voter that
 //! comes back disturbs nobody and a leader cut off steps down. Nothing is told before the disk has it.
 
+mod lead;
+mod rounds;
+mod seats;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use raft::eraftpb::{
-    ConfChangeSingle, ConfChangeType, ConfChangeV2, EntryType, Message, MessageType, Snapshot,
-};
-use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole};
+use raft::eraftpb::{ConfChangeV2, EntryType, Message, MessageType, Snapshot};
+use raft::{Config, RawNode, StateRole};
 use sandgap_fleet::Time;
 
-use crate::agent::Terms;
-use crate::limits::{ASKS, LOG, MEMBERS, PUBLISHERS, REMEMBER, ROUNDS, WRITES};
+use crate::limits::{ASKS, ENTRY, LOG, MEMBERS, PUBLISHERS, WRITES};
 use crate::lives::{Life, LifeEntry, Watch};
-use crate::log::{Damaged, Log, Saved, Write, decoded, encoded, machine_in, snapshot_of};
-use crate::machine::{Entry, Machine, Proposal, Seat, Verdict};
-use crate::rulebook::Version;
-use crate::words::{Grant, Line, Report, Seating, Seen, Standing, Status, Tenure, Word};
+use crate::log::{Damaged, Image, Log, Saved, Write, decoded, encoded, image_in, snapshot_of};
+use crate::machine::{Entry, Machine, Proposal, Verdict};
+use crate::rider::{Known, Riders, Tag, View};
+use crate::rulebook::{Rulebook, Version};
+use crate::terms::Terms;
+use crate::words::{Line, Report, Seen, Standing, Status, Tenure, Word};
+use rounds::{Asked, Round};
+
+pub use seats::fresh_seat;
 
 /// Ticks without a leader until a vote is asked for; up to twice that, drawn.
 const ELECTION: usize = 10;
 /// Ticks between a leader's heartbeats.
 const HEARTBEAT: usize = 2;
-/// Ticks after which a snapshot counts as lost, if nothing was heard of the voter's having it.
-const SNAPSHOT: u64 = 3 * ELECTION as u64;
 /// Ticks after which a leader's word about a version is said again, if it has not taken effect.
 const AGAIN: u64 = 10;
-/// Processes of other voters whose rounds are remembered: each voter's last dozen.
-const LIVES: usize = 64;
 /// Bytes of entries in one message between voters; one larger entry still goes.
 const MESSAGE: u64 = 256 << 10;
 
@@ -47,29 +50,6 @@
     Note(String),
 }
 
-/// A question that waits for a majority's confirmation.
-#[derive(Clone, Debug)]
-struct Asked {
-    from: String,
-    origin: Option<String>,
-    number: u64,
-    draw: u64,
-}
-
-/// Questions under one confirmation.
-struct Round {
-    number: u64,
-    begun: Time,
-    /// The index that the leader had, once a majority has confirmed it.
-    index: Option<u64>,
-    asked: Vec<Asked>,
-}
-
-struct Known {
-    at: Time,
-    report: Report,
-}
-
 /// See the module.
 pub struct Voter {
     seat: u64,
@@ -111,6 +91,12 @@
     /// The tick at which something about a version was last proposed.
     proposed: u64,
     publishers: VecDeque<(u64, String)>,
+    /// State machines that the log carries.
+    riders: Riders,
+    /// What riders wanted in the log, and the tick at which it was last proposed.
+    wished: BTreeMap<(Tag, Vec<u8>), u64>,
+    /// Who put which entry of a rider forward, and under which number.
+    putters: VecDeque<(u64, Tag, Vec<u8>, String)>,
     /// Writes that the disk has not acknowledged.
     unwritten: VecDeque<(u64, Time)>,
     /// A message each that may go once a write is acknowledged.
@@ -134,19 +120,16 @@
     x ^ (x >> 31)
 }
 
-/// Whose round a context is, by seat and life, and its number.
-fn round_of(context: &[u8]) -> Option<((u64, u64), u64)> {
-    let mut parts = context.chunks_exact(8).filter_map(|c| c.try_into().ok().map(u64::from_le_bytes));
-    Some(((parts.next()?, parts.next()?), parts.next()?))
-}
-
 impl Voter {
     /// A voter that goes on from what its disk had. `seed` is drawn anew at each start.
     ///
     /// # Errors
     /// Where that is damaged: then this voter must not take part under its old seat.
-    pub fn new(now: Time, name: &str, terms: Terms, saved: &Saved, seed: u64) -> Result<Self, Damaged> {
-        let (log, machine) = Log::load(saved)?;
+    pub fn new(
+        now: Time, name: &str, terms: Terms, saved: &Saved, mut riders: Riders, seed: u64,
+    ) -> Result<Self, Damaged> {
+        let (log, Image { machine, parts }) = Log::load(saved)?;
+        riders.restore(&parts)?;
         let applied = saved.snapshot.as_ref().map_or(0, |(index, _)| *index);
         let config = Config {
             id: saved.seat,
@@ -160,7 +143,8 @@
             max_uncommitted_size: 8 << 20,
             ..Config::default()
         };
-        let node = RawNode::new(&config, log, &silent()).map_err(|_| Damaged("it does not fit together"))?;
+        let node =
+            RawNode::new(&config, log, &silent()).map_err(|_| Damaged::Broken("it does not fit together"))?;
         let mut voter = Voter {
             seat: saved.seat,
             name: name.to_owned(),
@@ -189,6 +173,9 @@
             closed: None,
             proposed: 0,
             publishers: VecDeque::new(),
+            riders,
+            wished: BTreeMap::new(),
+            putters: VecDeque::new(),
             unwritten: VecDeque::new(),
             held: VecDeque::new(),
             written: 0,
@@ -305,6 +292,7 @@
         self.give_up_snapshots();
         self.forget(now);
         self.decide(now);
+        self.lead_riders(now);
         self.report(out);
         self.settle(now, out);
     }
@@ -317,28 +305,11 @@
         self.watch.forget(now, self.machine.lives(), live);
         let ticks = self.ticks;
         self.life_proposed.retain(|_, at| ticks < *at + AGAIN);
+        self.wished.retain(|_, at| ticks < *at + AGAIN);
         let bound = self.terms.span.bound;
         self.rounds.retain(|round| !old(round.begun, bound));
     }
 
-    /// A snapshot whose answer was lost would keep its voter waiting for ever: the engine leaves that to its caller.
-    fn give_up_snapshots(&mut self) {
-        let prs = self.node.raft.prs();
-        let under_way = |id: u64| prs.get(id).is_some_and(|p| p.state == ProgressState::Snapshot);
-        self.snapshots.retain(|id, _| under_way(*id));
-        for (id, progress) in prs.iter() {
-            if progress.state == ProgressState::Snapshot {
-                self.snapshots.entry(*id).or_insert(self.ticks);
-            }
-        }
-        let lost: Vec<u64> =
-            self.snapshots.iter().filter(|(_, at)| self.ticks > **at + SNAPSHOT).map(|(id, _)| *id).collect();
-        for id in lost {
-            self.snapshots.remove(&id);
-            self.node.report_snapshot(id, SnapshotStatus::Failure);
-        }
-    }
-
     /// Passes reports on to the leader.
     fn report(&mut self, out: &mut Vec<Action>) {
         let Some(leader) = self.leader().filter(|l| *l != self.name) else { return };
@@ -368,24 +339,6 @@
         self.settle(now, out);
     }
 
-    /// Whether another voter's round comes here for the first time. One that came twice would stand in the engine's
-    /// queue behind rounds that began later, and old answers to it would confirm those as well.
-    fn is_new_round(&mut self, message: &Message) -> bool {
-        let context = message.get_entries().first().map(|e| e.get_data());
-        let Some((who, number)) = context.and_then(round_of) else { return false };
-        match self.rounds_heard.iter_mut().find(|(w, _)| *w == who) {
-            Some((_, last)) if number <= *last => return false,
-            Some((_, last)) => *last = number,
-            None => {
-                if self.rounds_heard.len() == LIVES {
-                    self.rounds_heard.pop_front();
-                }
-                self.rounds_heard.push_back((who, number));
-            }
-        }
-        true
-    }
-
     /// A question for a lease.
     pub fn ask(
         &mut self, now: Time, from: &str, origin: Option<String>, number: u64, report: Report,
@@ -419,19 +372,6 @@
         }
     }
 
-    fn reported(&mut self, now: Time, who: String, report: Report) {
-        self.watch.heard(now, report.draw);
-        // A report that was overtaken on the way must not unsay the later one; a new process's numbers begin anywhere,
-        // and are heard once the old one's are no longer fresh.
-        let overtaken = |k: &Known| report.serial < k.report.serial && now < k.at + self.terms.live() / 6;
-        if self.members.get(&who).is_some_and(overtaken) {
-            return;
-        }
-        if self.members.len() < MEMBERS || self.members.contains_key(&who) {
-            self.members.insert(who, Known { at: now, report });
-        }
-    }
-
     /// Puts a rulebook forward; its publisher hears what that came to.
     pub fn publish(&mut self, now: Time, from: &str, proposal: Proposal, out: &mut Vec<Action>) {
         let id = proposal.id;
@@ -450,102 +390,50 @@
         self.settle(now, out);
     }
 
-    fn propose(&mut self, entry: &Entry) -> bool {
-        let data = postcard::to_stdvec(entry).unwrap_or_default();
-        !self.halted && self.node.propose(Vec::new(), data).is_ok()
-    }
-
-    /// Another set of voters; empty for well, else why not.
-    pub fn seat_change(&mut self, now: Time, change: &Seating, out: &mut Vec<Action>) -> String {
-        if !self.leads() {
-            return match self.leader() {
-                Some(leader) => format!("'{leader}' leads: ask there"),
-                None => "nobody leads at present".into(),
-            };
-        }
-        let steps = match self.seating(change) {
-            Ok(steps) if steps.is_empty() => return String::new(),
-            Ok(steps) => steps,
-            Err(why) => return why,
+    /// Puts an entry of a rider forward for somebody; who did so hears what that came to.
+    pub fn put(
+        &mut self, now: Time, from: &str, number: u64, tag: Tag, entry: Vec<u8>, out: &mut Vec<Action>,
+    ) {
+        let admitted = match entry.len() <= ENTRY {
+            true => self.riders.admits(tag, &entry),
+            false => Err(format!("{} bytes; {ENTRY} at most: ask for less at once", entry.len())),
         };
-        if steps.iter().any(|(id, seat)| *id == self.seat && seat.is_none()) {
-            // The engine lets a leader that has been removed lead on, with nobody to follow it when it ends.
-            self.hand_over();
-            self.settle(now, out);
-            return "this voter leads, and hands the lead on before it goes: ask again".into();
-        }
-        let mut all = ConfChangeV2::default();
-        let mut seats = Vec::new();
-        for (id, seat) in steps {
-            let kind = if seat.is_some() { ConfChangeType::AddNode } else { ConfChangeType::RemoveNode };
-            let single = ConfChangeSingle { change_type: kind, node_id: id, ..Default::default() };
-            all.mut_changes().push(single);
-            seats.push((id, seat));
-        }
-        let context = postcard::to_stdvec(&seats).unwrap_or_default();
-        all.set_context(context.into());
-        let done = self.node.propose_conf_change(Vec::new(), all);
-        self.settle(now, out);
-        done.map_or_else(|e| format!("the voters can't change now: {e}"), |()| String::new())
-    }
-
-    /// The seats that a change fills or empties.
-    fn seating(&self, change: &Seating) -> Result<Vec<(u64, Option<Seat>)>, String> {
-        let of = |name: &str| self.machine.seats.iter().find(|(_, s)| s.name == name).map(|(id, _)| *id);
-        match change {
-            Seating::Add(name, _) if of(name).is_some() => Err(format!("'{name}' is a voter already")),
-            Seating::Add(name, address) => {
-                let seat = Seat { name: name.clone(), address: *address };
-                Ok(vec![(fresh_seat(name, self.applied), Some(seat))])
-            }
-            Seating::Remove(_) if self.machine.seats.len() == 1 => Err("this is the last voter".into()),
-            Seating::Remove(name) => {
-                of(name).map(|id| vec![(id, None)]).ok_or_else(|| format!("'{name}' is no voter"))
+        let put = admitted.and_then(|()| match self.propose(&Entry::Rider(tag, entry.clone())) {
+            true => Ok(()),
+            false => {
+                Err("no leader is known here at present: the voters have no majority, or are choosing".into())
             }
-            Seating::Rebuild { name, address, id } => match of(name) {
-                Some(old) if old == *id => Ok(Vec::new()),
-                Some(old) => {
-                    let seat = Seat { name: name.clone(), address: *address };
-                    Ok(vec![(*id, Some(seat)), (old, None)])
+        });
+        match put {
+            Ok(()) => {
+                if self.putters.len() == PUBLISHERS {
+                    self.putters.pop_front();
                 }
-                None => Err(format!("'{name}' is no voter")),
-            },
+                self.putters.push_back((number, tag, entry, from.to_owned()));
+            }
+            Err(why) => out.push(Action::Say(from.to_owned(), Word::Unput(number, why))),
         }
+        self.settle(now, out);
     }
 
-    /// What the leader does about the version put forward.
-    fn decide(&mut self, now: Time) {
-        if !self.leads() {
-            self.leading = None;
-            return;
-        }
-        let led = *self.leading.get_or_insert(now);
-        self.decide_lives(now, led);
-        let Some(version) = self.machine.pending() else { return };
-        // Who has not asked since this one leads may still be there: all that hold a lease have asked within its span.
-        if now < led + self.terms.live() || self.ticks < self.proposed + AGAIN && self.proposed > 0 {
-            return;
-        }
-        let Some(entry) = self.decision(now, version) else { return };
-        if self.propose(&entry) {
-            self.proposed = self.ticks;
-        }
+    /// A rider's answer to a question by hand, as far as this voter knows.
+    pub fn look(&self, now: Time, from: &str, number: u64, tag: Tag, question: &[u8], out: &mut Vec<Action>) {
+        let answer = self.riders.answer(tag, question, &self.view(now));
+        let word = match answer {
+            Some(answer) => Word::Seen(number, self.leads(), answer),
+            None => Word::Unput(number, format!("this build of sandgap knows no machine {tag}")),
+        };
+        out.push(Action::Say(from.to_owned(), word));
     }
 
-    /// What the leader does about lives. Each is said again only after a while.
-    fn decide_lives(&mut self, now: Time, led: Time) {
-        let due = self.watch.decide(now, led, self.machine.lives(), self.terms.span, REMEMBER);
-        for entry in due {
-            let (LifeEntry::Fence { life, .. } | LifeEntry::Claim { life, .. } | LifeEntry::Forget(life)) =
-                entry
-            else {
-                continue;
-            };
-            let again = self.life_proposed.get(&life).is_none_or(|at| self.ticks >= at + AGAIN);
-            if again && self.propose(&Entry::Life(entry)) {
-                self.life_proposed.insert(life, self.ticks);
-            }
-        }
+    fn view(&self, now: Time) -> View<'_> {
+        let led = self.leading.unwrap_or(now);
+        View { now, led, terms: &self.terms, machine: &self.machine, members: &self.members }
+    }
+
+    fn propose(&mut self, entry: &Entry) -> bool {
+        let data = postcard::to_stdvec(entry).unwrap_or_default();
+        !self.halted && self.node.propose(Vec::new(), data).is_ok()
     }
 
     /// A process's wish about its own life.
@@ -575,36 +463,6 @@
         Tenure { life, claims, roll: lives.roll() }
     }
 
-    fn decision(&self, now: Time, version: Version) -> Option<Entry> {
-        let live = self.members.iter().filter(|(_, k)| k.at + self.terms.live() >= now);
-        let (mut refused, mut missing) = (Vec::new(), Vec::new());
-        for (name, known) in live {
-            match &known.report.looked {
-                Some((looked, None)) if *looked == version => {}
-                Some((looked, Some(why))) if *looked == version => refused.push((name.clone(), why.clone())),
-                _ => missing.push((name.clone(), "has not said that it holds the version".to_owned())),
-            }
-        }
-        if !refused.is_empty() {
-            return Some(Entry::Abandon(version, refused));
-        }
-        if !missing.is_empty() {
-            let since = self.pending.filter(|(v, _)| *v == version).map_or(now, |(_, at)| at);
-            return (now >= since + self.terms.hold).then_some(Entry::Abandon(version, missing));
-        }
-        let apart = self.terms.apart && self.machine.version(version).is_some_and(|r| r.contradicts);
-        if !apart {
-            return Some(Entry::Switch(version));
-        }
-        if !self.machine.is_closed() {
-            return Some(Entry::Close(version));
-        }
-        // All leases asked for before the close have ended by then, on whichever clock.
-        let span = self.terms.span;
-        let closed = self.closed.filter(|(v, _)| *v == version)?.1;
-        (now > closed + span.drift.at_least(span.bound)).then_some(Entry::Switch(version))
-    }
-
     /// The disk has kept all up to a number.
     pub fn written(&mut self, now: Time, number: u64, out: &mut Vec<Action>) {
         if self.halted {
@@ -648,13 +506,6 @@
         self.answer(out);
     }
 
-    /// A leader that hears the last report decides at once instead of at its next tick.
-    fn decide_soon(&mut self, now: Time) {
-        if self.leads() && self.leading.is_some() {
-            self.decide(now);
-        }
-    }
-
     fn ready(&mut self, now: Time, out: &mut Vec<Action>) {
         let mut ready = self.node.ready();
         let number = ready.number();
@@ -699,11 +550,11 @@
     fn install(&mut self, snapshot: Snapshot, write: &mut Write, out: &mut Vec<Action>) {
         let meta = snapshot.get_metadata();
         let (index, term) = (meta.index, meta.term);
-        let Some(machine) = machine_in(&snapshot) else {
-            self.halted = true; // of another version of the program: nothing can be told on this ground
-            return out.push(Action::Note("a snapshot that can't be read; this voter takes no part".into()));
-        };
-        self.machine = machine;
+        let image = image_in(&snapshot).and_then(|i| Ok(self.riders.restore(&i.parts).map(|()| i)?));
+        match image {
+            Ok(image) => self.machine = image.machine,
+            Err(e) => return self.cannot_go_on(&e.to_string(), out),
+        }
         (self.applied, self.applied_term) = (index, term);
         write.snapshot = Some((index, encoded(&snapshot)));
         write.cut = Some(index);
@@ -748,14 +599,21 @@
     }
 
     fn apply_entry(&mut self, entry: &raft::eraftpb::Entry, out: &mut Vec<Action>) {
-        // A leader begins its term with an empty entry.
-        let Ok(entry) = postcard::from_bytes::<Entry>(entry.get_data()) else { return };
+        if entry.get_data().is_empty() {
+            return; // a leader begins its term so
+        }
+        let Ok(entry) = postcard::from_bytes::<Entry>(entry.get_data()) else {
+            return self
+                .cannot_go_on("an entry was written by a later build of sandgap: start that one", out);
+        };
         match &entry {
             // Its heir is to be named without a wait.
             Entry::Life(LifeEntry::Fence { life, .. }) => drop(self.life_proposed.remove(life)),
             Entry::Life(LifeEntry::Claim { life, heir, .. }) => self.tell_heir(*life, *heir, out),
+            Entry::Rider(tag, entry) => return self.apply_rider(*tag, entry, out),
             _ => {}
         }
+        let entry = self.barred(entry);
         let Some((id, verdict)) = self.machine.apply(entry) else { return };
         if let Some(at) = self.publishers.iter().position(|(n, _)| *n == id)
             && let Some((_, who)) = self.publishers.remove(at)
@@ -767,41 +625,46 @@
         }
     }
 
-    /// A leader lets an heir know at once; it would hear with its next question at any rate.
-    fn tell_heir(&mut self, life: Life, heir: Life, out: &mut Vec<Action>) {
-        let Some(heir) = self.machine.lives().enrolled().get(&heir).filter(|_| self.leads()) else { return };
-        out.push(Action::Note(format!("lives: '{}' is the heir to life {life}", heir.name)));
-        out.push(Action::Say(heir.name.clone(), Word::Heir));
+    /// A switch that a rider bars at this place in the log is none: the version is abandoned instead, with the reason.
+    fn barred(&self, entry: Entry) -> Entry {
+        let Entry::Switch(version) = entry else { return entry };
+        match self.bars(version) {
+            Some(why) => Entry::Abandon(version, vec![why]),
+            None => entry,
+        }
+    }
+
+    fn bars(&self, version: Version) -> Option<(String, String)> {
+        let book = |v| self.machine.version(v).and_then(|r| Rulebook::decode(r.book()).ok());
+        let (old, new) = (book(self.machine.standing())?, book(version)?);
+        let (tag, why) = self.riders.bars(&old, &new)?;
+        Some((format!("the fleet's log (machine {tag})"), why))
     }
 
-    fn apply_seats(&mut self, context: &[u8], change: &ConfChangeV2) {
-        let seats: Vec<(u64, Option<Seat>)> = postcard::from_bytes(context).unwrap_or_default();
-        for (id, seat) in seats {
-            match seat {
-                Some(seat) => drop(self.machine.seats.insert(id, seat)),
-                None => drop(self.machine.seats.remove(&id)),
+    fn apply_rider(&mut self, tag: Tag, entry: &[u8], out: &mut Vec<Action>) {
+        let came = match self.riders.apply(tag, entry) {
+            Ok(came) => came,
+            Err(e) => return self.cannot_go_on(&e.to_string(), out),
+        };
+        self.wished.remove(&(tag, entry.to_vec()));
+        let of = |(_, t, e, _): &(u64, Tag, Vec<u8>, String)| *t == tag && e == entry;
+        while let Some(at) = self.putters.iter().position(of) {
+            if let Some((number, _, _, who)) = self.putters.remove(at) {
+                out.push(Action::Say(who, Word::Came(number, came.clone())));
             }
         }
-        if let Ok(conf) = self.node.apply_conf_change(change) {
-            self.node.mut_store().set_conf(conf);
-        }
     }
 
-    /// Notes when what is under way was first seen here.
-    fn times(&mut self, now: Time) {
-        let pending = self.machine.pending();
-        if self.pending.map(|(v, _)| v) != pending {
-            self.pending = pending.map(|v| (v, now));
-        }
-        let closed = pending.filter(|_| self.machine.is_closed());
-        if self.closed.map(|(v, _)| v) != closed {
-            self.closed = closed.map(|v| (v, now));
-        }
+    /// What was agreed on can't be read here: nothing that this voter said from here on would be on the common ground.
+    fn cannot_go_on(&mut self, why: &str, out: &mut Vec<Action>) {
+        self.halted = true;
+        out.push(Action::Note(format!("{why}; until then this voter takes no part")));
     }
 
     fn compact(&mut self, now: Time, out: &mut Vec<Action>) {
         let conf = self.node.store().conf().clone();
-        let snapshot = snapshot_of(&self.machine, self.applied, self.applied_term, conf);
+        let image = Image { machine: self.machine.clone(), parts: self.riders.snapshot() };
+        let snapshot = snapshot_of(&image, self.applied, self.applied_term, conf);
         let bytes = encoded(&snapshot);
         let cut = self.node.mut_store().compact(snapshot);
         // It goes with the next number that the engine gives; the same disk keeps the order.
@@ -815,55 +678,6 @@
         }));
     }
 
-    fn begin_round(&mut self, now: Time) {
-        if self.waiting.is_empty() || self.rounds.len() >= ROUNDS || self.node.raft.leader_id == 0 {
-            return;
-        }
-        // One round at a time serves all that came meanwhile, unless it is lost.
-        if self.rounds.back().is_some_and(|r| r.index.is_none() && now < r.begun + self.terms.tick) {
-            return;
-        }
-        let number = self.next_round;
-        self.next_round += 1;
-        let asked = std::mem::take(&mut self.waiting);
-        self.rounds.push_back(Round { number, begun: now, index: None, asked });
-        let context = [self.seat, self.life, number].map(u64::to_le_bytes).concat();
-        self.node.read_index(context);
-    }
-
-    fn confirmed(&mut self, context: &[u8], index: u64) {
-        // An answer to the process before this one says nothing of questions that came to this one.
-        let Some(number) = round_of(context).filter(|(who, _)| *who == (self.seat, self.life)) else {
-            return;
-        };
-        let number = number.1;
-        let Some(at) = self.rounds.iter().position(|r| r.number == number) else { return };
-        // Rounds that began earlier asked earlier: what is confirmed for this one serves them as well.
-        for round in self.rounds.iter_mut().take(at + 1) {
-            round.index.get_or_insert(index);
-        }
-    }
-
-    /// Answers what has been confirmed, once this voter has applied as much as the leader had.
-    fn answer(&mut self, out: &mut Vec<Action>) {
-        let applied = self.applied;
-        let is_due = |r: &Round| r.index.is_some_and(|index| index <= applied);
-        if !self.rounds.iter().any(is_due) {
-            return;
-        }
-        let (standing, voters) = (self.standing(), self.voters());
-        let (due, rest): (VecDeque<Round>, VecDeque<Round>) =
-            std::mem::take(&mut self.rounds).into_iter().partition(is_due);
-        self.rounds = rest;
-        for asked in due.into_iter().flat_map(|r| r.asked) {
-            let Asked { from, origin, number, draw } = asked;
-            let tenure = (draw != 0).then(|| self.tenure(draw));
-            let (standing, voters) = (standing.clone(), voters.clone());
-            let grant = Grant { number, origin, standing, voters, tenure };
-            out.push(Action::Say(from, Word::Grant(grant)));
-        }
-    }
-
     /// Those that are told of news.
     pub fn clients(&self) -> impl Iterator<Item = &String> {
         self.clients.keys()
@@ -876,7 +690,7 @@
         let seen = |(name, known): (&String, &Known)| Seen {
             name: name.clone(),
             ago_ms: ago(known.at),
-            report: known.report.clone(),
+            report: Report { told: Vec::new(), ..known.report.clone() },
         };
         let line = |(version, r): (Version, &crate::machine::Record)| Line {
             version,
@@ -896,11 +710,3 @@
         }
     }
 }
-
-/// The number of a seat that was never given: the name and where the log stands decide it, so that a repeated wish
-/// is the same wish.
-pub fn fresh_seat(name: &str, index: u64) -> u64 {
-    let hash = blake3::hash(format!("{index} {name}").as_bytes());
-    let bytes: [u8; 8] = hash.as_bytes()[..8].try_into().expect("eight of thirty-two");
-    u64::from_le_bytes(bytes).max(1)
-}
--- a/crates/sandgap-agree/src/words.rs
+++ b/crates/sandgap-agree/src/words.rs
@@ -6,6 +6,7 @@
 
 use crate::lives::{Claim, Enrolled, Life, LifeEntry};
 use crate::machine::{Proposal, Verdict};
+use crate::rider::{Tag, Told};
 use crate::rulebook::{Digest, Version};
 
 /// What is in force and what is put forward, as a majority has it.
@@ -38,6 +39,8 @@
     pub refused: u64,
     /// The chance that its process drew, where it is or wants to be enrolled; else 0.
     pub draw: u64,
+    /// What it says to state machines that the log carries.
+    pub told: Told,
 }
 
 /// A question for a lease.
@@ -64,6 +67,8 @@
     pub voters: Vec<(String, SocketAddr)>,
     /// How the process that asked stands, where it told its draw.
     pub tenure: Option<Tenure>,
+    /// What state machines that the log carries say to the one that asked.
+    pub told: Told,
 }
 
 /// A process's place among the lives, at some moment after it asked.
@@ -181,6 +186,16 @@
     Roll(u64, Vec<(Life, Enrolled)>, Vec<(Life, Enrolled)>),
     /// To a proxy: it is the heir to something, and should ask.
     Heir,
+    /// Puts an entry of a rider forward, under a number that the answer bears.
+    Put(u64, Tag, Vec<u8>),
+    /// What that came to.
+    Came(u64, Vec<u8>),
+    /// It can't be put forward, and why.
+    Unput(u64, String),
+    /// Asks a rider something, under a number that the answer bears.
+    Look(u64, Tag, Vec<u8>),
+    /// Its answer, and whether the voter that gives it leads.
+    Seen(u64, bool, Vec<u8>),
 }
 
 impl Word {
--- a/crates/sandgap-lab/src/agree/host.rs
+++ b/crates/sandgap-lab/src/agree/host.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use sandgap_agree::log::{Damaged, Saved};
 use sandgap_agree::machine::Seat;
+use sandgap_agree::rider::Riders;
 use sandgap_agree::voter::fresh_seat;
 use sandgap_agree::{Agent, Terms};
 use sandgap_fleet::Time;
@@ -85,7 +86,7 @@
             self.disk = Some(Saved::blank(chance.max(1)));
         }
         let votes = match &self.disk {
-            Some(saved) => agent.vote(local, saved, self.address),
+            Some(saved) => agent.vote(local, saved, Riders::none(), self.address),
             None => Ok(()),
         };
         (agent, votes)
--- a/crates/sandgap-lab/src/agree/mod.rs
+++ b/crates/sandgap-lab/src/agree/mod.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 
 use rayon::prelude::*;
+use sandgap_agree::Span;
 use sandgap_agree::Terms;
-use sandgap_agree::follower::Span;
 use sandgap_fleet::Drift;
 
 use crate::calendar::{MS, Nanos, SECOND};
--- a/crates/sandgap-lab/src/agree/world.rs
+++ b/crates/sandgap-lab/src/agree/world.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use rand::RngExt;
-use sandgap_agree::follower::Span;
+use sandgap_agree::Span;
 use sandgap_agree::lives::{Claim, Epoch, Life};
 use sandgap_agree::log::Write;
 use sandgap_agree::machine::{Proposal, Verdict};
@@ -314,7 +314,7 @@
                 self.judge.content(version, name, &book);
             }
             Output::Turn(Turn::Heir(claim)) => self.heir(n, &claim),
-            Output::Turn(_) | Output::Note(_) => {}
+            Output::Turn(_) | Output::Told(..) | Output::Note(_) => {}
         }
     }
 
--- a/crates/sandgap-lab/src/takeover/world.rs
+++ b/crates/sandgap-lab/src/takeover/world.rs
@@ -336,7 +336,7 @@
                     process.hands.turn(local, turn);
                 }
             }
-            AgentOutput::Check(..) | AgentOutput::Act(..) | AgentOutput::Note(_) => {}
+            AgentOutput::Check(..) | AgentOutput::Act(..) | AgentOutput::Told(..) | AgentOutput::Note(_) => {}
         }
     }
 
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -24,6 +24,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::book;
+use super::riders;
 use super::shell::RULES;
 use crate::config::{Config, Fleet};
 use crate::{load, settings};
@@ -252,7 +253,7 @@
             return Err(Failed::Refused("nothing was changed".into()));
         }
     }
-    let alone = saved.alone().map_err(|e| Failed::Wrong(e.to_string()))?;
+    let alone = saved.alone(riders()).map_err(|e| Failed::Wrong(e.to_string()))?;
     let aside = Store::set_aside(path).map_err(|e| Failed::Wrong(e.to_string()))?;
     Store::create(path, &alone).map_err(|e| Failed::Wrong(e.to_string()))?;
     println!(
--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -14,6 +14,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use rustc_hash::FxHashSet;
 use rustix::time::{ClockId, clock_gettime};
+use sandgap_agree::rider::Riders;
 use sandgap_agree::rulebook::OnLapse;
 use sandgap_agree::{Agent, Rulebook, Version};
 use sandgap_fleet::Time;
@@ -38,6 +39,11 @@
     pub header: Option<(HeaderName, HeaderValue)>,
 }
 
+/// The state machines that the log carries beside rules and lives.
+pub fn riders() -> Riders {
+    Riders::none()
+}
+
 /// An agent that its shell drives and the front asks.
 pub type Shared = Rc<RefCell<Agent>>;
 
--- a/crates/sandgap/src/rules/shell.rs
+++ b/crates/sandgap/src/rules/shell.rs
@@ -21,7 +21,7 @@
 use tokio::time::sleep;
 use wharfhitch::{Scope, Settings};
 
-use super::{Rules, Shared, book, now};
+use super::{Rules, Shared, book, now, riders};
 use crate::config::Fleet;
 use crate::event::{Inbox, Input};
 use crate::front::Frontend;
@@ -161,7 +161,7 @@
         self.keeper = Some(keeper);
         let address = self.fleet.listen;
         let mut agent = self.agent.borrow_mut();
-        agent.vote(now(), &saved, address).map_err(|e| format!("{}: {e}", path.display()))
+        agent.vote(now(), &saved, riders(), address).map_err(|e| format!("{}: {e}", path.display()))
     }
 
     /// The version acted on before the start serves what may be served without a lease.
@@ -291,7 +291,7 @@
                     self.agent.borrow_mut().checked(now(), version, usable);
                 }
                 Output::Act(version, rules) => self.act(version, &rules),
-                Output::Turn(_) => {} // nothing here wants a life yet
+                Output::Turn(_) | Output::Told(..) => {} // nothing here wants a life yet
                 Output::Note(text) => note!("{text}"),
             }
         }
--- a/crates/sandgap/src/settings/fleet.rs
+++ b/crates/sandgap/src/settings/fleet.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hyper::header::HeaderName;
+use sandgap_agree::Span;
 use sandgap_agree::Terms;
-use sandgap_agree::follower::Span;
 use sandgap_fleet::Drift;
 use sandgap_fleet::frame::Key;
 use sandgap_fleet::limits::NAME;
