--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -11,7 +11,7 @@
 use crate::lives::{Enrolled, Epoch, Life, drawn};
 use crate::log::{Damaged, Saved, Write};
 use crate::machine::Proposal;
-use crate::rider::{Riders, Tag};
+use crate::rider::{Riders, Tag, Told};
 use crate::rulebook::{Rulebook, Version};
 use crate::tenure::{Holder, Turn};
 use crate::terms::Terms;
@@ -38,8 +38,8 @@
     Act(Version, Rc<Rulebook>),
     /// This process's place among the lives, or who is enrolled, has changed.
     Turn(Turn),
-    /// A rider of the log says this to the proxy, with a lease.
-    Told(Tag, Vec<u8>),
+    /// What riders of the log say to the proxy, with a lease.
+    Told(Told),
     /// For the log.
     Note(String),
 }
@@ -67,6 +67,8 @@
     /// Questions passed on since the last own one.
     relayed: usize,
     out: VecDeque<Output>,
+    /// What riders said last.
+    told: Told,
     /// A seat that this voter wants in place of its lost one.
     rebuild: Option<(SocketAddr, Time)>,
 }
@@ -92,6 +94,7 @@
             own: VecDeque::new(),
             relayed: 0,
             out: VecDeque::new(),
+            told: Told::new(),
             rebuild: None,
         }
     }
@@ -392,7 +395,10 @@
         let mut turns = Vec::new();
         let steps = self.follower.granted(now, &grant, &mut turns);
         self.turned(now, turns);
-        self.out.extend(grant.told.iter().map(|(tag, bytes)| Output::Told(*tag, bytes.clone())));
+        if grant.told != self.told {
+            self.told.clone_from(&grant.told);
+            self.out.push_back(Output::Told(grant.told));
+        }
         if let Some(since) = self.follower.holder().and_then(Holder::wants_roll) {
             self.say(from.to_owned(), None, Word::FetchRoll(since));
         }
--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -194,6 +194,16 @@
         self.endpoints.get(&backend).map(|e| e.address)
     }
 
+    /// Attempts at a backend that have not come to their end.
+    pub fn held_at(&self, backend: BackendId) -> u32 {
+        self.endpoints.get(&backend).map_or(0, |e| e.held())
+    }
+
+    /// The same at all that are on the list.
+    pub fn held_at_all(&self) -> u32 {
+        self.endpoints.values().map(|e| e.held()).sum()
+    }
+
     /// When something is due next. Last resorts of requests that have their answer by now are dropped here:
     /// nearly all do, and each would wake the process for nothing.
     pub fn next_due(&mut self) -> Option<Time> {
@@ -369,7 +379,8 @@
             let same = |e: &Rc<Endpoint>| e.address == address && e.born_ms == host.born_ms;
             if !self.endpoints.get(&id).is_some_and(same) {
                 self.numbered += 1;
-                let endpoint = Endpoint::new(self.numbered, address, host.born_ms);
+                let old = self.endpoints.get(&id).map(|e| &**e);
+                let endpoint = Endpoint::after(old, self.numbered, address, host.born_ms);
                 if let Some(old) = self.endpoints.insert(id, endpoint) {
                     shut(&old, &mut self.outside);
                 }
--- a/crates/sandgap-driver/src/endpoint.rs
+++ b/crates/sandgap-driver/src/endpoint.rs
@@ -34,12 +34,40 @@
     /// When it started, see [`Host::born_ms`].
     pub born_ms: f64,
     open: Cell<bool>,
+    /// Attempts at this backend, whichever of its processes they went to, that have not come to their end.
+    held: Rc<Cell<u32>>,
+}
+
+/// Counts an attempt until it is dropped.
+pub struct Holding(Rc<Cell<u32>>);
+
+impl Drop for Holding {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Endpoint {
     /// An endpoint that takes work.
     pub fn new(number: u64, address: SocketAddr, born_ms: f64) -> Rc<Self> {
-        Rc::new(Endpoint { number, address, born_ms, open: Cell::new(true) })
+        Endpoint::after(None, number, address, born_ms)
+    }
+
+    /// One that takes the place of another of the same backend.
+    pub fn after(old: Option<&Self>, number: u64, address: SocketAddr, born_ms: f64) -> Rc<Self> {
+        let held = old.map(|o| o.held.clone()).unwrap_or_default();
+        Rc::new(Endpoint { number, address, born_ms, open: Cell::new(true), held })
+    }
+
+    /// Counts an attempt that begins.
+    pub fn hold(&self) -> Holding {
+        self.held.set(self.held.get() + 1);
+        Holding(self.held.clone())
+    }
+
+    /// Attempts at this backend that have not come to their end.
+    pub fn held(&self) -> u32 {
+        self.held.get()
     }
 
     /// Whether something new may go there: it neither drains, nor is it gone or replaced.
--- a/crates/sandgap-driver/src/lib.rs
+++ b/crates/sandgap-driver/src/lib.rs
@@ -7,4 +7,4 @@
 mod endpoint;
 
 pub use crate::core::{Answer, Arrival, Attempt, Core, Decide, Outside, Time};
-pub use crate::endpoint::{Endpoint, Host};
+pub use crate::endpoint::{Endpoint, Holding, Host};
--- /dev/null
+++ b/crates/sandgap-rollout/src/bounds.rs
@@ -0,0 +1,351 @@
+//! How many may be out at once: nested bounds by scope, as a count, as a part, and by need.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::target::{Labels, Side, Target};
+
+/// Over what a bound counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Per {
+    /// The whole fleet.
+    Fleet,
+    /// Each zone by itself.
+    Zone,
+    /// Each cell by itself.
+    Cell,
+    /// Each kind of machine by itself.
+    Kind,
+}
+
+/// How many may be out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Most {
+    /// So many.
+    Count(u32),
+    /// So many in a thousand of those that are known, rounded down.
+    PerMille(u32),
+    /// What remains holds the load measured now, and so many thousandths of it more.
+    Need {
+        /// Beyond the load.
+        headroom: u32,
+        /// And does so without the zone that holds most.
+        zone_lost: bool,
+    },
+}
+
+/// One bound. All that are set hold together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Bound {
+    /// Of which processes.
+    pub side: Side,
+    /// Over what it counts.
+    pub per: Per,
+    /// How many.
+    pub most: Most,
+}
+
+impl fmt::Display for Bound {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let side = match self.side {
+            Side::Proxy => "proxies",
+            Side::Backend => "backends",
+        };
+        let per = match self.per {
+            Per::Fleet => "of the fleet",
+            Per::Zone => "of each zone",
+            Per::Cell => "of each cell",
+            Per::Kind => "of each kind",
+        };
+        match self.most {
+            Most::Count(n) => write!(f, "{n} {side} {per}"),
+            Most::PerMille(n) => write!(f, "{}% of the {side} {per}", f64::from(n) / 10.0),
+            Most::Need { headroom, zone_lost } => {
+                let lost = if zone_lost { " with the largest zone lost" } else { "" };
+                write!(
+                    f,
+                    "{side} beyond those that hold the load and {}% more{lost}",
+                    f64::from(headroom) / 10.0
+                )
+            }
+        }
+    }
+}
+
+/// What is wrong with a bound as it was written.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "'{0}' is no bound: write SIDE:PER:MOST, such as backend:zone:1, proxy:fleet:10% or backend:fleet:need:25%:zone-lost"
+)]
+pub struct NoBound(String);
+
+impl FromStr for Bound {
+    type Err = NoBound;
+
+    fn from_str(text: &str) -> Result<Self, NoBound> {
+        let read = || {
+            let mut parts = text.split(':');
+            let side = match parts.next()? {
+                "backend" => Side::Backend,
+                "proxy" => Side::Proxy,
+                _ => return None,
+            };
+            let per = match parts.next()? {
+                "fleet" => Per::Fleet,
+                "zone" => Per::Zone,
+                "cell" => Per::Cell,
+                "kind" => Per::Kind,
+                _ => return None,
+            };
+            let per_mille = |text: &str| -> Option<u32> {
+                let part: f64 = text.strip_suffix('%')?.parse().ok()?;
+                (0.0..=1000.0).contains(&part).then_some((part * 10.0).round() as u32)
+            };
+            let most = match parts.next()? {
+                // What all backends hold together is no matter of one scope.
+                "need" if side == Side::Backend && per == Per::Fleet => {
+                    let headroom = per_mille(parts.next()?)?;
+                    let zone_lost = match parts.next() {
+                        None => false,
+                        Some("zone-lost") => true,
+                        Some(_) => return None,
+                    };
+                    Most::Need { headroom, zone_lost }
+                }
+                part if part.ends_with('%') => Most::PerMille(per_mille(part)?),
+                count => Most::Count(count.parse().ok()?),
+            };
+            parts.next().is_none().then_some(Bound { side, per, most })
+        };
+        read().ok_or_else(|| NoBound(text.to_owned()))
+    }
+}
+
+/// What was measured when a permit was to be granted; in the entry, so that every voter finds the same. Requests held
+/// at once, in thousandths: a load that is measured in the same unit as what a backend can hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Requests that all proxies hold at backends.
+    pub load: u64,
+    /// What each backend is believed to hold, of all proxies.
+    pub holds: BTreeMap<String, u64>,
+}
+
+/// Why a bound stands against it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub enum Against {
+    /// Too many would be out.
+    #[error("{bound} may be out, and in {scope} {would} would be ({out}): wait until these are back")]
+    Full {
+        /// Which bound.
+        bound: String,
+        /// Where.
+        scope: String,
+        /// How many would be.
+        would: usize,
+        /// Who is out already.
+        out: String,
+    },
+    /// The set alone is larger than the bound.
+    #[error("{bound} may be out, and in {scope} this takes {asked} at once: ask for fewer at once")]
+    Never {
+        /// Which bound.
+        bound: String,
+        /// Where.
+        scope: String,
+        /// How many this takes.
+        asked: usize,
+    },
+    /// What remains would not hold the load.
+    #[error(
+        "what remains would hold {holds} requests at once, and {needs} are needed: wait for less load, or for backends that are out"
+    )]
+    Need {
+        /// What remains, in requests.
+        holds: u64,
+        /// What it has to hold.
+        needs: u64,
+    },
+    /// Nothing was measured.
+    #[error("nobody has measured what backends hold: wait until a voter has reported")]
+    Unmeasured,
+}
+
+/// Those that are out of a side, and all that are known, with labels.
+pub struct Fleet<'a> {
+    /// All that are known.
+    pub known: &'a BTreeMap<Target, Labels>,
+    /// Out by intent or by accident.
+    pub out: &'a BTreeSet<Target>,
+}
+
+fn scope(per: Per, labels: &Labels) -> String {
+    match per {
+        Per::Fleet => "the fleet".into(),
+        Per::Zone => labels.zone.as_ref().map_or("no zone".into(), |z| format!("zone {z}")),
+        Per::Cell => labels.cell.map_or("no cell".into(), |c| format!("cell {c}")),
+        Per::Kind => labels.kind.as_ref().map_or("no kind".into(), |k| format!("kind {k}")),
+    }
+}
+
+impl Fleet<'_> {
+    /// Whether a set may go out as well. Targets of it that are out already take no more room.
+    ///
+    /// # Errors
+    /// The first bound that stands against it.
+    pub fn may_go(
+        &self, set: &BTreeSet<Target>, bounds: &[Bound], evidence: Option<&Evidence>,
+    ) -> Result<(), Against> {
+        let new: BTreeSet<&Target> = set.iter().filter(|t| !self.out.contains(t)).collect();
+        for bound in bounds.iter().filter(|b| new.iter().any(|t| t.side == b.side)) {
+            match bound.most {
+                Most::Need { headroom, zone_lost } => {
+                    self.need(&new, evidence.ok_or(Against::Unmeasured)?, headroom, zone_lost)?;
+                }
+                Most::Count(_) | Most::PerMille(_) => self.count(&new, bound)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn count(&self, new: &BTreeSet<&Target>, bound: &Bound) -> Result<(), Against> {
+        let none = Labels::default();
+        let labels = |t: &Target| self.known.get(t).unwrap_or(&none);
+        let scopes: BTreeSet<String> =
+            new.iter().filter(|t| t.side == bound.side).map(|t| scope(bound.per, labels(t))).collect();
+        for place in scopes {
+            let here = |t: &&Target| t.side == bound.side && scope(bound.per, labels(t)) == place;
+            let all = self.known.keys().filter(here).count();
+            let most = match bound.most {
+                Most::Count(n) => n as usize,
+                Most::PerMille(n) => all * n as usize / 1000,
+                Most::Need { .. } => usize::MAX,
+            };
+            let asked = new.iter().copied().filter(here).count();
+            let out: Vec<&Target> = self.out.iter().filter(here).collect();
+            if asked > most {
+                return Err(Against::Never { bound: bound.to_string(), scope: place, asked });
+            }
+            let would = asked + out.len();
+            if would > most {
+                let names: Vec<String> = out.iter().take(5).map(ToString::to_string).collect();
+                let more = if out.len() > 5 { ", ..." } else { "" };
+                let out = format!("out: {}{more}", names.join(", "));
+                return Err(Against::Full { bound: bound.to_string(), scope: place, would, out });
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether backends that stay hold the load.
+    fn need(
+        &self, new: &BTreeSet<&Target>, evidence: &Evidence, headroom: u32, zone_lost: bool,
+    ) -> Result<(), Against> {
+        let stays = |t: &&Target| t.side == Side::Backend && !self.out.contains(*t) && !new.contains(*t);
+        let mut by_zone: BTreeMap<Option<&String>, u64> = BTreeMap::new();
+        for target in self.known.keys().filter(stays) {
+            let zone = self.known.get(target).and_then(|l| l.zone.as_ref());
+            *by_zone.entry(zone).or_default() += evidence.holds.get(&target.name).copied().unwrap_or(0);
+        }
+        let all: u64 = by_zone.values().sum();
+        let lost = by_zone.values().max().copied().filter(|_| zone_lost).unwrap_or(0);
+        let needs = evidence.load.saturating_mul(1000 + u64::from(headroom)) / 1000;
+        match all - lost >= needs {
+            true => Ok(()),
+            false => Err(Against::Need { holds: (all - lost) / 1000, needs: needs.div_ceil(1000) }),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fleet(per_zone: usize) -> BTreeMap<Target, Labels> {
+        let one = |n: usize| {
+            let zone = Some(["a", "b", "c"][n % 3].to_owned());
+            (Target::backend(&format!("b{n}")), Labels { zone, cell: Some(n as u64 / 2), kind: None })
+        };
+        (0..3 * per_zone).map(one).collect()
+    }
+
+    fn set(names: &[usize]) -> BTreeSet<Target> {
+        names.iter().map(|n| Target::backend(&format!("b{n}"))).collect()
+    }
+
+    fn bound(per: Per, most: Most) -> Bound {
+        Bound { side: Side::Backend, per, most }
+    }
+
+    #[test]
+    fn counts_and_parts_hold_in_each_scope_by_itself() {
+        let (known, out) = (fleet(4), set(&[0]));
+        let fleet = Fleet { known: &known, out: &out };
+        let zone = [bound(Per::Zone, Most::Count(1))];
+        assert!(fleet.may_go(&set(&[1]), &zone, None).is_ok(), "another zone");
+        let full = fleet.may_go(&set(&[3]), &zone, None).expect_err("the same zone");
+        assert!(full.to_string().contains("in zone a 2 would be (out: b0)"), "{full}");
+        assert!(fleet.may_go(&set(&[0]), &zone, None).is_ok(), "it is out already: nothing more goes");
+        let never = fleet.may_go(&set(&[1, 4]), &zone, None).expect_err("two of one zone");
+        assert!(matches!(never, Against::Never { asked: 2, .. }));
+        let quarter = [bound(Per::Fleet, Most::PerMille(250))];
+        assert!(fleet.may_go(&set(&[1, 2]), &quarter, None).is_ok(), "3 of 12");
+        assert!(fleet.may_go(&set(&[1, 2, 3]), &quarter, None).is_err());
+        assert!(
+            fleet.may_go(&set(&[1]), &[bound(Per::Fleet, Most::PerMille(80))], None).is_err(),
+            "0.96 of one"
+        );
+    }
+
+    #[test]
+    fn bounds_are_read_as_they_are_written_and_nothing_else_is() {
+        let read = |text: &str| text.parse::<Bound>().map(|b| b.most);
+        assert_eq!(read("backend:zone:1"), Ok(Most::Count(1)));
+        assert_eq!(read("proxy:fleet:2.5%"), Ok(Most::PerMille(25)));
+        assert_eq!(
+            read("backend:fleet:need:25%:zone-lost"),
+            Ok(Most::Need { headroom: 250, zone_lost: true })
+        );
+        for bad in [
+            "",
+            "backend",
+            "backend:zone",
+            "proxy:fleet:need:1%",
+            "backend:zone:need:1%",
+            "backend:zone:-1",
+            "backend:zone:1:2",
+            "disk:zone:1",
+            "backend:zone:101e9%",
+        ] {
+            assert!(read(bad).is_err(), "{bad}");
+        }
+    }
+
+    #[test]
+    fn bounds_of_one_side_say_nothing_of_the_other() {
+        let (known, out) = (fleet(2), BTreeSet::new());
+        let fleet = Fleet { known: &known, out: &out };
+        let none = [bound(Per::Fleet, Most::Count(0))];
+        assert!(fleet.may_go(&BTreeSet::from([Target::proxy("p1")]), &none, None).is_ok());
+        assert!(fleet.may_go(&set(&[1]), &none, None).is_err());
+    }
+
+    #[test]
+    fn what_remains_has_to_hold_the_load_also_with_a_zone_lost() {
+        let (known, out) = (fleet(2), set(&[5]));
+        let fleet = Fleet { known: &known, out: &out };
+        let holds: BTreeMap<String, u64> = (0..6).map(|n| (format!("b{n}"), 10_000)).collect();
+        let evidence = |load| Evidence { load, holds: holds.clone() };
+        let need = |zone_lost| [bound(Per::Fleet, Most::Need { headroom: 250, zone_lost })];
+        // Five are in; one more out leaves four that hold 40.
+        assert!(fleet.may_go(&set(&[0]), &need(false), Some(&evidence(32_000))).is_ok());
+        assert!(fleet.may_go(&set(&[0]), &need(false), Some(&evidence(32_001))).is_err());
+        // Of these the largest zone holds 20.
+        assert!(fleet.may_go(&set(&[0]), &need(true), Some(&evidence(16_000))).is_ok());
+        assert!(fleet.may_go(&set(&[0]), &need(true), Some(&evidence(16_100))).is_err());
+        assert_eq!(fleet.may_go(&set(&[0]), &need(false), None), Err(Against::Unmeasured));
+    }
+}
--- /dev/null
+++ b/crates/sandgap-rollout/src/carry.rs
@@ -0,0 +1,134 @@
+//! The ledger and its conductor as a machine that the fleet's log carries.
+
+use sandgap_agree::Rulebook;
+use sandgap_agree::rider::{Rider, Tag, Unreadable, View, Wish};
+use serde::{Deserialize, Serialize};
+
+use crate::conduct::Conductor;
+use crate::ledger::{Entry, Ledger, Phase, Verdict};
+use crate::limits::WATCHED;
+use crate::news::Orders;
+use crate::target::{Side, Target};
+
+/// This machine's tag.
+pub const TAG: Tag = 1;
+
+/// How things stand, as a voter tells it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// All that the log has built.
+    pub ledger: Ledger,
+    /// What each target that is out waits for; only from the voter that leads.
+    pub waits: Vec<(Target, String)>,
+    /// Why each permit that waits does, by its wish's number.
+    pub against: Vec<(u64, String)>,
+}
+
+/// See the module.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    ledger: Ledger,
+    conductor: Conductor,
+}
+
+impl Rollout {
+    /// What the log has built.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+}
+
+/// The bytes of an entry.
+pub fn encode(entry: &Entry) -> Vec<u8> {
+    postcard::to_stdvec(entry).unwrap_or_default() // plain data always encodes
+}
+
+/// What an entry came to, as it was told.
+pub fn verdict(bytes: &[u8]) -> Option<Verdict> {
+    postcard::from_bytes(bytes).ok()
+}
+
+/// How things stand, as it was told.
+pub fn status(bytes: &[u8]) -> Option<Status> {
+    postcard::from_bytes(bytes).ok()
+}
+
+fn decode(entry: &[u8]) -> Result<Entry, Unreadable> {
+    match postcard::take_from_bytes(entry) {
+        Ok((entry, [])) => Ok(entry),
+        _ => Err(Unreadable::Foreign { what: "an entry", tag: TAG }),
+    }
+}
+
+impl Rider for Rollout {
+    fn tag(&self) -> Tag {
+        TAG
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.ledger).unwrap_or_default()
+    }
+
+    fn restore(&mut self, bytes: Option<&[u8]>) -> Result<(), Unreadable> {
+        self.ledger = match bytes.map(postcard::take_from_bytes) {
+            None => Ledger::default(),
+            Some(Ok((ledger, []))) => ledger,
+            Some(_) => return Err(Unreadable::Foreign { what: "its part of a snapshot", tag: TAG }),
+        };
+        self.conductor = Conductor::default();
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &[u8]) -> Result<Vec<u8>, Unreadable> {
+        let verdict = self.ledger.apply(decode(entry)?);
+        Ok(postcard::to_stdvec(&verdict).unwrap_or_default())
+    }
+
+    fn admits(&self, entry: &[u8]) -> Result<(), String> {
+        match decode(entry).map_err(|e| e.to_string())? {
+            Entry::Seen(_) | Entry::Grant { .. } | Entry::Drained { .. } | Entry::Back { .. } => {
+                Err("only a leader says so".into())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn lead(&mut self, view: &View) -> Vec<Wish> {
+        self.conductor.lead(&self.ledger, view)
+    }
+
+    fn answer(&self, _: &[u8], view: &View) -> Vec<u8> {
+        let waits = self.conductor.explain(&self.ledger, view);
+        let why = |permit: &crate::Permit| {
+            let why = match self.ledger.halted() {
+                Some((by, why)) => format!("{by} has halted grants: {why}"),
+                None => match self.ledger.may_go(permit, None) {
+                    Err(e) => e.to_string(),
+                    Ok(()) => "others before it, or a word of the leader".into(),
+                },
+            };
+            (permit.asking.id, why)
+        };
+        let against = self.ledger.permits().filter(|p| p.grant.is_none()).map(why).collect();
+        postcard::to_stdvec(&Status { ledger: self.ledger.clone(), waits, against }).unwrap_or_default()
+    }
+
+    fn tell(&self, proxy: &str) -> Vec<u8> {
+        if self.ledger.is_idle() {
+            return Vec::new();
+        }
+        let out =
+            self.ledger.phase(&Target::proxy(proxy)).is_some_and(|(_, phase)| phase != Phase::Returning);
+        let backends = self.ledger.granted().filter(|(t, ..)| t.side == Side::Backend);
+        let watch = backends.map(|(t, ..)| t.name.clone()).take(WATCHED).collect();
+        Orders { out, watch, dial: true, measure: self.ledger.wants_evidence() }.encode()
+    }
+
+    fn bars(&self, old: &Rulebook, new: &Rulebook) -> Option<String> {
+        self.ledger.bars(old, new)
+    }
+
+    fn skip(&mut self, numbers: u64) {
+        self.ledger.skip(numbers);
+    }
+}
--- /dev/null
+++ b/crates/sandgap-rollout/src/news.rs
@@ -0,0 +1,82 @@
+//! What a leader tells proxies with their leases, and what they tell it with their questions.
+
+use sandgap_agree::Version;
+use serde::{Deserialize, Serialize};
+
+use crate::limits::WATCHED;
+
+/// To a proxy.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// It is out itself: it sends its clients away until this is taken back.
+    pub out: bool,
+    /// Backends of which it tells what it holds there.
+    pub watch: Vec<String>,
+    /// Those that vote dial every backend about once a second, and tell which do not answer.
+    pub dial: bool,
+    /// Those that vote tell what backends are believed to hold.
+    pub measure: bool,
+}
+
+/// What a proxy has at a backend that it watches.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sight {
+    /// Its name.
+    pub name: String,
+    /// Attempts there that have not come to their end, long bodies and answers included.
+    pub held: u32,
+}
+
+/// From a proxy.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The version that it acted on when it looked: nothing was begun since under an older one.
+    pub version: Version,
+    /// It sends clients away.
+    pub out: bool,
+    /// Requests of its clients that lack their answer.
+    pub open: u32,
+    /// Its attempts at all backends.
+    pub held: u32,
+    /// See [`Orders::watch`].
+    pub sights: Vec<Sight>,
+    /// It has dialled every backend of this version; see [`Orders::dial`].
+    pub dialled: bool,
+    /// Those that did not answer twice in a row.
+    pub missed: Vec<String>,
+    /// See [`Orders::measure`]; in thousandths of requests.
+    pub holds: Vec<(String, u64)>,
+    /// Where it stands.
+    pub zone: Option<String>,
+}
+
+impl Orders {
+    /// The bytes of it.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default() // plain data always encodes
+    }
+
+    /// Reads it; what can't be read orders nothing.
+    pub fn decode(bytes: &[u8]) -> Orders {
+        let mut orders: Orders = postcard::from_bytes(bytes).unwrap_or_default();
+        orders.watch.truncate(WATCHED);
+        orders
+    }
+}
+
+impl News {
+    /// The bytes of it.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default() // plain data always encodes
+    }
+
+    /// Reads it.
+    pub fn decode(bytes: &[u8]) -> Option<News> {
+        postcard::from_bytes(bytes).ok()
+    }
+
+    /// What it holds at a backend, if it watches that one.
+    pub fn held_at(&self, backend: &str) -> Option<u32> {
+        self.sights.iter().find(|s| s.name == backend).map(|s| s.held)
+    }
+}
--- /dev/null
+++ b/crates/sandgap-rollout/tests/bounds.rs
@@ -0,0 +1,229 @@
+//! The promise, over long drawn histories: no grant takes more out than any bound allows, whatever was lost before it,
+//! whoever proposes and however old what he knows; and permits end.
+
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+use sandgap_rollout::ledger::Known;
+use sandgap_rollout::{Asking, Bound, Entry, Labels, Ledger, Most, Per, Phase, Side, Target, Verdict};
+
+const BACKENDS: usize = 12;
+const PROXIES: usize = 4;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+fn target(n: usize) -> Target {
+    match n % (BACKENDS + PROXIES) {
+        n if n < BACKENDS => Target::backend(&format!("b{n}")),
+        n => Target::proxy(&format!("p{n}")),
+    }
+}
+
+fn labels(n: usize) -> Labels {
+    Labels { zone: Some(ZONES[n % 3].into()), cell: Some(n as u64 % 5), kind: None }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask {
+        targets: Vec<usize>,
+        priority: u8,
+        beyond: bool,
+    },
+    /// A leader grants what is due, or one that knows less proposes some wish.
+    Grant(Option<usize>),
+    Drained(usize),
+    Returned(usize),
+    Back(usize),
+    Seen(usize, bool),
+    Gone(usize),
+    Halt,
+    Resume,
+    Withdraw(usize),
+    Bound(usize),
+    Restart,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let any = 0..BACKENDS + PROXIES;
+    prop_oneof![
+        4 => (prop::collection::vec(any.clone(), 1..5), 0..10u8, prop::bool::weighted(0.05))
+            .prop_map(|(targets, priority, beyond)| Step::Ask { targets, priority, beyond }),
+        8 => prop::option::weighted(0.2, 0..40usize).prop_map(Step::Grant),
+        4 => any.clone().prop_map(Step::Drained),
+        4 => any.clone().prop_map(Step::Returned),
+        4 => any.clone().prop_map(Step::Back),
+        4 => (any.clone(), prop::bool::ANY).prop_map(|(n, lost)| Step::Seen(n, lost)),
+        1 => any.prop_map(Step::Gone),
+        1 => Just(Step::Halt),
+        2 => Just(Step::Resume),
+        1 => (0..40usize).prop_map(Step::Withdraw),
+        1 => (0..4usize).prop_map(Step::Bound),
+        1 => Just(Step::Restart),
+    ]
+}
+
+fn bounds(n: usize) -> Vec<Bound> {
+    let bound = |side, per, most| Bound { side, per, most };
+    let (fleet, zone) = ([4, 3, 1, 0][n], [1, 2, 1, 1][n]);
+    vec![
+        bound(Side::Backend, Per::Fleet, Most::Count(fleet)),
+        bound(Side::Backend, Per::Zone, Most::Count(zone)),
+        bound(Side::Backend, Per::Cell, Most::PerMille(500)),
+        bound(Side::Proxy, Per::Fleet, Most::PerMille(500)),
+    ]
+}
+
+/// How many are out where a bound counts, by hand: not the ledger's own reckoning.
+fn beyond(ledger: &Ledger) -> Vec<String> {
+    let out = ledger.out();
+    let mut wrong = Vec::new();
+    for bound in ledger.bounds() {
+        let scopes: BTreeSet<Option<String>> =
+            ledger.targets().values().map(|k| place(bound.per, &k.labels)).collect();
+        for scope in scopes {
+            let here = |t: &&Target| {
+                t.side == bound.side
+                    && ledger.targets().get(t).is_some_and(|k| place(bound.per, &k.labels) == scope)
+            };
+            let (all, gone) = (ledger.targets().keys().filter(here).count(), out.iter().filter(here).count());
+            let most = match bound.most {
+                Most::Count(n) => n as usize,
+                Most::PerMille(n) => all * n as usize / 1000,
+                Most::Need { .. } => usize::MAX,
+            };
+            if gone > most {
+                wrong.push(format!("{bound}: {gone} of {all} in {scope:?}"));
+            }
+        }
+    }
+    wrong
+}
+
+fn place(per: Per, labels: &Labels) -> Option<String> {
+    match per {
+        Per::Fleet => None,
+        Per::Zone => labels.zone.clone(),
+        Per::Cell => labels.cell.map(|c| c.to_string()),
+        Per::Kind => labels.kind.clone(),
+    }
+}
+
+struct Play {
+    ledger: Ledger,
+    asked: Vec<u64>,
+}
+
+impl Play {
+    fn new() -> Self {
+        let mut ledger = Ledger::default();
+        let known = |n| Some(Known { labels: labels(n), lost: false });
+        ledger.apply(Entry::Seen((0..BACKENDS + PROXIES).map(|n| (target(n), known(n))).collect()));
+        ledger.apply(Entry::Bounds { bounds: bounds(0), by: "t".into(), why: String::new() });
+        Play { ledger, asked: Vec::new() }
+    }
+
+    fn fence(&self, n: usize) -> u64 {
+        self.ledger.phase(&target(n)).map_or(0, |(fence, _)| fence)
+    }
+
+    fn entry(&mut self, step: Step) -> Option<Entry> {
+        let by = || "t".to_owned();
+        Some(match step {
+            Step::Ask { targets, priority, beyond } => {
+                let id = self.asked.len() as u64 + 1;
+                self.asked.push(id);
+                let targets = targets.into_iter().map(target).collect();
+                let beyond = beyond.then(|| "by intent".to_owned());
+                Entry::Ask(Asking {
+                    id,
+                    holder: by(),
+                    why: by(),
+                    priority,
+                    targets,
+                    waits: !id.is_multiple_of(3),
+                    beyond,
+                })
+            }
+            Step::Grant(Some(n)) => Entry::Grant { id: *self.asked.get(n)?, evidence: None },
+            Step::Grant(None) => Entry::Grant { id: self.ledger.next(None)?, evidence: None },
+            Step::Drained(n) => Entry::Drained { target: target(n), fence: self.fence(n), version: 1 },
+            Step::Returned(n) => Entry::Returned { target: target(n), fence: self.fence(n) },
+            Step::Back(n) => Entry::Back { target: target(n), fence: self.fence(n) },
+            Step::Seen(n, lost) => Entry::Seen(vec![(target(n), Some(Known { labels: labels(n), lost }))]),
+            Step::Gone(n) => Entry::Seen(vec![(target(n), None)]),
+            Step::Halt => Entry::Halt { by: by(), why: by() },
+            Step::Resume => Entry::Resume { by: by() },
+            Step::Withdraw(n) => Entry::Withdraw { id: *self.asked.get(n)?, by: by() },
+            Step::Bound(n) => Entry::Bounds { bounds: bounds(n), by: by(), why: by() },
+            Step::Restart => {
+                let bytes = postcard::to_stdvec(&self.ledger).expect("plain");
+                self.ledger = postcard::from_bytes(&bytes).expect("its own");
+                return None;
+            }
+        })
+    }
+
+    /// Applies a step; checks the promise across it.
+    fn step(&mut self, step: Step) {
+        let Some(entry) = self.entry(step) else { return };
+        let (before, wrong) = (self.ledger.clone(), beyond(&self.ledger));
+        let grants = matches!(entry, Entry::Grant { .. });
+        let by_intent = match &entry {
+            Entry::Grant { id, .. } => {
+                self.ledger.permits().any(|p| p.asking.id == *id && p.asking.beyond.is_some())
+            }
+            _ => false,
+        };
+        let verdict = self.ledger.apply(entry.clone());
+        let more: BTreeSet<Target> = self.ledger.granted().map(|(t, ..)| t.clone()).collect();
+        let had: BTreeSet<Target> = before.granted().map(|(t, ..)| t.clone()).collect();
+        if !grants {
+            assert!(more.is_subset(&had), "only a grant takes anything out: {entry:?}");
+        } else if more != had && !by_intent {
+            let now = beyond(&self.ledger);
+            let fresh: BTreeSet<&Target> =
+                more.difference(&had).filter(|t| !before.out().contains(*t)).collect();
+            assert!(
+                fresh.is_empty() || now.iter().all(|w| wrong.contains(w)),
+                "{entry:?} {verdict:?} {now:?} {wrong:?}"
+            );
+            assert!(before.halted().is_none(), "granted while halted");
+        }
+        let mut seen = BTreeSet::new();
+        assert!(self.ledger.granted().all(|(t, ..)| seen.insert(t.clone())), "one target under two permits");
+    }
+
+    /// All is well again: whatever waits and can go, goes and ends.
+    fn settle(&mut self) {
+        let known = |n| Some(Known { labels: labels(n), lost: false });
+        self.ledger.apply(Entry::Seen((0..BACKENDS + PROXIES).map(|n| (target(n), known(n))).collect()));
+        self.ledger.apply(Entry::Bounds { bounds: bounds(0), by: "t".into(), why: String::new() });
+        self.ledger.apply(Entry::Resume { by: "t".into() });
+        for _ in 0..500 {
+            if let Some(id) = self.ledger.next(None) {
+                assert!(matches!(
+                    self.ledger.apply(Entry::Grant { id, evidence: None }),
+                    Verdict::Granted(_)
+                ));
+            }
+            let out: Vec<(Target, u64, Phase)> =
+                self.ledger.granted().map(|(t, f, p)| (t.clone(), f, p)).collect();
+            let Some((target, fence, _)) = out.into_iter().next() else { break };
+            self.ledger.apply(Entry::Returned { target: target.clone(), fence });
+            self.ledger.apply(Entry::Back { target, fence });
+        }
+        let left: Vec<_> = self.ledger.permits().filter(|p| self.ledger.may_go(p, None).is_ok()).collect();
+        assert!(left.is_empty(), "{left:?}");
+        assert!(self.ledger.granted().next().is_none());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn no_grant_passes_a_bound_and_permits_end(steps in prop::collection::vec(step(), 1..120)) {
+        let mut play = Play::new();
+        steps.into_iter().for_each(|step| play.step(step));
+        play.settle();
+    }
+}
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -6,17 +6,18 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use rustc_hash::FxHashMap;
 use sandgap_driver::{self as core, Core, Outside, Time};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
-use wharfhitch::settings::Names;
-use wharfhitch::{Balancer, RequestId, Scope};
+use wharfhitch::settings::{Names, number_of};
+use wharfhitch::{BackendId, Balancer, RequestId, Scope};
 
 use crate::beliefs::Beliefs;
 use crate::discovery;
 use crate::drains::Drains;
 use crate::event::{
-    Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Licence, Reply, Report,
+    Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Licence, Look, Looked, Reply, Report,
 };
 use crate::note;
 use crate::peers::Peers;
@@ -63,7 +64,7 @@
 
     fn attempt(&mut self, held: &Held, attempt: core::Attempt) {
         let core::Attempt { request, number, endpoint, wanted, until } = attempt;
-        let report = Report::new(self.parts.inbox.clone(), request, number);
+        let report = Report::new(self.parts.inbox.clone(), request, number, endpoint.hold());
         let until = self.start + until;
         let licence = held.licence.clone();
         held.exchange.clone().attempt(Attempt { endpoint, wanted, licence, until, report });
@@ -171,6 +172,23 @@
         }
     }
 
+    /// What is under way, after all that was put in before this was asked.
+    fn look(&self, look: Look) {
+        let Look { at, measured, answer } = look;
+        let id = |name: &str| BackendId(number_of(name));
+        let sights = at.iter().map(|name| (name.clone(), self.core.held_at(id(name)))).collect();
+        let believed: FxHashMap<BackendId, f64> = match measured.is_empty() {
+            true => FxHashMap::default(),
+            false => self.core.decider().beliefs().map(|b| (b.backend, b.limit)).collect(),
+        };
+        let holds = |name: String| {
+            let limit = believed.get(&id(&name))?;
+            Some((name, (limit.clamp(0.0, 1e9) * 1000.0) as u64))
+        };
+        let holds = measured.into_iter().filter_map(holds).collect();
+        let _ = answer.send(Looked { sights, held: self.core.held_at_all(), holds }); // whoever asked may have ended
+    }
+
     fn now(&self) -> Time {
         self.start.elapsed()
     }
@@ -203,6 +221,7 @@
                 let lines = self.drains.get_or_insert_default().change(names);
                 self.core.list(now, Scope::Delta, lines);
             }
+            Input::Look(look) => self.look(*look),
             Input::Datagram { from, bytes } => self.core.message(now, from, bytes),
         }
     }
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-pub use sandgap_driver::{Endpoint, Host};
+pub use sandgap_driver::{Endpoint, Holding, Host};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use wharfhitch::{ClassId, Key, Millis, Outcome, RequestId, Scope, TenantId};
@@ -49,6 +49,8 @@
     List(Scope, Vec<Host>),
     /// Backends that are drained by hand, whatever the list says of them.
     Drains(BTreeSet<String>),
+    /// Somebody asks what is under way.
+    Look(Box<Look>),
     /// Another proxy's message.
     Datagram {
         /// Its number.
@@ -58,6 +60,26 @@
     },
 }
 
+/// A question about what is under way. Its answer is of a moment after all that was put in before it.
+pub struct Look {
+    /// Backends of which the attempts are told.
+    pub at: Vec<String>,
+    /// Backends of which it is told what they are believed to hold.
+    pub measured: Vec<String>,
+    /// Who asks.
+    pub answer: oneshot::Sender<Looked>,
+}
+
+/// Its answer.
+pub struct Looked {
+    /// Attempts at backends that have not come to their end.
+    pub sights: Vec<(String, u32)>,
+    /// The same at all backends.
+    pub held: u32,
+    /// What backends are believed to hold, in thousandths of requests.
+    pub holds: Vec<(String, u64)>,
+}
+
 /// A client's request: what the module has to know, and the rest behind `exchange`.
 pub struct Arrival {
     /// Its number, never used twice.
@@ -138,12 +160,22 @@
     /// Time from the request's last byte to the answer's first, of a long one.
     latency: Option<Millis>,
     told: bool,
+    /// Until its end it is under way at its backend.
+    _holding: Holding,
 }
 
 impl Report {
     /// A report on an attempt that begins now.
-    pub fn new(inbox: Inbox, request: RequestId, attempt: u32) -> Self {
-        Report { inbox, request, attempt, sent: Instant::now(), latency: None, told: false }
+    pub fn new(inbox: Inbox, request: RequestId, attempt: u32, holding: Holding) -> Self {
+        Report {
+            inbox,
+            request,
+            attempt,
+            sent: Instant::now(),
+            latency: None,
+            told: false,
+            _holding: holding,
+        }
     }
 
     /// When the attempt began.
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -90,6 +90,16 @@
         let _ = self.rules.set(rules); // once, at the start
     }
 
+    /// Connections with a request that lacks its answer.
+    pub fn busy(&self) -> usize {
+        self.busy.get()
+    }
+
+    /// Whether clients are taken.
+    pub fn serving(&self) -> &Serving {
+        &self.serving
+    }
+
     /// Whether other settings could be put in force now.
     ///
     /// # Errors
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -18,21 +18,22 @@
 use sandgap_agree::words::{Seating, Status, Word};
 use sandgap_agree::{Rulebook, Version, contradicts};
 use sandgap_fleet::link::{Incoming, Links};
+use sandgap_rollout::Entry;
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
 use super::book;
-use super::riders;
 use super::shell::RULES;
+use super::{outs, riders};
 use crate::config::{Config, Fleet};
 use crate::{load, settings};
 
 /// One voter's answer is waited for so long before another is asked.
 const ANSWER: Duration = Duration::from_millis(700);
 /// Between two looks at what has become of a version.
-const LOOK: Duration = Duration::from_millis(50);
+pub(super) const LOOK: Duration = Duration::from_millis(50);
 /// Lines that two rulebooks differ by, at most.
 const LINES: usize = 200;
 
@@ -105,6 +106,36 @@
         /// The version.
         version: Version,
     },
+    /// Takes targets out under a permit: backends by name, proxies as proxy:NAME.
+    Out(outs::Out),
+    /// Says that targets run again, after a permit's holder is done with them.
+    Back {
+        /// Which.
+        #[arg(required = true)]
+        targets: Vec<String>,
+    },
+    /// Lists permits, what is out, and what it waits for.
+    Outs,
+    /// Gives a permit up, whether it waits or is out; what is out comes back.
+    Withdraw {
+        /// Its number, as 'out' and 'outs' tell it.
+        wish: String,
+    },
+    /// Lets nothing go out from here on, and brings back what has not been emptied.
+    Halt {
+        /// Why.
+        #[arg(long)]
+        why: String,
+    },
+    /// Lets permits be granted again.
+    Resume,
+    /// Says that a proxy that is silent has ended for good.
+    Forget {
+        /// Its name.
+        proxy: String,
+    },
+    /// Tells or sets how many may be out at once.
+    Budget(outs::Budget),
     /// Changes who votes.
     Voters {
         /// How.
@@ -147,7 +178,7 @@
 
 /// How a call came out, apart from well.
 #[derive(Debug, thiserror::Error)]
-enum Failed {
+pub(super) enum Failed {
     /// Exit code 2.
     #[error("{0}")]
     Wrong(String),
@@ -173,7 +204,7 @@
     }
 }
 
-type Result<T> = std::result::Result<T, Failed>;
+pub(super) type Result<T> = std::result::Result<T, Failed>;
 
 /// Carries a call out. Exit codes: 0 done, 1 the proxies refuse it, 2 the call or a file is wrong, 3 somebody else was
 /// first, 4 no voter answers or no majority does.
@@ -266,10 +297,10 @@
 }
 
 /// Speaks to the voters.
-struct Caller {
+pub(super) struct Caller {
     fleet: Fleet,
-    json: bool,
-    end: Instant,
+    pub(super) json: bool,
+    pub(super) end: Instant,
     links: Rc<Links>,
     incoming: mpsc::Receiver<Incoming>,
     next: u64,
@@ -302,12 +333,20 @@
             Call::Status => self.status(config).await,
             Call::Wait { version } => self.wait(version).await,
             Call::Voters { how } => self.voters(how).await,
+            Call::Out(out) => self.take_out(out).await,
+            Call::Back { targets } => self.bring_back(&targets).await,
+            Call::Outs => self.outs().await,
+            Call::Withdraw { wish } => self.withdraw(&wish).await,
+            Call::Halt { why } => self.do_by_hand(|by| Entry::Halt { by, why }).await,
+            Call::Resume => self.do_by_hand(|by| Entry::Resume { by }).await,
+            Call::Forget { proxy } => self.do_by_hand(|by| Entry::Forget { proxy, by }).await,
+            Call::Budget(budget) => self.budget(budget).await,
             Call::Found | Call::LastResort { .. } => Ok(()),
         }
     }
 
     /// Asks the voters in turn, `first` before the others, until one's answer is taken.
-    async fn ask<T>(
+    pub(super) async fn ask<T>(
         &mut self, first: Option<&str>, word: Word, mut take: impl FnMut(Word) -> Option<T>,
     ) -> Result<T> {
         let mut voters = self.fleet.voters.clone();
@@ -329,7 +368,7 @@
         Err(Failed::Nobody(format!("no voter answers as it should: {}", names.join(", "))))
     }
 
-    fn number(&mut self) -> u64 {
+    pub(super) fn number(&mut self) -> u64 {
         self.next = self.next.wrapping_add(1);
         self.next
     }
@@ -351,7 +390,7 @@
     }
 
     /// The leader's word, if there is one; without a leader nothing can change.
-    async fn leader(&mut self) -> Result<Status> {
+    pub(super) async fn leader(&mut self) -> Result<Status> {
         let mut first: Option<String> = None;
         while Instant::now() < self.end {
             let status = self.one_status(first.as_deref()).await?;
@@ -438,8 +477,7 @@
         let leader = self.leader().await?;
         let parent = parent.unwrap_or(leader.standing.version);
         let id = self.number();
-        let by = std::env::var("USER").unwrap_or_else(|_| "unknown".into());
-        let word = Word::Publish(Proposal { id, parent, book, by, why });
+        let word = Word::Publish(Proposal { id, parent, book, by: who(), why });
         let take = move |word| match word {
             Word::Published(n, verdict) if n == id => Some(verdict),
             _ => None,
@@ -637,6 +675,11 @@
     }
 }
 
+/// Who calls.
+pub(super) fn who() -> String {
+    std::env::var("USER").unwrap_or_else(|_| "unknown".into())
+}
+
 /// Lines that only one of two texts has, in their order.
 fn difference(old: &str, new: &str) -> Vec<String> {
     let diff = similar::TextDiff::from_lines(old, new);
--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -1,11 +1,14 @@
 //! Agreed rules in the daemon: whether a request may be taken now, and under which version. [`shell`] drives the agent
-//! on sockets and the disk, [`book`] turns settings into rulebooks and back, [`hand`] is what staff call.
+//! on sockets and the disk, [`book`] turns settings into rulebooks and back, [`hand`] is what staff call, [`outs`] of it
+//! what is about permits, [`watch`] what a proxy does for these.
 //!
 //! Off unless `[fleet] listen` is set: then the front holds none of this, and no task runs.
 
 pub mod book;
 pub mod hand;
+mod outs;
 pub mod shell;
+mod watch;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -18,6 +21,7 @@
 use sandgap_agree::rulebook::OnLapse;
 use sandgap_agree::{Agent, Rulebook, Version};
 use sandgap_fleet::Time;
+use sandgap_rollout::Rollout;
 
 use crate::event::Licence;
 
@@ -41,7 +45,7 @@
 
 /// The state machines that the log carries beside rules and lives.
 pub fn riders() -> Riders {
-    Riders::none()
+    Riders::none().with(Rollout::default())
 }
 
 /// An agent that its shell drives and the front asks.
--- a/crates/sandgap/src/rules/shell.rs
+++ b/crates/sandgap/src/rules/shell.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 use wharfhitch::{Scope, Settings};
 
+use super::watch::Watch;
 use super::{Rules, Shared, book, now, riders};
 use crate::config::Fleet;
 use crate::event::{Inbox, Input};
@@ -71,6 +72,7 @@
     kept: mpsc::UnboundedReceiver<Result<u64, String>>,
     keeps: mpsc::UnboundedSender<Result<u64, String>>,
     keeping: Keeping,
+    watch: Rc<Watch>,
 }
 
 /// Chance for names of questions and elections.
@@ -121,6 +123,7 @@
         let me = Identity { name, address: fleet.listen, incarnation, zone };
         let members = Members::new(me, Pace::default(), chance());
         let (keeps, kept) = mpsc::unbounded_channel(); // one word a write, and writes are bounded
+        let watch = Watch::new(parts.clone(), agent.clone(), fleet.votes(), fleet.zone.clone());
         Shell {
             parts,
             agent,
@@ -132,6 +135,7 @@
             kept,
             keeps,
             keeping: Keeping::default(),
+            watch,
         }
     }
 
@@ -291,7 +295,8 @@
                     self.agent.borrow_mut().checked(now(), version, usable);
                 }
                 Output::Act(version, rules) => self.act(version, &rules),
-                Output::Turn(_) | Output::Told(..) => {} // nothing here wants a life yet
+                Output::Told(told) => self.watch.take(&told),
+                Output::Turn(_) => {} // nothing here wants a life yet
                 Output::Note(text) => note!("{text}"),
             }
         }
--- a/crates/sandgap/src/serving.rs
+++ b/crates/sandgap/src/serving.rs
@@ -25,6 +25,8 @@
     /// The module has a list to serve from.
     listed: Cell<bool>,
     drained: Cell<bool>,
+    /// The fleet has taken it out.
+    out: Cell<bool>,
     stopping: Cell<bool>,
     /// A newer process accepts.
     handed: Cell<bool>,
@@ -36,8 +38,8 @@
 impl Default for Serving {
     fn default() -> Self {
         let fact = || Cell::new(false);
-        let (listed, drained, stopping, handed, held) = (fact(), fact(), fact(), fact(), fact());
-        Serving { listed, drained, stopping, handed, held, changes: watch::Sender::new(()) }
+        let (listed, drained, out, stopping, handed, held) = (fact(), fact(), fact(), fact(), fact(), fact());
+        Serving { listed, drained, out, stopping, handed, held, changes: watch::Sender::new(()) }
     }
 }
 
@@ -46,7 +48,7 @@
     pub fn state(&self) -> State {
         if self.stopping.get() {
             State::Stopping
-        } else if self.drained.get() {
+        } else if self.drained.get() || self.out.get() {
             State::Drained
         } else if self.handed.get() {
             State::HandedOver
@@ -108,6 +110,16 @@
         self.set(&self.drained, false);
     }
 
+    /// The fleet takes it out, or lets it take clients again; what staff do on this one alone is apart from that.
+    pub fn order_out(&self, out: bool) {
+        self.set(&self.out, out);
+    }
+
+    /// Whether it sends clients away by the fleet's order.
+    pub fn is_out(&self) -> bool {
+        self.out.get() && self.sends_away()
+    }
+
     /// Sends clients away for good.
     pub fn stop(&self) {
         self.set(&self.stopping, true);
@@ -159,6 +171,20 @@
         assert!(!serving.is_ready() && !serving.is_up() && serving.sends_away());
     }
 
+    #[test]
+    fn what_the_fleet_orders_and_what_staff_do_here_are_apart() {
+        let serving = Serving::default();
+        serving.listed();
+        serving.order_out(true);
+        serving.resume();
+        assert!(serving.is_out() && !serving.is_up());
+        serving.drain();
+        serving.order_out(false);
+        assert!(!serving.is_out() && !serving.is_up(), "staff have drained it");
+        serving.resume();
+        assert!(serving.is_up());
+    }
+
     #[test]
     fn of_two_processes_one_accepts() {
         let (old, new) = (Serving::default(), Serving::default());
--- a/crates/sandgap/tests/agreed.rs
+++ b/crates/sandgap/tests/agreed.rs
@@ -1,130 +1,17 @@
 //! Agreed rules as staff and clients meet them: calls by hand, a lost majority, a start from what was kept, an upgrade.
 
+mod processes;
 mod sockets;
 
-use std::fmt::Write as _;
-use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::net::SocketAddr;
 
+use processes::*;
 use sockets::*;
 
-/// A folder that goes with the test.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("sandgap-agreed-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&path);
-        std::fs::create_dir_all(&path).expect("a folder");
-        std::fs::write(path.join("key"), "7c".repeat(32)).expect("a file");
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
-}
-
-/// A fleet of which each proxy votes.
-struct Fleet<'a> {
-    folder: &'a Path,
-    addresses: Vec<SocketAddr>,
-    backend: SocketAddr,
-}
-
-impl<'a> Fleet<'a> {
-    fn new(folder: &'a Folder, size: usize, backend: &Backend) -> Self {
-        Fleet { folder: &folder.0, addresses: (0..size).map(|_| free()).collect(), backend: backend.address }
-    }
-
-    fn rules(&self, attempts: u32) -> String {
-        format!(
-            "[[backend]]\nname = \"b\"\naddress = \"{}\"\ncell = 1\n[[class]]\nname = \"page\"\neffect = \"safe\"\n\
-             deadline_ms = 5000\n[[class]]\nname = \"submit\"\neffect = \"unsafe\"\ndeadline_ms = 5000\n\
-             [limits]\nmax_attempts = {attempts}\n",
-            self.backend
-        )
-    }
-
-    fn settings(&self, n: usize, listen: SocketAddr, source: &str) -> String {
-        let file = |name: String| self.folder.join(name);
-        let mut text = format!(
-            "[proxy]\nname = \"v{n}\"\nlisten = \"{listen}\"\nupgrade = {:?}\n[fleet]\nlisten = \"{}\"\nkey = {:?}\n\
-             bound_ms = 500\nstore = {:?}\nkeep = {:?}\nheader = \"X-Version\"\n",
-            self.folder,
-            self.addresses[n],
-            file("key".into()),
-            file(format!("v{n}.redb")),
-            file(format!("v{n}.kept")),
-        );
-        for (v, address) in self.addresses.iter().enumerate() {
-            let _ = write!(text, "[[voter]]\nname = \"v{v}\"\naddress = \"{address}\"\n");
-        }
-        text + source
-    }
-
-    /// Starts a proxy; founds its store if there is none.
-    fn start(&self, n: usize) -> Proxy {
-        self.start_at(n, "127.0.0.1:0".parse().expect("an address"), &self.rules(1))
-    }
-
-    fn start_at(&self, n: usize, listen: SocketAddr, source: &str) -> Proxy {
-        let text = self.settings(n, listen, source);
-        std::fs::write(self.folder.join(format!("v{n}.toml")), &text).expect("a file");
-        if !self.folder.join(format!("v{n}.redb")).exists() {
-            let founded = self.call(n, &["found"]);
-            assert!(founded.status.success(), "{founded:?}");
-        }
-        Proxy::serve(&text)
-    }
-
-    /// A call by hand with the settings of a proxy.
-    fn call(&self, n: usize, words: &[&str]) -> Output {
-        let settings = self.folder.join(format!("v{n}.toml"));
-        let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
-        command.arg("fleet").args(words).arg("--settings").arg(settings);
-        if !words.contains(&"--patience") {
-            command.args(["--patience", "25"]);
-        }
-        command.output().expect("the program runs")
-    }
-
-    fn publication(&self, attempts: u32) -> String {
-        let path = self.folder.join(format!("rules-{attempts}.toml"));
-        let text = format!("[proxy]\nlisten = \"127.0.0.1:1\"\n{}", self.rules(attempts));
-        std::fs::write(&path, text).expect("a file");
-        path.to_string_lossy().into_owned()
-    }
-
-    fn publish(&self, attempts: u32) {
-        let done = self.call(0, &["publish", &self.publication(attempts)]);
-        assert!(done.status.success(), "{done:?}");
-    }
-}
-
-fn said(output: &Output) -> String {
-    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
-}
-
-fn ask(proxy: &Proxy, class: &str, id: &str) -> Message {
-    let method = if class == "page" { "GET" } else { "POST" };
-    let text = format!(
-        "{method} /{class}/x HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Timeout: 5\r\nContent-Length: 0\r\n\r\n"
-    );
-    Client::new(proxy).ask(&text).expect("an answer")
-}
-
 #[test]
 fn nothing_is_taken_before_a_lease_and_then_by_its_version() {
     let (folder, backend) = (Folder::new("first"), Backend::new(Deed::Write(ok("served"))));
-    let fleet = Fleet::new(&folder, 1, &backend);
+    let fleet = Fleet::new(&folder, 1, &[&backend]);
     let proxy = fleet.start(0);
     let refused = ask(&proxy, "page", "r1");
     assert_eq!(refused.status(), 503);
@@ -142,7 +29,7 @@
 #[test]
 fn staff_publish_compare_drain_and_go_back() {
     let (folder, backend) = (Folder::new("hand"), Backend::new(Deed::Write(ok("served"))));
-    let fleet = Fleet::new(&folder, 1, &backend);
+    let fleet = Fleet::new(&folder, 1, &[&backend]);
     let proxy = fleet.start(0);
     fleet.publish(2);
     let dry = fleet.call(0, &["publish", &fleet.publication(3), "--dry-run"]);
@@ -177,7 +64,7 @@
 #[test]
 fn a_version_that_one_proxy_can_t_use_is_not_switched_to() {
     let (folder, backend) = (Folder::new("one"), Backend::new(Deed::Write(ok("served"))));
-    let fleet = Fleet::new(&folder, 3, &backend);
+    let fleet = Fleet::new(&folder, 3, &[&backend]);
     let discovery = Discovery::new();
     discovery.say(&all_up(&[&backend]));
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
@@ -194,7 +81,7 @@
 #[test]
 fn without_a_majority_only_what_may_be_served_so_is_served_by_what_was_kept() {
     let (folder, backend) = (Folder::new("kept"), Backend::new(Deed::Write(ok("served"))));
-    let fleet = Fleet::new(&folder, 3, &backend);
+    let fleet = Fleet::new(&folder, 3, &[&backend]);
     {
         let proxies = [fleet.start(0), fleet.start(1), fleet.start(2)];
         fleet.publish(2);
@@ -217,7 +104,7 @@
 #[test]
 fn the_last_resort_asks_and_then_goes_on_alone() {
     let (folder, backend) = (Folder::new("resort"), Backend::new(Deed::Write(ok("served"))));
-    let fleet = Fleet::new(&folder, 3, &backend);
+    let fleet = Fleet::new(&folder, 3, &[&backend]);
     {
         let _proxies = [fleet.start(0), fleet.start(1), fleet.start(2)];
         fleet.publish(2);
@@ -235,7 +122,7 @@
 #[test]
 fn an_upgrade_keeps_a_lease_through_both_processes() {
     let (folder, backend) = (Folder::new("upgrade"), Backend::new(Deed::Write(ok("served"))));
-    let fleet = Fleet::new(&folder, 3, &backend);
+    let fleet = Fleet::new(&folder, 3, &[&backend]);
     let listen = free();
     let mut old = fleet.start_at(0, listen, &fleet.rules(1));
     let _others = [fleet.start(1), fleet.start(2)];
@@ -258,7 +145,7 @@
 #[test]
 fn voters_come_and_go_while_all_runs_and_a_lost_disk_is_rebuilt() {
     let (folder, backend) = (Folder::new("voters"), Backend::new(Deed::Write(ok("served"))));
-    let mut fleet = Fleet::new(&folder, 3, &backend);
+    let mut fleet = Fleet::new(&folder, 3, &[&backend]);
     let mut proxies = vec![fleet.start(0), fleet.start(1), fleet.start(2)];
     fleet.publish(2);
     // A fourth begins without a store, and is seated by hand.
