--- a/crates/sandgap-agree/src/voter/mod.rs
+++ b/crates/sandgap-agree/src/voter/mod.rs
@@ -1,5 +1,5 @@
-//! A voter: the agreed log by the `raft` engine, which does no I/O. [`lead`] is what a leader does about versions, lives
-//! and riders, [`rounds`] how questions are confirmed, [`seats`] who votes.
+//! A voter: the agreed log by the `raft` engine, which does no I/O. `lead` is what a leader does about versions, lives
+//! and riders, `rounds` how questions are confirmed, `seats` who votes.
 //!
 //! Leases are given after a read-index round (Ongaro's thesis, section 6.4): a majority confirms, after the question
 //! came, that its leader led. No voter's clock counts for that. Pre-vote and check-quorum are on, so that a voter that
--- a/crates/sandgap-rig/src/fleet/mod.rs
+++ b/crates/sandgap-rig/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cost;
 pub mod net;
+mod outs;
 pub mod plan;
 pub mod site;
 
@@ -14,7 +15,7 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
-use sandgap_rules::{Acted, Agreement};
+use sandgap_rules::{Acted, Agreement, Outs};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -27,8 +28,7 @@
 use plan::{Fault, Size};
 use site::{CLASSES, DEADLINE, HEADER, Site};
 
-/// Backends; each takes this for a request.
-const BACKENDS: usize = 3;
+/// What a backend takes for a request.
 const WORK: Duration = Duration::from_millis(2);
 /// What sockets and schedulers may cost beside the machine's stalls.
 const SLACK: Micros = 100_000;
@@ -73,6 +73,8 @@
     pub longest: Micros,
     /// What the machine's stalls and the slack allow beside T, µs.
     pub allowed: Micros,
+    /// Times that a holder was told that its backend is empty, and the most at once.
+    pub outs: (u64, usize),
     /// From publishing without faults to the first request of the last proxy, ms.
     pub switch_ms: f64,
     /// Bytes a second between proxies, for each.
@@ -96,6 +98,9 @@
             self.bytes_each,
             self.ends
         )?;
+        if self.outs.0 > 0 {
+            write!(f, ", {} outs, {} at once", self.outs.0, self.outs.1)?;
+        }
         self.broken.iter().take(5).try_for_each(|b| write!(f, "\n  {b}"))
     }
 }
@@ -120,6 +125,9 @@
     /// The latest version each proxy has sent under, and when it first did.
     acting: RefCell<Vec<(u64, Micros)>>,
     broken: RefCell<Vec<String>>,
+    outs: RefCell<Outs>,
+    /// Holders that have not ended.
+    holding: Cell<usize>,
     /// Versions that a publisher was told to be in force, with their number of attempts.
     acknowledged: RefCell<BTreeMap<u64, u64>>,
 }
@@ -163,7 +171,7 @@
     let (listen, fleet) = (draw(nodes)?, draw(nodes)?);
     let net = Net::start(&fleet).await?;
     let mut listeners = Vec::new();
-    for _ in 0..BACKENDS {
+    for _ in 0..size.backends {
         listeners.push(TcpListener::bind("127.0.0.1:0").await?);
     }
     let backends = listeners.iter().map(TcpListener::local_addr).collect::<std::io::Result<Vec<_>>>()?;
@@ -185,11 +193,13 @@
         published: Cell::new(FIRST),
         acting: RefCell::new(vec![(0, 0); nodes]),
         broken: RefCell::default(),
+        outs: RefCell::new(Outs::new(size.bound_out)),
+        holding: Cell::new(0),
         acknowledged: RefCell::default(),
     });
     spawn_local(run.clock.clone().watch());
-    for listener in listeners {
-        spawn_local(run.clone().backend(listener));
+    for (n, listener) in listeners.into_iter().enumerate() {
+        spawn_local(run.clone().backend(n, listener));
     }
     run.play(plan).await
 }
@@ -206,8 +216,10 @@
             spawn_local(self.clone().client(n));
         }
         self.all_act("at the start", 1).await?;
+        self.set_bounds().await?;
         let begin = Instant::now();
         let bytes = self.net.passed.get();
+        self.hold_all(begin + self.size.faulty);
         spawn_local(self.clone().publisher(begin + self.size.faulty));
         for (at, fault) in plan {
             sleep_until(begin + at).await;
@@ -218,6 +230,7 @@
         let seconds = begin.elapsed().as_secs_f64();
         let bytes_each = (self.net.passed.get() - bytes) as f64 / seconds / nodes as f64;
         self.settle().await?;
+        self.all_back().await?;
         let switch_ms = self.last_publication().await?;
         self.load.set(false);
         sleep(DEADLINE + LATE).await;
@@ -453,13 +466,13 @@
         *self.ends.borrow_mut().entry(end).or_default() += 1;
     }
 
-    async fn backend(self: Rc<Self>, listener: TcpListener) {
+    async fn backend(self: Rc<Self>, n: usize, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             let run = self.clone();
             spawn_local(async move {
                 let mut conn = Conn::new(stream);
                 while let Ok(request) = conn.request(&run.clock).await {
-                    run.came(&request);
+                    run.came(n, &request);
                     sleep(WORK).await;
                     if conn.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await.is_err() {
                         return;
@@ -469,7 +482,7 @@
         }
     }
 
-    fn came(&self, request: &crate::http::Message) {
+    fn came(&self, backend: usize, request: &crate::http::Message) {
         let id = request.header("X-Request-ID").unwrap_or_default();
         let proxy: usize = id.rsplit_once("-p").and_then(|(_, n)| n.parse().ok()).unwrap_or(0);
         let version = request.header(HEADER).and_then(|v| v.parse().ok());
@@ -477,6 +490,7 @@
             self.broken.borrow_mut().push(format!("request {id} came without a version"));
             return;
         };
+        self.outs.borrow_mut().request(backend, request.first, id);
         self.agreement.borrow_mut().note(Acted { version, proxy: proxy as u16, at: request.first });
         if let Some(acting) = self.acting.borrow_mut().get_mut(proxy)
             && acting.0 < version
@@ -497,6 +511,7 @@
         if let Some(o) = overlap.filter(|o| o.span > allowed) {
             broken.push(format!("contradicting versions were acted on together: {o:?}"));
         }
+        broken.extend(self.outs.borrow().breaches().iter().map(|b| format!("{b:?}")));
         let twice =
             self.ran.borrow().iter().filter(|(_, n)| **n > 1).map(|(id, _)| id.clone()).collect::<Vec<_>>();
         if !twice.is_empty() {
@@ -514,6 +529,7 @@
             versions: agreement.versions().count() as u64,
             acknowledged: self.acknowledged.borrow().len() as u64,
             longest: overlap.map_or(0, |o| o.span),
+            outs: (self.outs.borrow().outs, self.outs.borrow().most),
             allowed,
             switch_ms,
             bytes_each,
--- a/crates/sandgap-rig/src/fleet/plan.rs
+++ b/crates/sandgap-rig/src/fleet/plan.rs
@@ -40,6 +40,27 @@
     pub publish: Duration,
     /// Requests a second at each proxy.
     pub rate: f64,
+    /// Backends.
+    pub backends: usize,
+    /// Holders that take backends out, one after another; none if 0.
+    pub holders: usize,
+    /// Backends that may be out at once.
+    pub bound_out: usize,
+    /// What holders do wrong by intent.
+    pub hasty: Hasty,
+}
+
+/// What is done wrong by intent: a judge that does not find that out is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hasty {
+    /// Nothing.
+    No,
+    /// Holders take a grant for the word that their backend is empty.
+    Grant,
+    /// The fleet is told a bound that is higher by one.
+    Bound,
+    /// Grants go on after a halt.
+    Halt,
 }
 
 impl Default for Size {
@@ -52,6 +73,10 @@
             faulty: Duration::from_secs(12),
             publish: Duration::from_millis(700),
             rate: 60.0,
+            backends: 3,
+            holders: 0,
+            bound_out: 0,
+            hasty: Hasty::No,
         }
     }
 }
--- a/crates/sandgap-rig/src/fleet/site.rs
+++ b/crates/sandgap-rig/src/fleet/site.rs
@@ -98,7 +98,7 @@
                 DEADLINE.as_millis()
             );
         }
-        let _ = write!(text, "[limits]\nmax_attempts = {attempts}\n");
+        let _ = write!(text, "[limits]\nmax_attempts = {attempts}\n[cold]\nwarm_ms = 200\n");
         text
     }
 
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -167,6 +167,15 @@
         /// Instead of all faults so many kills of voters, while much is published.
         #[arg(long)]
         kills: Option<usize>,
+        /// Backends.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=64))]
+        backends: u16,
+        /// Holders that take backends out and bring them back all the while.
+        #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=32))]
+        holders: u16,
+        /// Backends that may be out at once.
+        #[arg(long, default_value_t = 2)]
+        bound_out: u16,
         /// The proxy's program; where none is given, `sandgap` beside this one.
         #[arg(long, env = "SANDGAP")]
         proxy: Option<PathBuf>,
@@ -296,12 +305,27 @@
             }
             Ok(held)
         }
-        Command::Fleet { seed, seeds, voters, observers, bound_ms, seconds, kills, proxy: path } => {
+        Command::Fleet {
+            seed,
+            seeds,
+            voters,
+            observers,
+            bound_ms,
+            seconds,
+            kills,
+            backends,
+            holders,
+            bound_out,
+            proxy: path,
+        } => {
             let mut size = fleet::plan::Size {
                 voters: voters.into(),
                 observers: observers.into(),
                 bound: Duration::from_millis(bound_ms),
                 faulty: Duration::from_secs_f64(seconds.clamp(0.0, 3600.0)),
+                backends: backends.into(),
+                holders: holders.into(),
+                bound_out: bound_out.into(),
                 ..Default::default()
             };
             let program = proxy(path)?.path;
--- a/crates/sandgap-rollout/src/bounds.rs
+++ b/crates/sandgap-rollout/src/bounds.rs
@@ -192,30 +192,30 @@
 }
 
 impl Fleet<'_> {
-    /// Whether a set may go out as well. Targets of it that are out already take no more room.
+    /// Whether a set may go out as well. One of it that is lost already takes no second place, but neither does it get
+    /// one past the bound: it may come back by itself, and would be out by intent then.
     ///
     /// # Errors
     /// The first bound that stands against it.
     pub fn may_go(
         &self, set: &BTreeSet<Target>, bounds: &[Bound], evidence: Option<&Evidence>,
     ) -> Result<(), Against> {
-        let new: BTreeSet<&Target> = set.iter().filter(|t| !self.out.contains(t)).collect();
-        for bound in bounds.iter().filter(|b| new.iter().any(|t| t.side == b.side)) {
+        for bound in bounds.iter().filter(|b| set.iter().any(|t| t.side == b.side)) {
             match bound.most {
                 Most::Need { headroom, zone_lost } => {
-                    self.need(&new, evidence.ok_or(Against::Unmeasured)?, headroom, zone_lost)?;
+                    self.need(set, evidence.ok_or(Against::Unmeasured)?, headroom, zone_lost)?;
                 }
-                Most::Count(_) | Most::PerMille(_) => self.count(&new, bound)?,
+                Most::Count(_) | Most::PerMille(_) => self.count(set, bound)?,
             }
         }
         Ok(())
     }
 
-    fn count(&self, new: &BTreeSet<&Target>, bound: &Bound) -> Result<(), Against> {
+    fn count(&self, set: &BTreeSet<Target>, bound: &Bound) -> Result<(), Against> {
         let none = Labels::default();
         let labels = |t: &Target| self.known.get(t).unwrap_or(&none);
         let scopes: BTreeSet<String> =
-            new.iter().filter(|t| t.side == bound.side).map(|t| scope(bound.per, labels(t))).collect();
+            set.iter().filter(|t| t.side == bound.side).map(|t| scope(bound.per, labels(t))).collect();
         for place in scopes {
             let here = |t: &&Target| t.side == bound.side && scope(bound.per, labels(t)) == place;
             let all = self.known.keys().filter(here).count();
@@ -224,8 +224,8 @@
                 Most::PerMille(n) => all * n as usize / 1000,
                 Most::Need { .. } => usize::MAX,
             };
-            let asked = new.iter().copied().filter(here).count();
-            let out: Vec<&Target> = self.out.iter().filter(here).collect();
+            let asked = set.iter().filter(here).count();
+            let out: Vec<&Target> = self.out.iter().filter(here).filter(|t| !set.contains(t)).collect();
             if asked > most {
                 return Err(Against::Never { bound: bound.to_string(), scope: place, asked });
             }
@@ -242,9 +242,9 @@
 
     /// Whether backends that stay hold the load.
     fn need(
-        &self, new: &BTreeSet<&Target>, evidence: &Evidence, headroom: u32, zone_lost: bool,
+        &self, set: &BTreeSet<Target>, evidence: &Evidence, headroom: u32, zone_lost: bool,
     ) -> Result<(), Against> {
-        let stays = |t: &&Target| t.side == Side::Backend && !self.out.contains(*t) && !new.contains(*t);
+        let stays = |t: &&Target| t.side == Side::Backend && !self.out.contains(*t) && !set.contains(*t);
         let mut by_zone: BTreeMap<Option<&String>, u64> = BTreeMap::new();
         for target in self.known.keys().filter(stays) {
             let zone = self.known.get(target).and_then(|l| l.zone.as_ref());
@@ -289,6 +289,12 @@
         let full = fleet.may_go(&set(&[3]), &zone, None).expect_err("the same zone");
         assert!(full.to_string().contains("in zone a 2 would be (out: b0)"), "{full}");
         assert!(fleet.may_go(&set(&[0]), &zone, None).is_ok(), "it is out already: nothing more goes");
+        let (two, none) = (set(&[0, 3]), [bound(Per::Zone, Most::Count(1))]);
+        let past = Fleet { known: &known, out: &two };
+        assert!(
+            past.may_go(&set(&[0]), &none, None).is_err(),
+            "more are lost than may be: none of them by intent"
+        );
         let never = fleet.may_go(&set(&[1, 4]), &zone, None).expect_err("two of one zone");
         assert!(matches!(never, Against::Never { asked: 2, .. }));
         let quarter = [bound(Per::Fleet, Most::PerMille(250))];
--- a/crates/sandgap-rollout/src/ledger.rs
+++ b/crates/sandgap-rollout/src/ledger.rs
@@ -192,8 +192,8 @@
     /// There is no such permit.
     #[error("no permit {0:x} waits or is out: it has ended, or was never asked for")]
     NoPermit(u64),
-    /// The target is not out under that grant.
-    #[error("{target} is not out under permit {fence}: another holds it since, or it is back already")]
+    /// There was no such grant.
+    #[error("no permit {fence} was ever granted for {target}: 'sandgap fleet outs' lists permits")]
     Stale {
         /// Which.
         target: Target,
@@ -464,10 +464,18 @@
         grants.filter(|(f, _)| *f == fence).find_map(|(_, all)| all.get_mut(target))
     }
 
+    /// Under an old fence nothing is brought back: the target may be another's by now. A call that is repeated finds
+    /// that it was heard.
     fn returned(&mut self, target: &Target, fence: Fence) -> Result<Verdict, Refusal> {
-        let stale = Refusal::Stale { target: target.clone(), fence };
-        *self.phase_mut(target, fence).ok_or(stale)? = Phase::Returning;
-        Ok(Verdict::Done)
+        let given = self.fences;
+        match self.phase_mut(target, fence) {
+            Some(phase) => {
+                *phase = Phase::Returning;
+                Ok(Verdict::Done)
+            }
+            None if fence <= given => Ok(Verdict::Ended(fence)),
+            None => Err(Refusal::Stale { target: target.clone(), fence }),
+        }
     }
 
     /// What has not been emptied comes back at once. What is its holder's by now can't be hurried: it counts as out
--- a/crates/sandgap-rules/src/lib.rs
+++ b/crates/sandgap-rules/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod latencies;
 pub mod ledger;
 pub mod limits;
+pub mod outs;
 pub mod record;
 pub mod stream;
 
@@ -18,6 +19,7 @@
 pub use judge::{Asking, History, Judge, Sent, Terms};
 pub use latencies::Latencies;
 pub use ledger::Ledger;
+pub use outs::{OutBreach, Outs};
 pub use record::{Breach, Effect, End, Figures, Ran, Record, Rule, Verdict, Writer};
 pub use stream::Stream;
 
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -113,6 +113,10 @@
         /// Which.
         #[arg(required = true)]
         targets: Vec<String>,
+        /// The permit under which they are out, as 'out' told it: a call that comes late or twice then brings nothing
+        /// back that is another's by now. Needed where the permit is not the caller's own.
+        #[arg(long)]
+        permit: Option<u64>,
     },
     /// Lists permits, what is out, and what it waits for.
     Outs,
@@ -334,7 +338,7 @@
             Call::Wait { version } => self.wait(version).await,
             Call::Voters { how } => self.voters(how).await,
             Call::Out(out) => self.take_out(out).await,
-            Call::Back { targets } => self.bring_back(&targets).await,
+            Call::Back { targets, permit } => self.bring_back(&targets, permit).await,
             Call::Outs => self.outs().await,
             Call::Withdraw { wish } => self.withdraw(&wish).await,
             Call::Halt { why } => self.do_by_hand(|by| Entry::Halt { by, why }).await,
--- a/crates/sandgap/src/rules/outs.rs
+++ b/crates/sandgap/src/rules/outs.rs
@@ -30,6 +30,9 @@
     /// 0 to 9; higher goes first.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u8).range(0..10))]
     priority: u8,
+    /// The wish's number, drawn by the caller, in hexadecimal: a call that is repeated with the same one counts once.
+    #[arg(long, value_name = "HEX")]
+    wish: Option<String>,
     /// Passes all bounds for this reason, which stays in the record.
     #[arg(long, value_name = "REASON")]
     beyond_bound: Option<String>,
@@ -54,6 +57,12 @@
     names.iter().map(|name| name.parse().unwrap_or_else(|never| match never {})).collect()
 }
 
+fn number(wish: &str) -> Result<u64> {
+    let wrong =
+        || format!("'{wish}' is no wish's number, which is hexadecimal: 'sandgap fleet outs' lists them");
+    u64::from_str_radix(wish, 16).map_err(|_| Failed::Wrong(wrong()))
+}
+
 impl Caller {
     /// Puts an entry into the log; the same entry that arrives twice counts once.
     async fn put(&mut self, entry: &Entry) -> Result<Verdict> {
@@ -104,7 +113,10 @@
     }
 
     pub(super) async fn take_out(&mut self, out: Out) -> Result<()> {
-        let id = self.number();
+        let id = match &out.wish {
+            Some(wish) => number(wish)?,
+            None => self.number(),
+        };
         let (holder, why, waits, beyond) = (who(), out.why, out.queue, out.beyond_bound);
         let asking =
             Asking { id, holder, why, priority: out.priority, targets: targets(&out.targets), waits, beyond };
@@ -168,13 +180,12 @@
         Ok(())
     }
 
-    pub(super) async fn bring_back(&mut self, names: &[String]) -> Result<()> {
+    pub(super) async fn bring_back(&mut self, names: &[String], permit: Option<u64>) -> Result<()> {
         let status = self.permits().await?;
         for target in targets(names) {
-            let Some((fence, _)) = status.ledger.phase(&target) else {
-                return Err(Failed::Refused(format!(
-                    "{target} is not out: 'sandgap fleet outs' lists what is"
-                )));
+            let fence = match permit {
+                Some(fence) => fence,
+                None => own_permit(&status, &target)?,
             };
             self.put(&Entry::Returned { target, fence }).await?;
         }
@@ -185,9 +196,7 @@
     }
 
     pub(super) async fn withdraw(&mut self, wish: &str) -> Result<()> {
-        let id = u64::from_str_radix(wish, 16).map_err(|_| {
-            Failed::Wrong(format!("'{wish}' is no wish's number: 'sandgap fleet outs' lists them"))
-        })?;
+        let id = number(wish)?;
         self.do_by_hand(|by| Entry::Withdraw { id, by }).await
     }
 
@@ -249,6 +258,21 @@
     }
 }
 
+/// The caller's permit under which a target is out.
+fn own_permit(status: &Status, target: &Target) -> Result<u64> {
+    let out = |p: &&Permit| p.grant.as_ref().is_some_and(|(_, all)| all.contains_key(target));
+    let Some(permit) = status.ledger.permits().find(out) else {
+        return Err(Failed::Refused(format!("{target} is not out: 'sandgap fleet outs' lists what is")));
+    };
+    let (fence, holder) = (permit.grant.as_ref().map_or(0, |(fence, _)| *fence), &permit.asking.holder);
+    match *holder == who() {
+        true => Ok(fence),
+        false => Err(Failed::Refused(format!(
+            "{target} is out under permit {fence} of {holder}: ask {holder}, or say '--permit {fence}'"
+        ))),
+    }
+}
+
 /// What a permit waits for, in words.
 fn waiting_for(status: &Status, permit: &Permit) -> String {
     match &permit.grant {
