Count backends as seen by where they were dialled, not by the version in force

Cause: a voter's dials counted only while the version in force was the very one at their beginning (watch.rs, News::dialled); with a publication each 0.7 s a backend was hardly ever seen well for 2 s, so that nothing came back. Ruled out: the leader's wishes losing against publishers (they were in the log in time), the reports' pace.

--- a/crates/sandgap-rollout/src/conduct.rs
+++ b/crates/sandgap-rollout/src/conduct.rs
@@ -138,8 +138,7 @@
             .filter(|(name, news)| !is_guest(name) && news.version > 0)
             .map(|(name, _)| Target::proxy(name))
             .collect();
-        let dialled: Vec<&News> =
-            scene.live.values().filter(|n| n.dialled && n.version == scene.standing).collect();
+        let dialled: Vec<&News> = scene.live.values().filter(|n| n.dialled).collect();
         for (target, _, draining) in scene.backends() {
             let missed = dialled.iter().filter(|n| n.missed.contains(&target.name)).count();
             if !dialled.is_empty() && 2 * missed < dialled.len() && !draining {
@@ -160,7 +159,7 @@
     /// What the ledger knows otherwise of targets than is seen here.
     fn observe(&self, scene: &Scene) -> Option<Entry> {
         let now = scene.view.now;
-        let measured = scene.live.values().any(|n| n.dialled && n.version == scene.standing);
+        let measured = scene.live.values().any(|n| n.dialled);
         let mut all: Vec<(Target, Option<Known>)> = Vec::new();
         let mut note = |target: Target, labels: Labels, lost: Option<bool>| {
             let old = scene.ledger.targets().get(&target);
--- a/crates/sandgap-rollout/src/news.rs
+++ b/crates/sandgap-rollout/src/news.rs
@@ -40,9 +40,9 @@
     pub held: u32,
     /// See [`Orders::watch`].
     pub sights: Vec<Sight>,
-    /// It has dialled every backend of this version; see [`Orders::dial`].
+    /// It dials backends; see [`Orders::dial`].
     pub dialled: bool,
-    /// Those that did not answer twice in a row.
+    /// Those of this version that did not answer twice in a row, or have not been dialled yet.
     pub missed: Vec<String>,
     /// See [`Orders::measure`]; in thousandths of requests.
     pub holds: Vec<(String, u64)>,
--- a/crates/sandgap/src/rules/watch.rs
+++ b/crates/sandgap/src/rules/watch.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sandgap_agree::Version;
 use sandgap_rollout::TAG;
 use sandgap_rollout::news::{News, Orders, Sight};
 use tokio::net::TcpStream;
@@ -42,14 +41,9 @@
     dialled: RefCell<Dialled>,
 }
 
-/// What came of dialling all backends.
-#[derive(Default)]
-struct Dialled {
-    /// The version whose backends they were.
-    version: Version,
-    /// Dials without an answer in a row.
-    missed: BTreeMap<String, u32>,
-}
+/// What came of dialling all backends: where each was dialled, and dials without an answer in a row. Nothing before the
+/// first round.
+type Dialled = Option<BTreeMap<String, (SocketAddr, u32)>>;
 
 impl Watch {
     /// One that is ordered nothing yet.
@@ -99,7 +93,7 @@
         let (answer, looked) = oneshot::channel();
         self.parts.inbox.put(Input::Look(Box::new(Look { at: orders.watch, measured, answer })));
         let looked = looked.await.ok()?;
-        let dialled = self.dialled.borrow();
+        let missed = self.missed();
         let front = &self.parts.front;
         Some(News {
             version,
@@ -107,13 +101,23 @@
             open: u32::try_from(front.busy()).unwrap_or(u32::MAX),
             held: looked.held,
             sights: looked.sights.into_iter().map(|(name, held)| Sight { name, held }).collect(),
-            dialled: self.dials.get() && dialled.version == version && version > 0,
-            missed: dialled.missed.iter().filter(|(_, n)| **n > 1).map(|(name, _)| name.clone()).collect(),
+            dialled: missed.is_some(),
+            missed: missed.unwrap_or_default(),
             holds: looked.holds,
             zone: self.zone.clone(),
         })
     }
 
+    /// Backends in the rules acted on that don't answer, or have not been dialled where they are now.
+    fn missed(&self) -> Option<Vec<String>> {
+        let dialled = self.dialled.borrow();
+        let dialled = dialled.as_ref()?;
+        let answers = |(name, address): &(String, SocketAddr)| {
+            dialled.get(name).is_some_and(|(at, misses)| at == address && *misses < 2)
+        };
+        Some(self.backends().into_iter().filter(|b| !answers(b)).map(|(name, _)| name).collect())
+    }
+
     fn backends(&self) -> Vec<(String, SocketAddr)> {
         let agent = self.agent.borrow();
         let listed = agent.follower().acting_book().and_then(|book| book.backends.as_ref());
@@ -122,8 +126,7 @@
 
     async fn dial(self: Rc<Self>) {
         while self.wanted() && self.orders.borrow().dial {
-            let version = self.agent.borrow().follower().acting();
-            let mut missed = BTreeMap::new();
+            let mut round = BTreeMap::new();
             let (mut waiting, mut under_way) = (self.backends().into_iter(), JoinSet::new());
             loop {
                 while under_way.len() < DIALS
@@ -131,19 +134,19 @@
                 {
                     under_way.spawn_local(async move {
                         let came = timeout(ANSWER, TcpStream::connect(address)).await;
-                        (name, matches!(came, Ok(Ok(_))))
+                        (name, address, matches!(came, Ok(Ok(_))))
                     });
                 }
                 let Some(ended) = under_way.join_next().await else { break };
-                if let Ok((name, false)) = ended {
-                    let before = self.dialled.borrow().missed.get(&name).copied().unwrap_or(0);
-                    missed.insert(name, before + 1);
+                if let Ok((name, address, answered)) = ended {
+                    let before = self.dialled.borrow().as_ref().and_then(|d| d.get(&name)).map_or(0, |d| d.1);
+                    round.insert(name, (address, if answered { 0 } else { before + 1 }));
                 }
             }
-            *self.dialled.borrow_mut() = Dialled { version, missed };
+            *self.dialled.borrow_mut() = Some(round);
             sleep(DIAL).await;
         }
-        *self.dialled.borrow_mut() = Dialled::default();
+        *self.dialled.borrow_mut() = None;
         self.dials.set(false);
     }
 }
