--- a/crates/sandgap-rollout/src/ledger.rs
+++ b/crates/sandgap-rollout/src/ledger.rs
@@ -268,6 +268,12 @@
         (self.record.iter(), self.beyond.iter())
     }
 
+    /// The same without its record, which decides nothing: of two that are equal so each decides as the other.
+    #[must_use]
+    pub fn without_record(self) -> Self {
+        Ledger { lines: 0, record: VecDeque::new(), beyond: VecDeque::new(), ..self }
+    }
+
     /// Whether there is anything to look after.
     pub fn is_idle(&self) -> bool {
         self.bounds.is_empty() && self.permits.is_empty()
