--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -1,6 +1,6 @@
 //! Agreed rules in the daemon: whether a request may be taken now, and under which version. [`shell`] drives the agent
-//! on sockets and the disk, [`book`] turns settings into rulebooks and back, [`hand`] is what staff call, [`outs`] of it
-//! what is about permits, [`watch`] what a proxy does for these.
+//! on sockets and the disk, [`book`] turns settings into rulebooks and back, [`hand`] is what staff call, `outs` of it
+//! what is about permits, `watch` what a proxy does for these.
 //!
 //! Off unless `[fleet] listen` is set: then the front holds none of this, and no task runs.
 
