Release backends in waves, halted and taken back by a gate that may be looked at at any time

Attempts that were served or failed are counted at their backend: an addition each.

Seen: three tests with three processes under load. A good release passes its waves, one out at once, and no request is refused or fails; one whose canary answers 500 is halted there, goes back by itself, no other backend touched; staff halt, go on, turn back. Found by a test and mended: a wish given up at a halt had its number ended, and the release asked under it again for ever.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -199,7 +199,18 @@
         self.endpoints.get(&backend).map_or(0, |e| e.held())
     }
 
+    /// Attempts at a backend that were served or failed, and those that failed.
+    pub fn ended_at(&self, backend: BackendId) -> (u64, u64) {
+        self.endpoints.get(&backend).map_or((0, 0), |e| e.ended())
+    }
+
     /// The same at all that are on the list.
+    pub fn ended_at_all(&self) -> (u64, u64) {
+        let both = |(a, f): (u64, u64), (all, failed): (u64, u64)| (a + all, f + failed);
+        self.endpoints.values().map(|e| e.ended()).fold((0, 0), both)
+    }
+
+    /// Attempts at all that are on the list that have not come to their end.
     pub fn held_at_all(&self) -> u32 {
         self.endpoints.values().map(|e| e.held()).sum()
     }
--- a/crates/sandgap-driver/src/endpoint.rs
+++ b/crates/sandgap-driver/src/endpoint.rs
@@ -34,16 +34,32 @@
     /// When it started, see [`Host::born_ms`].
     pub born_ms: f64,
     open: Cell<bool>,
-    /// Attempts at this backend, whichever of its processes they went to, that have not come to their end.
-    held: Rc<Cell<u32>>,
+    counts: Rc<Counts>,
+}
+
+/// Attempts at a backend, whichever of its processes they went to.
+#[derive(Default)]
+struct Counts {
+    /// Those that have not come to their end.
+    held: Cell<u32>,
+    /// Those that were served or failed.
+    ended: Cell<(u64, u64)>,
 }
 
 /// Counts an attempt until it is dropped.
-pub struct Holding(Rc<Cell<u32>>);
+pub struct Holding(Rc<Counts>);
+
+impl Holding {
+    /// It was served, or has failed.
+    pub fn ended(&self, well: bool) {
+        let (all, failed) = self.0.ended.get();
+        self.0.ended.set((all + 1, failed + u64::from(!well)));
+    }
+}
 
 impl Drop for Holding {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.held.set(self.0.held.get() - 1);
     }
 }
 
@@ -55,19 +71,24 @@
 
     /// One that takes the place of another of the same backend.
     pub fn after(old: Option<&Self>, number: u64, address: SocketAddr, born_ms: f64) -> Rc<Self> {
-        let held = old.map(|o| o.held.clone()).unwrap_or_default();
-        Rc::new(Endpoint { number, address, born_ms, open: Cell::new(true), held })
+        let counts = old.map(|o| o.counts.clone()).unwrap_or_default();
+        Rc::new(Endpoint { number, address, born_ms, open: Cell::new(true), counts })
     }
 
     /// Counts an attempt that begins.
     pub fn hold(&self) -> Holding {
-        self.held.set(self.held.get() + 1);
-        Holding(self.held.clone())
+        self.counts.held.set(self.counts.held.get() + 1);
+        Holding(self.counts.clone())
     }
 
     /// Attempts at this backend that have not come to their end.
     pub fn held(&self) -> u32 {
-        self.held.get()
+        self.counts.held.get()
+    }
+
+    /// Attempts that were served or failed, and those of them that failed.
+    pub fn ended(&self) -> (u64, u64) {
+        self.counts.ended.get()
     }
 
     /// Whether something new may go there: it neither drains, nor is it gone or replaced.
--- a/crates/sandgap-rollout/src/carry.rs
+++ b/crates/sandgap-rollout/src/carry.rs
@@ -8,6 +8,7 @@
 use crate::ledger::{Entry, Ledger, Phase, Verdict};
 use crate::limits::WATCHED;
 use crate::news::Orders;
+use crate::steer::cohort;
 use crate::target::{Side, Target};
 
 /// This machine's tag.
@@ -86,9 +87,12 @@
 
     fn admits(&self, entry: &[u8]) -> Result<(), String> {
         match decode(entry).map_err(|e| e.to_string())? {
-            Entry::Seen(_) | Entry::Grant { .. } | Entry::Drained { .. } | Entry::Back { .. } => {
-                Err("only a leader says so".into())
-            }
+            Entry::Seen(_)
+            | Entry::Grant { .. }
+            | Entry::Drained { .. }
+            | Entry::Back { .. }
+            | Entry::Advance { .. } => Err("only a leader says so".into()),
+            Entry::Ask(asking) if asking.release.is_some() => Err("only a leader asks for a release".into()),
             _ => Ok(()),
         }
     }
@@ -121,7 +125,8 @@
             self.ledger.phase(&Target::proxy(proxy)).is_some_and(|(_, phase)| phase != Phase::Returning);
         let backends = self.ledger.granted().filter(|(t, ..)| t.side == Side::Backend);
         let watch = backends.map(|(t, ..)| t.name.clone()).take(WATCHED).collect();
-        Orders { out, watch, dial: true, measure: self.ledger.wants_evidence() }.encode()
+        let (measure, cohort) = (self.ledger.wants_evidence(), cohort(&self.ledger));
+        Orders { out, watch, dial: true, measure, cohort }.encode()
     }
 
     fn bars(&self, old: &Rulebook, new: &Rulebook) -> Option<String> {
--- a/crates/sandgap-rollout/src/conduct.rs
+++ b/crates/sandgap-rollout/src/conduct.rs
@@ -20,6 +20,7 @@
 use crate::ledger::{Entry, Fence, Known, Ledger, Phase};
 use crate::limits::{LATE, SEEN, STABLE, TARGETS};
 use crate::news::News;
+use crate::steer::Steer;
 use crate::target::{Labels, Side, Target};
 
 /// What a leader remembers beside the log. A new one begins with none of it, and proves everything anew.
@@ -36,6 +37,8 @@
     used: BTreeMap<(Target, Fence), Version>,
     /// Since when it has been in use everywhere, and well.
     warming: BTreeMap<(Target, Fence), Time>,
+    /// Releases.
+    steer: Steer,
 }
 
 /// A member's own process beside the one that will take its place: it has no target of its own.
@@ -87,6 +90,7 @@
         let mut entries: Vec<Entry> = Vec::new();
         entries.extend(self.observe(&scene));
         entries.extend(self.due(&scene));
+        entries.extend(self.steer.lead(ledger, view.now, &scene.live));
         self.note_rules(&scene);
         for (target, fence, phase) in ledger.granted() {
             let proof = match phase {
--- a/crates/sandgap-rollout/src/ledger.rs
+++ b/crates/sandgap-rollout/src/ledger.rs
@@ -14,7 +14,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::bounds::{Against, Bound, Evidence, Fleet, Most};
+use crate::gate::Ended;
 use crate::limits::{BOUNDS, ENDED, OVERTAKEN, PERMITS, RECORD, SET, TARGETS};
+use crate::release::{Plan, Release, Stage};
 use crate::target::{Labels, Side, Target};
 
 /// Grows with each grant: whoever acts under a lower number for a target acts for a permit that has ended.
@@ -37,6 +39,8 @@
     pub waits: bool,
     /// Why no bound counts for it; in the record for good.
     pub beyond: Option<String>,
+    /// The release that it is for; only a leader asks so.
+    pub release: Option<u64>,
 }
 
 /// An entry of the log.
@@ -57,6 +61,49 @@
         target: Target,
         /// Under which grant.
         fence: Fence,
+        /// What it runs now; has to be told where it was out for a release.
+        runs: Option<String>,
+    },
+    /// By hand: a release is planned.
+    Plan(Box<Plan>),
+    /// By hand: it begins.
+    Begin {
+        /// Which.
+        release: u64,
+        /// Who says so.
+        by: String,
+    },
+    /// By hand, or by a leader for the gate: nothing more goes out for a release.
+    Hold {
+        /// Which.
+        release: u64,
+        /// Who says so.
+        by: String,
+        /// Why.
+        why: String,
+    },
+    /// By hand: it goes on where it was held.
+    GoOn {
+        /// Which.
+        release: u64,
+        /// Who says so.
+        by: String,
+    },
+    /// By hand, or by a leader where the plan says so: all that run it go back.
+    TurnBack {
+        /// Which.
+        release: u64,
+        /// Who says so.
+        by: String,
+    },
+    /// By a leader: a release is a stage further.
+    Advance {
+        /// Which.
+        release: u64,
+        /// To where.
+        to: Stage,
+        /// What was seen of what is not released and of what is, in failures of all.
+        seen: Option<(Ended, Ended)>,
     },
     /// By hand: nothing goes out from here on, and what has not been emptied yet comes back.
     Halt {
@@ -203,6 +250,28 @@
     /// Not a set of bounds.
     #[error("{0} bounds; {BOUNDS} at most: leave some out")]
     Bounds(usize),
+    /// Nobody said what it runs.
+    #[error("{target} was out for release '{release}': say what it runs now, with --runs")]
+    Runs {
+        /// Which.
+        target: Target,
+        /// For which release.
+        release: String,
+    },
+    /// Not a plan.
+    #[error("the plan: {0}")]
+    Plan(String),
+    /// There is none.
+    #[error("no such release: 'sandgap fleet release status' lists them")]
+    NoRelease,
+    /// Not from where it is.
+    #[error("release '{name}' is at: {stage}; that can't follow")]
+    Stage {
+        /// Its name.
+        name: String,
+        /// Where it is.
+        stage: String,
+    },
     /// It is alive.
     #[error("proxy '{0}' is not silent: a proxy that runs is not forgotten; end it first")]
     Alive(String),
@@ -234,6 +303,10 @@
     fences: Fence,
     /// Who has halted grants, and why.
     halted: Option<(String, String)>,
+    /// By the plan's number.
+    releases: BTreeMap<u64, Release>,
+    /// What targets run, as their holders told.
+    runs: BTreeMap<Target, String>,
     /// Permits that have ended, by the wish's number, with their fence.
     ended: VecDeque<(u64, Fence)>,
     lines: u64,
@@ -276,7 +349,9 @@
 
     /// Whether there is anything to look after.
     pub fn is_idle(&self) -> bool {
-        self.bounds.is_empty() && self.permits.is_empty()
+        self.bounds.is_empty()
+            && self.permits.is_empty()
+            && self.releases.values().all(|r| r.stage.has_ended())
     }
 
     /// Targets that are out by intent, with their permit's fence and how far they are.
@@ -323,14 +398,17 @@
     /// # Errors
     /// The first of them that will always stand against it.
     fn could_go(&self, permit: &Permit) -> Result<(), Against> {
-        if permit.asking.beyond.is_some() {
-            return Ok(());
+        match permit.asking.beyond {
+            Some(_) => Ok(()),
+            None => self.could_ever(&permit.asking.targets),
         }
+    }
+
+    fn could_ever(&self, set: &BTreeSet<Target>) -> Result<(), Against> {
         let known = self.targets.iter().map(|(t, k)| (t.clone(), k.labels.clone())).collect();
         let counts: Vec<Bound> =
             self.bounds.iter().filter(|b| !matches!(b.most, Most::Need { .. })).copied().collect();
-        let fleet = Fleet { known: &known, out: &BTreeSet::new() };
-        fleet.may_go(&permit.asking.targets, &counts, None)
+        Fleet { known: &known, out: &BTreeSet::new() }.may_go(set, &counts, None)
     }
 
     /// The permit that is due next: of those that fit the first by priority and age, unless one that has been passed
@@ -340,7 +418,7 @@
             return None;
         }
         let mut kept: BTreeSet<Side> = BTreeSet::new();
-        for permit in self.queue() {
+        for permit in self.queue().into_iter().filter(|p| self.may_act(p)) {
             let sides: BTreeSet<Side> = permit.asking.targets.iter().map(|t| t.side).collect();
             if !sides.is_disjoint(&kept) {
                 continue;
@@ -379,7 +457,13 @@
         let done = match entry {
             Entry::Ask(asking) => self.ask(asking),
             Entry::Withdraw { id, by } => self.withdraw(id, &by),
-            Entry::Returned { target, fence } => self.returned(&target, fence),
+            Entry::Returned { target, fence, runs } => self.returned(&target, fence, runs),
+            Entry::Plan(plan) => self.plan(*plan),
+            Entry::Begin { release, by } => self.begin(release, &by),
+            Entry::Hold { release, by, why } => self.hold(release, &by, &why),
+            Entry::GoOn { release, by } => self.go_on(release, &by),
+            Entry::TurnBack { release, by } => self.turn_back(release, &by),
+            Entry::Advance { release, to, seen } => Ok(self.advance(release, to, seen)),
             Entry::Halt { by, why } => Ok(self.halt(cut(&by), cut(&why))),
             Entry::Resume { by } => {
                 if self.halted.take().is_some() {
@@ -415,6 +499,9 @@
         if self.permits.len() >= PERMITS {
             return Err(Refusal::Full);
         }
+        if let Some(release) = asking.release {
+            self.asks_for(release, &asking.targets)?;
+        }
         self.orders += 1;
         let (holder, why) = (cut(&asking.holder), cut(&asking.why));
         let beyond = asking.beyond.as_deref().map(cut);
@@ -472,16 +559,26 @@
 
     /// Under an old fence nothing is brought back: the target may be another's by now. A call that is repeated finds
     /// that it was heard.
-    fn returned(&mut self, target: &Target, fence: Fence) -> Result<Verdict, Refusal> {
+    fn returned(&mut self, target: &Target, fence: Fence, runs: Option<String>) -> Result<Verdict, Refusal> {
         let given = self.fences;
-        match self.phase_mut(target, fence) {
-            Some(phase) => {
-                *phase = Phase::Returning;
-                Ok(Verdict::Done)
-            }
-            None if fence <= given => Ok(Verdict::Ended(fence)),
-            None => Err(Refusal::Stale { target: target.clone(), fence }),
+        let under =
+            |p: &&Permit| p.grant.as_ref().is_some_and(|(f, all)| *f == fence && all.contains_key(target));
+        let Some(permit) = self.permits.values().find(under) else {
+            return match fence <= given {
+                true => Ok(Verdict::Ended(fence)),
+                false => Err(Refusal::Stale { target: target.clone(), fence }),
+            };
+        };
+        if let (Some(release), None) = (permit.asking.release.and_then(|id| self.releases.get(&id)), &runs) {
+            return Err(Refusal::Runs { target: target.clone(), release: release.plan.name.clone() });
         }
+        if let Some(runs) = runs {
+            self.runs.insert(target.clone(), cut(&runs));
+        }
+        if let Some(phase) = self.phase_mut(target, fence) {
+            *phase = Phase::Returning;
+        }
+        Ok(Verdict::Done)
     }
 
     /// What has not been emptied comes back at once. What is its holder's by now can't be hurried: it counts as out
@@ -536,6 +633,7 @@
     /// A target is no part of the fleet any more: nobody has to bring it back.
     fn gone(&mut self, target: &Target) {
         self.targets.remove(target);
+        self.runs.remove(target);
         self.drop_target(target);
     }
 
@@ -667,5 +765,6 @@
     }
 }
 
+mod releases;
 #[cfg(test)]
 mod tests;
--- a/crates/sandgap-rollout/src/ledger/tests.rs
+++ b/crates/sandgap-rollout/src/ledger/tests.rs
@@ -29,7 +29,16 @@
 
 fn asking(id: u64, targets: &[usize]) -> Asking {
     let targets = targets.iter().map(|n| b(*n)).collect();
-    Asking { id, holder: format!("h{id}"), why: "w".into(), priority: 5, targets, waits: true, beyond: None }
+    Asking {
+        id,
+        holder: format!("h{id}"),
+        why: "w".into(),
+        priority: 5,
+        targets,
+        waits: true,
+        beyond: None,
+        release: None,
+    }
 }
 
 fn ask(ledger: &mut Ledger, id: u64, targets: &[usize]) -> Verdict {
@@ -52,7 +61,7 @@
 
 fn bring_back(ledger: &mut Ledger, n: usize) {
     let fence = fence(ledger, n);
-    assert_eq!(ledger.apply(Entry::Returned { target: b(n), fence }), Verdict::Done);
+    assert_eq!(ledger.apply(Entry::Returned { target: b(n), fence, runs: None }), Verdict::Done);
     ledger.apply(Entry::Back { target: b(n), fence });
 }
 
@@ -169,9 +178,9 @@
     bring_back(&mut l, 0);
     ask(&mut l, 2, &[0]);
     run(&mut l);
-    let late = Entry::Returned { target: b(0), fence: 1 };
+    let late = Entry::Returned { target: b(0), fence: 1, runs: None };
     assert_eq!(l.apply(late), Verdict::Ended(1));
-    let never = Entry::Returned { target: b(0), fence: 99 };
+    let never = Entry::Returned { target: b(0), fence: 99, runs: None };
     assert!(matches!(l.apply(never), Verdict::Refused(Refusal::Stale { .. })));
     l.apply(Entry::Back { target: b(0), fence: 1 });
     assert_eq!(l.phase(&b(0)), Some((2, Phase::Granted)));
@@ -258,7 +267,7 @@
     assert!(l.bars(&drains(0), &old).expect("it is locked").contains("sandgap fleet back b0"));
     l.apply(Entry::Drained { target: b(0), fence: 1, version: 3 });
     assert_eq!(l.bars(&drains(0), &Rulebook { drained: ["b0".into()].into(), ..without(0) }), None);
-    l.apply(Entry::Returned { target: b(0), fence: 1 });
+    l.apply(Entry::Returned { target: b(0), fence: 1, runs: None });
     assert_eq!(l.bars(&drains(0), &old), None);
     assert!(
         l.bars(&old, &drains(0)).is_some(),
@@ -267,3 +276,153 @@
     l.apply(Entry::Bounds { bounds: vec![], by: "ops".into(), why: String::new() });
     assert_eq!(l.bars(&old, &without(3)), None, "without bounds rules are free");
 }
+
+mod releases {
+    use super::*;
+
+    const ID: u64 = 77;
+
+    fn plan(waves: &[&[usize]]) -> Plan {
+        Plan {
+            id: ID,
+            name: "spring".into(),
+            from: "1.4".into(),
+            to: "1.5".into(),
+            waves: waves.iter().map(|w| w.iter().map(|n| b(*n)).collect()).collect(),
+            soak_ms: 1000,
+            patience_ms: 1000,
+            margin: 10,
+            backs: true,
+            by: "ops".into(),
+            why: String::new(),
+        }
+    }
+
+    fn stage(l: &Ledger) -> Stage {
+        l.release(ID).expect("planned").stage.clone()
+    }
+
+    /// What a leader asks for; returns the targets.
+    fn asks(l: &mut Ledger) -> Vec<Target> {
+        let due = l.due(l.release(ID).expect("planned"));
+        for target in &due {
+            let id = l.wish_for(ID, target);
+            let asking = Asking { id, targets: [target.clone()].into(), release: Some(ID), ..asking(0, &[]) };
+            l.apply(Entry::Ask(asking));
+        }
+        due
+    }
+
+    /// All that can go goes, is changed and comes back.
+    fn change(l: &mut Ledger, runs: &str) -> usize {
+        let mut changed = 0;
+        for _ in 0..50 {
+            asks(l);
+            run(l);
+            let Some((target, fence, _)) = l.granted().next().map(|(t, f, p)| (t.clone(), f, p)) else {
+                break;
+            };
+            l.apply(Entry::Drained { target: target.clone(), fence, version: 1 });
+            let runs = Some(runs.to_owned());
+            assert_eq!(l.apply(Entry::Returned { target: target.clone(), fence, runs }), Verdict::Done);
+            l.apply(Entry::Back { target, fence });
+            changed += 1;
+        }
+        changed
+    }
+
+    fn advance(l: &mut Ledger, to: Stage) -> Stage {
+        l.apply(Entry::Advance { release: ID, to, seen: None });
+        stage(l)
+    }
+
+    fn begun(waves: &[&[usize]]) -> Ledger {
+        let mut l = ledger(1);
+        assert_eq!(l.apply(Entry::Plan(Box::new(plan(waves)))), Verdict::Done);
+        assert_eq!(l.apply(Entry::Begin { release: ID, by: "ops".into() }), Verdict::Done);
+        l
+    }
+
+    #[test]
+    fn waves_follow_each_other_and_none_before_the_last_is_through() {
+        let mut l = begun(&[&[0], &[1, 2]]);
+        assert_eq!(advance(&mut l, Stage::Soaking(0)), Stage::Wave(0), "nothing has changed yet");
+        assert_eq!(asks(&mut l), [b(0)]);
+        assert!(asks(&mut l).is_empty(), "one wish for each");
+        assert_eq!(change(&mut l, "1.5"), 1);
+        assert_eq!(advance(&mut l, Stage::Wave(1)), Stage::Wave(0), "not without its soak");
+        assert_eq!(advance(&mut l, Stage::Soaking(0)), Stage::Soaking(0));
+        assert!(asks(&mut l).is_empty(), "while it is watched nothing goes out");
+        assert_eq!(advance(&mut l, Stage::Done), Stage::Soaking(0));
+        assert_eq!(advance(&mut l, Stage::Wave(1)), Stage::Wave(1));
+        assert_eq!(change(&mut l, "1.5"), 2);
+        assert_eq!(advance(&mut l, Stage::Soaking(1)), Stage::Soaking(1));
+        assert_eq!(advance(&mut l, Stage::Done), Stage::Done);
+        assert!(l.apply(Entry::GoOn { release: ID, by: "ops".into() }) != Verdict::Done);
+    }
+
+    #[test]
+    fn a_halt_gives_up_what_waits_and_brings_back_what_is_not_empty() {
+        let mut l = begun(&[&[0, 1, 2]]);
+        asks(&mut l);
+        run(&mut l);
+        let out = l.granted().next().map(|(t, f, _)| (t.clone(), f)).expect("one is out");
+        l.apply(Entry::Hold { release: ID, by: "ops".into(), why: "no".into() });
+        assert!(matches!(l.phase(&out.0), Some((_, Phase::Returning))));
+        assert_eq!(l.permits().count(), 1, "the others are given up");
+        assert!(asks(&mut l).is_empty());
+        let back = Entry::Returned { target: out.0.clone(), fence: out.1, runs: None };
+        assert!(
+            matches!(l.apply(back), Verdict::Refused(Refusal::Runs { .. })),
+            "what it runs has to be told"
+        );
+        l.apply(Entry::Back { target: out.0, fence: out.1 });
+        l.apply(Entry::GoOn { release: ID, by: "ops".into() });
+        assert_eq!(stage(&l), Stage::Wave(0));
+        assert_eq!(change(&mut l, "1.5"), 3);
+    }
+
+    #[test]
+    fn the_way_back_takes_all_that_run_it_and_no_other() {
+        let mut l = begun(&[&[0], &[1, 2], &[3]]);
+        change(&mut l, "1.5");
+        advance(&mut l, Stage::Soaking(0));
+        advance(&mut l, Stage::Wave(1));
+        // One of the second wave is changed, one is out for it, then somebody turns it back.
+        asks(&mut l);
+        run(&mut l);
+        l.apply(Entry::TurnBack { release: ID, by: "ops".into() });
+        let early = l.granted().next().map(|(t, f, _)| (t.clone(), f)).expect("one was out");
+        l.apply(Entry::Back { target: early.0, fence: early.1 });
+        assert_eq!(advance(&mut l, Stage::WentBack), Stage::GoingBack, "b0 still runs it");
+        assert_eq!(asks(&mut l), [b(0)]);
+        // The way back can be halted, and goes on as a way back.
+        l.apply(Entry::Hold { release: ID, by: "ops".into(), why: "wait".into() });
+        l.apply(Entry::GoOn { release: ID, by: "ops".into() });
+        assert_eq!(stage(&l), Stage::GoingBack);
+        assert_eq!(change(&mut l, "1.4"), 1);
+        assert_eq!(advance(&mut l, Stage::WentBack), Stage::WentBack);
+    }
+
+    #[test]
+    fn plans_that_can_t_be_carried_out_are_refused_with_what_is_wrong() {
+        let mut l = ledger(1);
+        let mut refused = |plan: Plan| match l.apply(Entry::Plan(Box::new(plan))) {
+            Verdict::Refused(why) => why.to_string(),
+            other => panic!("{other:?}"),
+        };
+        assert!(refused(plan(&[])).contains("without a target"));
+        assert!(refused(plan(&[&[0], &[0]])).contains("twice"));
+        assert!(refused(plan(&[&[9]])).contains("no proxy or backend"));
+        assert!(refused(Plan { to: "1.4".into(), ..plan(&[&[0]]) }).contains("from one release to another"));
+        let mixed = Plan { waves: vec![vec![b(0), Target::proxy("p")]], ..plan(&[]) };
+        assert!(refused(mixed).contains("apart"));
+        assert_eq!(l.apply(Entry::Plan(Box::new(plan(&[&[0]])))), Verdict::Done);
+        let second = Plan { id: 78, name: "other".into(), ..plan(&[&[0, 1]]) };
+        let Verdict::Refused(why) = l.apply(Entry::Plan(Box::new(second))) else { panic!("refused") };
+        assert!(why.to_string().contains("b0 is part of a release under way"), "{why}");
+        bound(&mut l, 0);
+        let third = Plan { id: 79, name: "third".into(), ..plan(&[&[3]]) };
+        assert!(matches!(l.apply(Entry::Plan(Box::new(third))), Verdict::Refused(Refusal::Against(_))));
+    }
+}
--- a/crates/sandgap-rollout/src/limits.rs
+++ b/crates/sandgap-rollout/src/limits.rs
@@ -10,6 +10,14 @@
 pub const PERMITS: usize = 128;
 /// Targets of one permit: a zone of a large fleet.
 pub const SET: usize = 256;
+/// Releases that are kept, those that have ended included.
+pub const RELEASES: usize = 16;
+/// Targets of one release: its plan has to fit into an entry of the log.
+pub const PLANNED: usize = 1024;
+/// Waves of one.
+pub const WAVES: usize = 64;
+/// Permits that releases have waiting or out at once; the rest is for hands.
+pub const RELEASING: usize = PERMITS / 2;
 /// Lines of the record; older ones are forgotten. Lines about a bound that was passed by intent have a room of their
 /// own, so that ordinary ones never push them out.
 pub const RECORD: usize = 256;
--- a/crates/sandgap-rollout/src/news.rs
+++ b/crates/sandgap-rollout/src/news.rs
@@ -3,6 +3,7 @@
 use sandgap_agree::Version;
 use serde::{Deserialize, Serialize};
 
+use crate::gate::Ended;
 use crate::limits::WATCHED;
 
 /// To a proxy.
@@ -16,6 +17,8 @@
     pub dial: bool,
     /// Those that vote tell what backends are believed to hold.
     pub measure: bool,
+    /// Backends that run a release which is judged, under a number that changes with them.
+    pub cohort: Option<(u64, Vec<String>)>,
 }
 
 /// What a proxy has at a backend that it watches.
@@ -48,6 +51,10 @@
     pub holds: Vec<(String, u64)>,
     /// Where it stands.
     pub zone: Option<String>,
+    /// Attempts at all backends that have ended.
+    pub ended: Ended,
+    /// Those of them at the cohort of a number, see [`Orders::cohort`].
+    pub cohort: Option<(u64, Ended)>,
 }
 
 impl Orders {
@@ -60,6 +67,9 @@
     pub fn decode(bytes: &[u8]) -> Orders {
         let mut orders: Orders = postcard::from_bytes(bytes).unwrap_or_default();
         orders.watch.truncate(WATCHED);
+        if let Some((_, names)) = &mut orders.cohort {
+            names.truncate(WATCHED);
+        }
         orders
     }
 }
--- a/crates/sandgap-rollout/tests/bounds.rs
+++ b/crates/sandgap-rollout/tests/bounds.rs
@@ -142,12 +142,13 @@
                     targets,
                     waits: !id.is_multiple_of(3),
                     beyond,
+                    release: None,
                 })
             }
             Step::Grant(Some(n)) => Entry::Grant { id: *self.asked.get(n)?, evidence: None },
             Step::Grant(None) => Entry::Grant { id: self.ledger.next(None)?, evidence: None },
             Step::Drained(n) => Entry::Drained { target: target(n), fence: self.fence(n), version: 1 },
-            Step::Returned(n) => Entry::Returned { target: target(n), fence: self.fence(n) },
+            Step::Returned(n) => Entry::Returned { target: target(n), fence: self.fence(n), runs: None },
             Step::Back(n) => Entry::Back { target: target(n), fence: self.fence(n) },
             Step::Seen(n, lost) => Entry::Seen(vec![(target(n), Some(Known { labels: labels(n), lost }))]),
             Step::Gone(n) => Entry::Seen(vec![(target(n), None)]),
@@ -211,7 +212,7 @@
             let out: Vec<(Target, u64, Phase)> =
                 self.ledger.granted().map(|(t, f, p)| (t.clone(), f, p)).collect();
             let Some((target, fence, _)) = out.into_iter().next() else { break };
-            self.ledger.apply(Entry::Returned { target: target.clone(), fence });
+            self.ledger.apply(Entry::Returned { target: target.clone(), fence, runs: None });
             self.ledger.apply(Entry::Back { target, fence });
         }
         let left: Vec<_> = self.ledger.permits().filter(|p| self.ledger.may_go(p, None).is_ok()).collect();
--- a/crates/sandgap-rollout/tests/model.rs
+++ b/crates/sandgap-rollout/tests/model.rs
@@ -120,7 +120,16 @@
 
 fn asking(holder: usize, round: u8) -> Asking {
     let (id, targets) = (holder as u64 + 1 + 10 * u64::from(round), BTreeSet::from([target(holder)]));
-    Asking { id, holder: String::new(), why: String::new(), priority: 5, targets, waits: true, beyond: None }
+    Asking {
+        id,
+        holder: String::new(),
+        why: String::new(),
+        priority: 5,
+        targets,
+        waits: true,
+        beyond: None,
+        release: None,
+    }
 }
 
 /// Whether a holder is told that its target is empty, under the wish that it made last.
@@ -173,7 +182,7 @@
             Word::Returned(n, fence) => {
                 let now = state.phase(n).map(|(now, _)| now);
                 let fence = if self.0 == Defect::NoFence { now.unwrap_or(fence) } else { fence };
-                state.apply([Entry::Returned { target: target(n), fence }]);
+                state.apply([Entry::Returned { target: target(n), fence, runs: None }]);
                 if self.0 == Defect::Unseen {
                     state.apply([Entry::Back { target: target(n), fence }]);
                 }
@@ -280,7 +289,7 @@
             Step::SeenBack(n) | Step::Forgotten(n) => {
                 let fence = last.phase(n)?.0;
                 state.apply([
-                    Entry::Returned { target: target(n), fence },
+                    Entry::Returned { target: target(n), fence, runs: None },
                     Entry::Back { target: target(n), fence },
                 ]);
             }
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -174,7 +174,7 @@
 
     /// What is under way, after all that was put in before this was asked.
     fn look(&self, look: Look) {
-        let Look { at, measured, answer } = look;
+        let Look { at, measured, cohort, answer } = look;
         let id = |name: &str| BackendId(number_of(name));
         let sights = at.iter().map(|name| (name.clone(), self.core.held_at(id(name)))).collect();
         let believed: FxHashMap<BackendId, f64> = match measured.is_empty() {
@@ -186,7 +186,11 @@
             Some((name, (limit.clamp(0.0, 1e9) * 1000.0) as u64))
         };
         let holds = measured.into_iter().filter_map(holds).collect();
-        let _ = answer.send(Looked { sights, held: self.core.held_at_all(), holds }); // whoever asked may have ended
+        let held = self.core.held_at_all();
+        let of = |(a, f): (u64, u64), (all, failed): (u64, u64)| (a + all, f + failed);
+        let new = cohort.iter().map(|name| self.core.ended_at(id(name))).fold((0, 0), of);
+        let ended = [new, self.core.ended_at_all()];
+        let _ = answer.send(Looked { sights, held, holds, ended }); // whoever asked may have ended
     }
 
     fn now(&self) -> Time {
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -66,6 +66,8 @@
     pub at: Vec<String>,
     /// Backends of which it is told what they are believed to hold.
     pub measured: Vec<String>,
+    /// Backends of which the attempts that have ended are told together.
+    pub cohort: Vec<String>,
     /// Who asks.
     pub answer: oneshot::Sender<Looked>,
 }
@@ -78,6 +80,8 @@
     pub held: u32,
     /// What backends are believed to hold, in thousandths of requests.
     pub holds: Vec<(String, u64)>,
+    /// Attempts that were served or failed, and those that failed: at the cohort, and at all.
+    pub ended: [(u64, u64); 2],
 }
 
 /// A client's request: what the module has to know, and the rest behind `exchange`.
@@ -161,21 +165,13 @@
     latency: Option<Millis>,
     told: bool,
     /// Until its end it is under way at its backend.
-    _holding: Holding,
+    holding: Holding,
 }
 
 impl Report {
     /// A report on an attempt that begins now.
     pub fn new(inbox: Inbox, request: RequestId, attempt: u32, holding: Holding) -> Self {
-        Report {
-            inbox,
-            request,
-            attempt,
-            sent: Instant::now(),
-            latency: None,
-            told: false,
-            _holding: holding,
-        }
+        Report { inbox, request, attempt, sent: Instant::now(), latency: None, told: false, holding }
     }
 
     /// When the attempt began.
@@ -207,6 +203,14 @@
 
     fn put(&mut self, outcome: Outcome, reply: Option<Reply>) {
         self.told = true;
+        match outcome {
+            Outcome::Served => self.holding.ended(true),
+            Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
+                self.holding.ended(false);
+            }
+            // Nothing that a backend did well or badly.
+            Outcome::Full | Outcome::Cancelled | Outcome::Moot => {}
+        }
         let latency = self.latency.unwrap_or_else(|| self.elapsed());
         let (request, attempt) = (self.request, self.attempt);
         self.inbox.put(Input::Ended { request, attempt, latency, outcome, reply });
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -26,7 +26,7 @@
 
 use super::book;
 use super::shell::RULES;
-use super::{outs, riders};
+use super::{outs, releases, riders};
 use crate::config::{Config, Fleet};
 use crate::{load, settings};
 
@@ -117,6 +117,9 @@
         /// back that is another's by now. Needed where the permit is not the caller's own.
         #[arg(long)]
         permit: Option<u64>,
+        /// What they run now; has to be said where they were out for a release.
+        #[arg(long, value_name = "LABEL")]
+        runs: Option<String>,
     },
     /// Lists permits, what is out, and what it waits for.
     Outs,
@@ -138,6 +141,12 @@
         /// Its name.
         proxy: String,
     },
+    /// Releases in waves: planned, begun, halted, taken back.
+    Release {
+        /// How.
+        #[command(subcommand)]
+        how: releases::How,
+    },
     /// Tells or sets how many may be out at once.
     Budget(outs::Budget),
     /// Changes who votes.
@@ -338,7 +347,8 @@
             Call::Wait { version } => self.wait(version).await,
             Call::Voters { how } => self.voters(how).await,
             Call::Out(out) => self.take_out(out).await,
-            Call::Back { targets, permit } => self.bring_back(&targets, permit).await,
+            Call::Back { targets, permit, runs } => self.bring_back(&targets, permit, runs).await,
+            Call::Release { how } => self.release(how).await,
             Call::Outs => self.outs().await,
             Call::Withdraw { wish } => self.withdraw(&wish).await,
             Call::Halt { why } => self.do_by_hand(|by| Entry::Halt { by, why }).await,
--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -7,6 +7,7 @@
 pub mod book;
 pub mod hand;
 mod outs;
+mod releases;
 pub mod shell;
 mod watch;
 
--- a/crates/sandgap/src/rules/outs.rs
+++ b/crates/sandgap/src/rules/outs.rs
@@ -53,7 +53,7 @@
     why: String,
 }
 
-fn targets(names: &[String]) -> BTreeSet<Target> {
+pub(super) fn targets(names: &[String]) -> BTreeSet<Target> {
     names.iter().map(|name| name.parse().unwrap_or_else(|never| match never {})).collect()
 }
 
@@ -65,7 +65,7 @@
 
 impl Caller {
     /// Puts an entry into the log; the same entry that arrives twice counts once.
-    async fn put(&mut self, entry: &Entry) -> Result<Verdict> {
+    pub(super) async fn put(&mut self, entry: &Entry) -> Result<Verdict> {
         let leader = self.leader().await?;
         let number = self.number();
         let take = move |word| match word {
@@ -82,7 +82,7 @@
     }
 
     /// How things stand, as the voter that leads has it.
-    async fn permits(&mut self) -> Result<Status> {
+    pub(super) async fn permits(&mut self) -> Result<Status> {
         loop {
             let leader = self.leader().await?;
             let number = self.number();
@@ -118,8 +118,16 @@
             None => self.number(),
         };
         let (holder, why, waits, beyond) = (who(), out.why, out.queue, out.beyond_bound);
-        let asking =
-            Asking { id, holder, why, priority: out.priority, targets: targets(&out.targets), waits, beyond };
+        let asking = Asking {
+            id,
+            holder,
+            why,
+            priority: out.priority,
+            targets: targets(&out.targets),
+            waits,
+            beyond,
+            release: None,
+        };
         let verdict = self.put(&Entry::Ask(asking)).await?;
         match out.wait {
             true => self.wait_until_empty(id).await,
@@ -180,14 +188,16 @@
         Ok(())
     }
 
-    pub(super) async fn bring_back(&mut self, names: &[String], permit: Option<u64>) -> Result<()> {
+    pub(super) async fn bring_back(
+        &mut self, names: &[String], permit: Option<u64>, runs: Option<String>,
+    ) -> Result<()> {
         let status = self.permits().await?;
         for target in targets(names) {
             let fence = match permit {
                 Some(fence) => fence,
                 None => own_permit(&status, &target)?,
             };
-            self.put(&Entry::Returned { target, fence }).await?;
+            self.put(&Entry::Returned { target, fence, runs: runs.clone() }).await?;
         }
         if !self.json {
             println!("coming back; 'sandgap fleet outs' tells when they have been seen well");
@@ -250,7 +260,7 @@
     }
 }
 
-fn word(phase: Phase) -> &'static str {
+pub(super) fn word(phase: Phase) -> &'static str {
     match phase {
         Phase::Granted => "going out",
         Phase::Drained(_) => "empty",
--- a/crates/sandgap/src/rules/watch.rs
+++ b/crates/sandgap/src/rules/watch.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use sandgap_rollout::TAG;
+use sandgap_rollout::gate::Ended;
 use sandgap_rollout::news::{News, Orders, Sight};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -45,6 +46,10 @@
 /// first round.
 type Dialled = Option<BTreeMap<String, (SocketAddr, u32)>>;
 
+fn ended((all, failed): (u64, u64)) -> Ended {
+    Ended { all, failed }
+}
+
 impl Watch {
     /// One that is ordered nothing yet.
     pub fn new(parts: Parts, agent: Shared, votes: bool, zone: Option<String>) -> Rc<Self> {
@@ -91,7 +96,9 @@
             false => Vec::new(),
         };
         let (answer, looked) = oneshot::channel();
-        self.parts.inbox.put(Input::Look(Box::new(Look { at: orders.watch, measured, answer })));
+        let (number, cohort) = orders.cohort.unzip();
+        let cohort = cohort.unwrap_or_default();
+        self.parts.inbox.put(Input::Look(Box::new(Look { at: orders.watch, measured, cohort, answer })));
         let looked = looked.await.ok()?;
         let missed = self.missed();
         let front = &self.parts.front;
@@ -105,6 +112,8 @@
             missed: missed.unwrap_or_default(),
             holds: looked.holds,
             zone: self.zone.clone(),
+            ended: ended(looked.ended[1]),
+            cohort: number.map(|n| (n, ended(looked.ended[0]))),
         })
     }
 
--- /dev/null
+++ b/crates/sandgap/tests/releases.rs
@@ -0,0 +1,190 @@
+//! Releases in waves, as whoever changes backends meets them: fleets of the program's own processes under load.
+mod processes;
+mod sockets;
+
+use std::process::Output;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use processes::*;
+use serde_json::Value;
+use sockets::*;
+
+const BACKENDS: usize = 4;
+const CLIENTS: usize = 9;
+
+/// Three proxies that vote, four backends of which each may turn bad, one out at once, and clients all the while.
+struct Site<'a> {
+    fleet: Fleet<'a>,
+    bad: Vec<Arc<AtomicBool>>,
+    _proxies: Vec<Proxy>,
+    stop: Arc<AtomicBool>,
+    clients: Vec<thread::JoinHandle<()>>,
+    /// Answers other than 200.
+    failed: Arc<AtomicUsize>,
+}
+
+impl<'a> Site<'a> {
+    fn new(folder: &'a Folder) -> Self {
+        let bad: Vec<Arc<AtomicBool>> = (0..BACKENDS).map(|_| Arc::default()).collect();
+        let backends: Vec<Backend> = bad
+            .iter()
+            .map(|bad| {
+                let bad = bad.clone();
+                Backend::with(move |_| {
+                    thread::sleep(Duration::from_millis(8));
+                    Deed::Write(if bad.load(Ordering::SeqCst) { empty("500 Oops") } else { ok("well") })
+                })
+            })
+            .collect();
+        let fleet = Fleet::new(folder, 3, &backends.iter().collect::<Vec<_>>());
+        let proxies = vec![fleet.start(0), fleet.start(1), fleet.start(2)];
+        fleet.publish(3);
+        let set = fleet.call(0, &["budget", "--set", "backend:fleet:1"]);
+        assert!(set.status.success(), "{set:?}");
+        wait_for("all to be seen well", || {
+            let known = json(&fleet.call(0, &["outs", "--json"]));
+            let targets = known["targets"].as_array().cloned().unwrap_or_default();
+            targets.len() == 3 + BACKENDS && targets.iter().all(|t| t["lost"] == false)
+        });
+        let (stop, failed) = (Arc::<AtomicBool>::default(), Arc::<AtomicUsize>::default());
+        let clients =
+            (0..CLIENTS).map(|c| client(c, proxies[c % 3].address, stop.clone(), failed.clone())).collect();
+        Site { fleet, bad, _proxies: proxies, stop, clients, failed }
+    }
+
+    fn release(&self, words: &[&str]) -> Output {
+        self.fleet.call(0, &[&["release"], words].concat())
+    }
+
+    fn plan(&self, more: &[&str]) {
+        let plan = [
+            "plan", "spring", "--from", "1.4", "--to", "1.5", "--wave", "b1", "--wave", "b2,b3", "--soak",
+            "0.3",
+        ];
+        let planned = self.release(&[&plan[..], &["--margin", "20"], more].concat());
+        assert!(planned.status.success(), "{planned:?}");
+        let begun = self.release(&["begin", "spring"]);
+        assert!(begun.status.success(), "{begun:?}");
+    }
+
+    fn stage(&self) -> String {
+        let told = self.release(&["status", "--json"]);
+        json(&told)["stage"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Changes whatever is out for the release, once; returns which, and what it runs then.
+    fn work(&self, change: impl Fn(usize, &str)) -> Vec<(String, String)> {
+        let told = self.release(&["work", "spring"]);
+        let mut done = Vec::new();
+        for line in String::from_utf8_lossy(&told.stdout).lines() {
+            let words: Vec<&str> = line.split(' ').collect();
+            let [target, permit, label] = words[..] else { panic!("{line}") };
+            change(target[1..].parse().expect("a number"), label);
+            let back = self.fleet.call(0, &["back", target, "--permit", permit, "--runs", label]);
+            assert!(back.status.success(), "{back:?}");
+            done.push((target.to_owned(), label.to_owned()));
+        }
+        done
+    }
+}
+
+impl Drop for Site<'_> {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.clients.drain(..).for_each(|c| drop(c.join()));
+    }
+}
+
+fn json(output: &Output) -> Value {
+    assert!(output.status.success(), "{output:?}");
+    serde_json::from_slice(&output.stdout).expect("JSON")
+}
+
+fn client(
+    n: usize, proxy: std::net::SocketAddr, stop: Arc<AtomicBool>, failed: Arc<AtomicUsize>,
+) -> thread::JoinHandle<()> {
+    thread::spawn(move || {
+        let mut client = Client::at(proxy);
+        for asked in 0.. {
+            if stop.load(Ordering::SeqCst) {
+                return;
+            }
+            let text = format!(
+                "GET /page/x HTTP/1.1\r\nHost: x\r\nX-Request-ID: c{n}-{asked}\r\nX-Timeout: 5\r\nContent-Length: 0\r\n\r\n"
+            );
+            match client.ask(&text) {
+                Some(answer) if answer.status() == 200 => {}
+                Some(_) => drop(failed.fetch_add(1, Ordering::SeqCst)),
+                None => {
+                    failed.fetch_add(1, Ordering::SeqCst);
+                    client = Client::at(proxy);
+                }
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    })
+}
+
+#[test]
+fn a_good_release_passes_its_waves_and_loses_nothing() {
+    let folder = Folder::new("release-good");
+    let site = Site::new(&folder);
+    site.plan(&[]);
+    let mut changed = Vec::new();
+    wait_for("its end", || {
+        changed.extend(site.work(|_, _| {}));
+        site.stage() == "done"
+    });
+    changed.sort();
+    let to = |name: &str| (name.to_owned(), "1.5".to_owned());
+    assert_eq!(changed, [to("b1"), to("b2"), to("b3")]);
+    assert_eq!(site.failed.load(Ordering::SeqCst), 0, "no request is lost or refused for a release");
+}
+
+#[test]
+fn a_bad_one_is_halted_at_its_canary_and_goes_back_by_itself() {
+    let folder = Folder::new("release-bad");
+    let site = Site::new(&folder);
+    site.plan(&["--patience-for-finding", "60"]);
+    let mut changed = Vec::new();
+    wait_for("its way back", || {
+        changed.extend(site.work(|n, label| site.bad[n].store(label == "1.5", Ordering::SeqCst)));
+        site.stage() == "went back"
+    });
+    assert_eq!(
+        changed,
+        [("b1".into(), "1.5".into()), ("b1".into(), "1.4".into())],
+        "the canary alone, and back"
+    );
+    let record = said(&site.fleet.call(0, &["outs"]));
+    assert!(record.contains("the gate"), "{record}");
+}
+
+#[test]
+fn staff_halt_go_on_and_turn_back() {
+    let folder = Folder::new("release-halt");
+    let site = Site::new(&folder);
+    site.plan(&[]);
+    let halted = site.release(&["halt", "spring", "--why", "the exam begins"]);
+    assert!(halted.status.success(), "{halted:?}");
+    assert!(site.stage().contains("the exam begins"), "{}", site.stage());
+    let again = site.release(&["begin", "spring"]);
+    assert_eq!(again.status.code(), Some(1), "{again:?}");
+    assert!(site.release(&["resume", "spring"]).status.success());
+    let mut changed = Vec::new();
+    wait_for("the canary's change", || {
+        changed.extend(site.work(|_, _| {}));
+        changed.iter().any(|(_, label)| label == "1.5")
+    });
+    assert!(site.release(&["back", "spring"]).status.success());
+    wait_for("its way back", || {
+        changed.extend(site.work(|_, _| {}));
+        site.stage() == "went back"
+    });
+    assert_eq!(changed.last().map(|(_, label)| label.as_str()), Some("1.4"), "{changed:?}");
+    let unknown = site.release(&["halt", "autumn", "--why", "x"]);
+    assert_eq!(unknown.status.code(), Some(2), "{unknown:?}");
+}
