--- a/crates/sandgap/tests/releases.rs
+++ b/crates/sandgap/tests/releases.rs
@@ -160,6 +160,7 @@
         "the canary alone, and back"
     );
     let record = said(&site.fleet.call(0, &["outs"]));
+    record.lines().filter(|line| line.contains("the gate")).for_each(|line| println!("{line}"));
     assert!(record.contains("the gate"), "{record}");
 }
 
