--- a/crates/sandgap-rollout/src/conduct.rs
+++ b/crates/sandgap-rollout/src/conduct.rs
@@ -56,6 +56,15 @@
     live: BTreeMap<&'a String, News>,
 }
 
+/// Proxies that may hold a lease, with what they told last.
+fn live<'a>(view: &'a View<'a>) -> BTreeMap<&'a String, News> {
+    let news = |told: &[(u8, Vec<u8>)]| {
+        let own = told.iter().find(|(tag, _)| *tag == TAG);
+        own.and_then(|(_, bytes)| News::decode(bytes)).unwrap_or_default()
+    };
+    view.live().map(|(name, known)| (name, news(&known.report.told))).collect()
+}
+
 impl Scene<'_> {
     /// How long after its last word a proxy may still have something under way; nothing where no time is long enough.
     fn silence(&self) -> Option<Duration> {
@@ -123,13 +132,7 @@
                 self.heard.remove(&name);
             }
         }
-        let news = |told: &[(u8, Vec<u8>)]| {
-            told.iter()
-                .find(|(tag, _)| *tag == TAG)
-                .and_then(|(_, bytes)| News::decode(bytes))
-                .unwrap_or_default()
-        };
-        let live = view.live().map(|(name, known)| (name, news(&known.report.told))).collect();
+        let live = live(view);
         let scene = Scene { ledger, view, rules, standing: view.machine.standing(), live };
         self.note_well(&scene);
         Some(scene)
@@ -325,13 +328,7 @@
     /// What each target that is out waits for, as far as this voter knows.
     pub fn explain(&self, ledger: &Ledger, view: &View) -> Vec<(Target, String)> {
         let Some(rules) = view.rules() else { return Vec::new() };
-        let news = |told: &[(u8, Vec<u8>)]| {
-            told.iter()
-                .find(|(tag, _)| *tag == TAG)
-                .and_then(|(_, bytes)| News::decode(bytes))
-                .unwrap_or_default()
-        };
-        let live = view.live().map(|(name, known)| (name, news(&known.report.told))).collect();
+        let live = live(view);
         let scene = Scene { ledger, view, rules, standing: view.machine.standing(), live };
         let wait = |(target, fence, phase): (&Target, Fence, Phase)| {
             let for_what = match phase {
--- a/crates/sandgap-rollout/src/ledger/releases.rs
+++ b/crates/sandgap-rollout/src/ledger/releases.rs
@@ -7,7 +7,7 @@
 use super::{Entry, Fence, Ledger, Permit, Phase, Refusal, Verdict};
 use crate::gate::Ended;
 use crate::limits::{PLANNED, RELEASES, RELEASING, WAVES};
-use crate::release::{Plan, Release, Stage};
+use crate::release::{Plan, Release, Stage, number_of};
 use crate::target::Target;
 
 type Done = Result<Verdict, Refusal>;
@@ -77,9 +77,7 @@
     /// The number under which a leader asks for a target. Another once anything has been asked for or granted: a wish
     /// that was given up is not made again under its old number, which has ended.
     pub fn wish_for(&self, release: u64, target: &Target) -> u64 {
-        let text = format!("{release} {target} {} {}", self.fences, self.orders);
-        // Fowler, Noll and Vo's hash (FNV-1a, 64 bits): a number apart from others, not a secret.
-        text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+        number_of(&format!("{release} {target} {} {}", self.fences, self.orders))
     }
 
     /// Whether a permit may be granted as far as its release goes.
--- a/crates/sandgap-rollout/src/release.rs
+++ b/crates/sandgap-rollout/src/release.rs
@@ -120,3 +120,8 @@
     /// How far it is.
     pub stage: Stage,
 }
+
+/// A number that tells texts apart (FNV-1a, 64 bits, Fowler, Noll and Vo); no secret.
+pub(crate) fn number_of(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
--- a/crates/sandgap-rollout/src/steer.rs
+++ b/crates/sandgap-rollout/src/steer.rs
@@ -9,7 +9,7 @@
 use crate::ledger::{Asking, Entry, Ledger};
 use crate::limits::RELEASING;
 use crate::news::News;
-use crate::release::{Plan, Release, Stage};
+use crate::release::{Plan, Release, Stage, number_of};
 use crate::target::{Side, Target};
 
 /// Who halts where a gate has found.
@@ -43,10 +43,7 @@
     };
     let release = ledger.releases().find(judged)?;
     let names: Vec<String> = ledger.released(release).map(|t| t.name.clone()).collect();
-    let text = format!("{} {}", release.plan.id, names.join(" "));
-    // FNV-1a again: two cohorts of one release differ in it.
-    let number =
-        text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+    let number = number_of(&format!("{} {}", release.plan.id, names.join(" ")));
     Some((number, names))
 }
 
