Read rulebooks once a version, not at each tick and report

Who is live is counted in one place, and entries are encoded in one. Tests of agree, rollout (model and histories too), agreed rules, outs and releases pass.

--- a/crates/sandgap-agree/src/voter/lead.rs
+++ b/crates/sandgap-agree/src/voter/lead.rs
@@ -51,16 +51,16 @@
     }
 
     pub(super) fn decision(&self, now: Time, version: Version) -> Option<Entry> {
-        let live = self.members.iter().filter(|(_, k)| k.at + self.terms.live() >= now);
+        let view = self.view(now);
         let (mut refused, mut missing) = (Vec::new(), Vec::new());
-        for (name, known) in live {
+        for (name, known) in view.live() {
             match &known.report.looked {
                 Some((looked, None)) if *looked == version => {}
                 Some((looked, Some(why))) if *looked == version => refused.push((name.clone(), why.clone())),
                 _ => missing.push((name.clone(), "has not said that it holds the version".to_owned())),
             }
         }
-        refused.extend(self.bars(version));
+        refused.extend(self.bars_pending(version));
         if !refused.is_empty() {
             return Some(Entry::Abandon(version, refused));
         }
--- a/crates/sandgap-agree/src/voter/mod.rs
+++ b/crates/sandgap-agree/src/voter/mod.rs
@@ -9,6 +9,7 @@
 mod rounds;
 mod seats;
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -37,6 +38,11 @@
 /// Bytes of entries in one message between voters; one larger entry still goes.
 const MESSAGE: u64 = 256 << 10;
 
+/// Who bars a switch, and why.
+type Barred = (String, String);
+/// A place in the log, a version put forward, and whether its switch is barred there.
+type Looked = ((u64, Version), Option<Barred>);
+
 /// What a voter wants done.
 #[derive(Debug, PartialEq)]
 pub enum Action {
@@ -93,6 +99,8 @@
     publishers: VecDeque<(u64, String)>,
     /// State machines that the log carries.
     riders: Riders,
+    /// What riders said of a version put forward, at a place in the log.
+    pending_bars: RefCell<Option<Looked>>,
     /// What riders wanted in the log, and the tick at which it was last proposed.
     wished: BTreeMap<(Tag, Vec<u8>), u64>,
     /// Who put which entry of a rider forward, and under which number.
@@ -174,6 +182,7 @@
             proposed: 0,
             publishers: VecDeque::new(),
             riders,
+            pending_bars: RefCell::default(),
             wished: BTreeMap::new(),
             putters: VecDeque::new(),
             unwritten: VecDeque::new(),
@@ -634,7 +643,21 @@
         }
     }
 
-    fn bars(&self, version: Version) -> Option<(String, String)> {
+    /// The same of the version put forward. A leader asks with every report that comes, and what the log has built
+    /// decides it: two rulebooks are read once for each place in the log.
+    fn bars_pending(&self, version: Version) -> Option<Barred> {
+        let at = (self.applied, version);
+        if let Some((known, why)) = &*self.pending_bars.borrow()
+            && *known == at
+        {
+            return why.clone();
+        }
+        let why = self.bars(version);
+        self.pending_bars.replace(Some((at, why.clone())));
+        why
+    }
+
+    fn bars(&self, version: Version) -> Option<Barred> {
         let book = |v| self.machine.version(v).and_then(|r| Rulebook::decode(r.book()).ok());
         let (old, new) = (book(self.machine.standing())?, book(version)?);
         let (tag, why) = self.riders.bars(&old, &new)?;
--- a/crates/sandgap-rollout/src/conduct.rs
+++ b/crates/sandgap-rollout/src/conduct.rs
@@ -8,6 +8,7 @@
 //! such bound: then its silence proves nothing, and the drain waits until it is heard again or forgotten by hand.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use sandgap_agree::rider::{View, Wish};
@@ -16,7 +17,7 @@
 use sandgap_fleet::Time;
 
 use crate::bounds::Evidence;
-use crate::carry::TAG;
+use crate::carry::{TAG, encode};
 use crate::ledger::{Entry, Fence, Known, Ledger, Phase};
 use crate::limits::{LATE, SEEN, STABLE, TARGETS};
 use crate::news::News;
@@ -27,6 +28,8 @@
 #[derive(Debug, Default)]
 pub struct Conductor {
     led: Option<Time>,
+    /// The rules in force, read once a version.
+    rules: Option<(Version, Rc<Rulebook>)>,
     /// When each proxy was heard last.
     heard: BTreeMap<String, Time>,
     /// Since when each target has been seen well without a break.
@@ -50,7 +53,7 @@
 struct Scene<'a> {
     ledger: &'a Ledger,
     view: &'a View<'a>,
-    rules: Rulebook,
+    rules: Rc<Rulebook>,
     standing: Version,
     /// Proxies that may hold a lease, with what they told last.
     live: BTreeMap<&'a String, News>,
@@ -113,13 +116,14 @@
             };
             entries.extend(proof);
         }
-        let own = entries.iter().map(|e| Wish::Own(postcard::to_stdvec(e).unwrap_or_default()));
+        let own = entries.iter().map(|e| Wish::Own(encode(e)));
         own.chain(wanted_rules(&scene)).collect()
     }
 
     /// What is known now; notes who has been heard and seen well.
     fn scene<'a>(&mut self, ledger: &'a Ledger, view: &'a View<'a>) -> Option<Scene<'a>> {
-        let rules = view.rules()?;
+        let rules = self.rules(view)?;
+        self.rules = Some((view.machine.standing(), rules.clone()));
         for (name, known) in view.members {
             self.heard.insert(name.clone(), known.at.max(view.led));
         }
@@ -138,6 +142,14 @@
         Some(scene)
     }
 
+    /// The rules in force. What a version says never changes.
+    fn rules(&self, view: &View) -> Option<Rc<Rulebook>> {
+        match &self.rules {
+            Some((version, rules)) if *version == view.machine.standing() => Some(rules.clone()),
+            _ => view.rules().map(Rc::new),
+        }
+    }
+
     fn note_well(&mut self, scene: &Scene) {
         let mut well: BTreeSet<Target> = scene
             .live
@@ -327,7 +339,7 @@
 
     /// What each target that is out waits for, as far as this voter knows.
     pub fn explain(&self, ledger: &Ledger, view: &View) -> Vec<(Target, String)> {
-        let Some(rules) = view.rules() else { return Vec::new() };
+        let Some(rules) = self.rules(view) else { return Vec::new() };
         let live = live(view);
         let scene = Scene { ledger, view, rules, standing: view.machine.standing(), live };
         let wait = |(target, fence, phase): (&Target, Fence, Phase)| {
@@ -360,7 +372,7 @@
 
 /// The rules that those that are out ask for, where they are not in force.
 fn wanted_rules(scene: &Scene) -> Option<Wish> {
-    let mut rules = scene.rules.clone();
+    let mut rules = Rulebook::clone(&scene.rules);
     let listed =
         |name: &str| scene.rules.backends.as_ref().is_none_or(|all| all.iter().any(|b| b.name == name));
     let (mut drains, mut uses) = (Vec::new(), Vec::new());
