--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -111,6 +111,8 @@
     pub wanted: Rc<Cell<bool>>,
     /// When it is given up.
     pub until: Time,
+    /// Nothing of it may be written from then on, if it may be a repeat.
+    pub before: Option<Time>,
 }
 
 /// A request that lacks its answer or has attempts out.
@@ -157,6 +159,8 @@
     begun: Vec<RequestId>,
     /// Requests that may not be sent any more, to be given up after the actions in hand.
     unsent: Vec<RequestId>,
+    /// When the last answer has to be out, once this process has been told to end.
+    end: Option<Time>,
 }
 
 impl<D: Decide, O: Outside> Core<D, O> {
@@ -176,6 +180,7 @@
             moot: VecDeque::new(),
             begun: Vec::new(),
             unsent: Vec::new(),
+            end: None,
         }
     }
 
@@ -243,6 +248,7 @@
     /// A whole request has come in.
     pub fn request(&mut self, now: Time, arrival: Arrival<O::Held>) {
         let Arrival { id, class, tenant, key, hint, deadline, upload, held } = arrival;
+        let deadline = self.end.map_or(deadline, |end| deadline.min(end));
         let last = deadline.saturating_sub(LAST_RESORT);
         let budget = ms(last.saturating_sub(now));
         let wanted = Rc::new(Cell::new(true));
@@ -253,6 +259,16 @@
         self.handle(now, Event::Request { id, class, tenant, key, budget, hint });
     }
 
+    /// This process ends: whatever it has taken has its answer by then, however long its client would wait.
+    pub fn end_by(&mut self, end: Time) {
+        self.end = Some(self.end.map_or(end, |before| before.min(end)));
+        let last = end.saturating_sub(LAST_RESORT);
+        for (id, live) in self.live.iter_mut().filter(|(_, l)| l.open && (l.uploading || l.deadline > end)) {
+            live.deadline = live.deadline.min(end);
+            self.due.push(Reverse((last, Due::LastResort(*id))));
+        }
+    }
+
     /// A request's client has left.
     pub fn gone(&mut self, now: Time, id: RequestId) {
         if self.close(id, |_, _| {}) {
@@ -272,7 +288,7 @@
         let Some(live) = self.live.get_mut(&id) else { return };
         let Some(patience) = live.upload else { return };
         live.uploading = false;
-        live.deadline = now + patience;
+        live.deadline = self.end.map_or(now + patience, |end| end.min(now + patience));
         let last = live.deadline.saturating_sub(LAST_RESORT);
         self.due.push(Reverse((last, Due::LastResort(id))));
         let budget = if spent { 0.0 } else { ms(last.saturating_sub(now)) };
@@ -343,12 +359,16 @@
         self.outside.listed(scope, some);
     }
 
-    /// Answers a request that nobody else has answered in time. It may have run, so it has failed.
+    /// Answers a request that nobody else has answered in time. It has failed if it may have run.
     fn last_resort(&mut self, now: Time, id: RequestId) {
-        if self.live.get(&id).is_some_and(|l| l.uploading || l.deadline > now + LAST_RESORT) {
+        let ends = self.end.is_some_and(|end| end <= now + LAST_RESORT);
+        let later = |l: &Live<O::Held>| l.uploading || l.deadline > now + LAST_RESORT;
+        if !ends && self.live.get(&id).is_some_and(later) {
             return; // another is set once it has gone out
         }
-        if self.close(id, |outside, held| outside.answer(held, id, Answer::Failed)) {
+        let unsent = self.live.get(&id).is_some_and(|l| l.attempts == 0);
+        let answer = if unsent { Answer::Refused(None) } else { Answer::Failed };
+        if self.close(id, |outside, held| outside.answer(held, id, answer)) {
             self.handle(now, Event::Abandoned(id));
         }
     }
@@ -439,7 +459,9 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
+            Action::Send { request, backend, timeout, before } => {
+                self.send(request, backend, timeout, before);
+            }
             Action::Refuse { request, retry_after } => {
                 self.close(request, |outside, held| {
                     outside.answer(held, request, Answer::Refused(retry_after));
@@ -455,7 +477,9 @@
         }
     }
 
-    fn send(&mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>) {
+    fn send(
+        &mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>, before: Option<Millis>,
+    ) {
         let Some(live) = self.live.get_mut(&request) else {
             return self.outside.odd("a send for a request that is not held");
         };
@@ -475,7 +499,8 @@
             self.begun.push(request);
         }
         let (endpoint, wanted) = (endpoint.clone(), live.wanted.clone());
-        self.outside.attempt(&live.held, Attempt { request, number, endpoint, wanted, until });
+        let before = before.map(time);
+        self.outside.attempt(&live.held, Attempt { request, number, endpoint, wanted, until, before });
     }
 }
 
--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -83,7 +83,7 @@
 }
 
 fn send(id: u64, name: &str) -> Action {
-    Action::Send { request: RequestId(id), backend: BackendId(number_of(name)), timeout: None }
+    Action::Send { request: RequestId(id), backend: BackendId(number_of(name)), timeout: None, before: None }
 }
 
 fn ask(core: &mut Core<Script, Seen>, id: u64, says: Vec<Action>) {
@@ -99,7 +99,8 @@
     core.fire(at(995));
     assert!(core.outside.answers.is_empty());
     core.fire(at(996));
-    assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
+    // It was never sent: that is certain, and a failure would leave its client in doubt.
+    assert_eq!(core.outside.answers, [(RequestId(1), "Refused(None)".to_owned())]);
     assert!(matches!(core.decider.heard.last(), Some(Event::Abandoned(RequestId(1)))));
     assert_eq!((core.held(), core.next_due()), (0, None));
 }
@@ -150,7 +151,8 @@
     core.decider.says.push_back(vec![]);
     core.request(at(100), arrival(1, at(1000)));
     for (timeout, until) in [(Some(200.0), at(500)), (Some(9000.0), at(1000)), (None, at(1000))] {
-        let send = Action::Send { request: RequestId(1), backend: BackendId(number_of("a")), timeout };
+        let send =
+            Action::Send { request: RequestId(1), backend: BackendId(number_of("a")), timeout, before: None };
         core.decider.says.push_back(vec![send]);
         core.message(at(300), 0, Vec::new());
         assert_eq!(core.outside.attempts.last().expect("sent").until, until);
@@ -252,3 +254,46 @@
     assert_eq!(core.outside.attempts.len(), 1);
     assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
 }
+
+#[test]
+fn at_the_end_of_the_process_whoever_waits_longer_has_an_answer_before_it() {
+    let mut core = core();
+    // One that runs, one that waits, one that is answered sooner anyway, and one that comes after the signal.
+    ask(&mut core, 1, vec![send(1, "a")]);
+    ask(&mut core, 2, vec![]);
+    core.request(at(0), arrival(3, at(300)));
+    core.end_by(at(500));
+    core.request(at(100), arrival(4, at(900)));
+    core.fire(at(296));
+    assert_eq!(core.outside.answers, [(RequestId(3), "Refused(None)".to_owned())]);
+    core.fire(at(495));
+    assert_eq!(core.outside.answers.len(), 1);
+    core.fire(at(496));
+    let mut answers = core.outside.answers.split_off(1);
+    answers.sort();
+    let told = |id, what: &str| (RequestId(id), what.to_owned());
+    assert_eq!(answers, [told(1, "Failed"), told(2, "Refused(None)"), told(4, "Refused(None)")]);
+    core.ended(at(600), RequestId(1), 0, 600.0, Outcome::TimedOut, None);
+    assert_eq!(core.held(), 0);
+}
+
+#[test]
+fn a_long_request_that_still_comes_in_does_not_outlive_the_process() {
+    let mut core = core();
+    core.decider.says.push_back(vec![send(1, "a")]);
+    core.request(at(0), Arrival { upload: Some(at(9000)), ..arrival(1, at(9000)) });
+    core.end_by(at(500));
+    core.uploaded(at(400), RequestId(1));
+    core.fire(at(496));
+    assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
+}
+
+#[test]
+fn until_when_a_repeat_may_go_out_is_told_to_whoever_writes_it() {
+    let mut core = core();
+    let before = Some(700.0);
+    let send =
+        Action::Send { request: RequestId(1), backend: BackendId(number_of("a")), timeout: None, before };
+    ask(&mut core, 1, vec![send]);
+    assert_eq!(core.outside.attempts[0].before, Some(at(700)));
+}
--- a/crates/sandgap-lab/src/fleet.rs
+++ b/crates/sandgap-lab/src/fleet.rs
@@ -157,6 +157,13 @@
 
 const NOBODY: u32 = u32::MAX;
 
+/// What has to hold at an attempt's first byte.
+struct Gate {
+    wanted: Rc<Cell<bool>>,
+    endpoint: Rc<Endpoint>,
+    before: Option<Duration>,
+}
+
 struct Out {
     request: u32,
     /// Its number at the core; `RAW` for what a defect sent.
@@ -168,7 +175,7 @@
     until: Nanos,
     work: f64,
     outcome: Ends,
-    gate: Option<(Rc<Cell<bool>>, Rc<Endpoint>)>,
+    gate: Option<Gate>,
     /// Whether the proxy has its end.
     told: bool,
     /// Whether its server is done with it.
--- a/crates/sandgap-lab/src/fleet/sends.rs
+++ b/crates/sandgap-lab/src/fleet/sends.rs
@@ -5,7 +5,7 @@
 use sandgap_rules::{End, Ran, Sent};
 use wharfhitch::RequestId;
 
-use super::{Ends, Event, Fleet, MS, Mode, Nanos, Out, RAW, time, us};
+use super::{Ends, Event, Fleet, Gate, MS, Mode, Nanos, Out, RAW, time, us};
 use crate::defects::{Defect, SOME};
 use crate::measure::Ended;
 use crate::model::server::Taken;
@@ -67,7 +67,7 @@
     }
 
     fn begin(&mut self, now: Nanos, p: u16, attempt: Attempt) {
-        let Attempt { request, number, endpoint, wanted, until } = attempt;
+        let Attempt { request, number, endpoint, wanted, until, before } = attempt;
         let mut server = proxy::server(endpoint.address);
         if self.e.fleet.defect == Some(Defect::PushesCold)
             && let Some(newest) = self.newest(p)
@@ -79,7 +79,7 @@
         let until = (until.as_nanos() as Nanos).max(now);
         let process = self.proxies[usize::from(p)].process;
         let mut out = Out::new(request, (p, process), server, (now, until), work);
-        (out.number, out.gate) = (number, Some((wanted, endpoint)));
+        (out.number, out.gate) = (number, Some(Gate { wanted, endpoint, before }));
         let n = self.attempts.add(out);
         self.cal.push(until, Event::TimedOut(n));
         let dial = self.e.network.dial;
@@ -113,7 +113,10 @@
             a.over = true; // timed out while it was dialling
             return self.drop_if_done(n);
         }
-        if a.gate.take().is_some_and(|(wanted, endpoint)| !wanted.get() || !endpoint.is_open()) {
+        let shut = |g: Gate| {
+            !g.wanted.get() || !g.endpoint.is_open() || g.before.is_some_and(|before| time(now) >= before)
+        };
+        if a.gate.take().is_some_and(shut) {
             a.over = true;
             return self.end_with(now, n, Ends::Moot, 0);
         }
--- a/crates/sandgap-lab/src/rivals.rs
+++ b/crates/sandgap-lab/src/rivals.rs
@@ -183,7 +183,7 @@
         r.tried.push((k, now));
         r.out = true;
         self.servers[k].out += 1;
-        out.push(Action::Send { request: id, backend: self.servers[k].id, timeout: None });
+        out.push(Action::Send { request: id, backend: self.servers[k].id, timeout: None, before: None });
     }
 
     fn look_again(&mut self, now: Millis, out: &mut Vec<Action>) {
--- a/crates/sandgap/src/body.rs
+++ b/crates/sandgap/src/body.rs
@@ -121,6 +121,11 @@
         self.ended.get()
     }
 
+    /// Whether all of it has come in.
+    pub fn is_read(&self) -> bool {
+        self.ended.get() || self.length.is_some_and(|length| self.pace.get().passed() >= length)
+    }
+
     /// Its whole length, where that is told.
     pub fn length(&self) -> Option<u64> {
         self.length
--- a/crates/sandgap/src/config.rs
+++ b/crates/sandgap/src/config.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use hyper::header::HeaderName;
 use sandgap_agree::Terms;
@@ -88,6 +89,8 @@
     pub memory: usize,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// After SIGTERM requests are finished for the longest deadline, but no longer than this.
+    pub grace: Duration,
     /// Where the other proxies are, if they may be told anything.
     pub peers: Option<PeerAddresses>,
     /// The list of backends as last seen, in discovery's form; perhaps old, perhaps nothing.
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -205,8 +205,15 @@
     });
     let uploads = config.memory / MEMORY_PART / UPLOAD;
     let address = listener.local_addr().map_err(at("the listener"))?;
-    let front =
-        front::Frontend::new(inbox.clone(), generations, upstreams.clone(), budget, serving.clone(), uploads);
+    let front = front::Frontend::new(
+        inbox.clone(),
+        generations,
+        upstreams.clone(),
+        budget,
+        serving.clone(),
+        uploads,
+        config.grace,
+    );
     let (shape, reloaded) = (config.shape, front.clone());
     let agreed = fleet.is_some();
     let from_discovery = discovery.is_some();
--- a/crates/sandgap/src/discovery/clocks.rs
+++ b/crates/sandgap/src/discovery/clocks.rs
@@ -13,6 +13,8 @@
 
 use std::time::Duration;
 
+use wharfhitch::ASK_AGAIN;
+
 /// What a silent watch missed counts as told this long after it fell silent.
 pub(super) const TOLD: Duration = Duration::from_secs(6);
 /// Between two signs of life on a watch while nothing changes.
@@ -21,8 +23,14 @@
 pub(super) const SILENCE: Duration = Duration::from_millis(2600);
 /// The whole list, asked for after two silent watches, comes within this span or is asked for again.
 pub(super) const WHOLE: Duration = Duration::from_millis(400);
-/// A call is given up after this span.
-pub(super) const CONNECT: Duration = Duration::from_secs(1);
+/// Where lists are pushed, a call is given up after this span.
+pub(super) const CALL: Duration = Duration::from_secs(1);
+/// Where discovery is asked, a connection to it that is not up by then is given up: what is lost on the way does not
+/// come later.
+pub(super) const CONNECT: Duration = Duration::from_millis(500);
+/// And a call on one that is up after this span: discovery works through calls in turn, and turns away those that would
+/// wait for more than 2 s. One that is given up sooner has waited in vain, and waits anew at the end.
+pub(super) const TURN: Duration = Duration::from_millis(2200);
 /// Where lists are pushed, a call that waits for longer is joined by another: an agent that was silent may never
 /// answer those that came before its return.
 pub(super) const HEDGE: Duration = Duration::from_millis(200);
@@ -35,6 +43,14 @@
 
 /// Two silent watches and the whole list after them fit into the span, and a new watch is seen to be alive.
 const _: () = assert!(2 * SILENCE.as_millis() + WHOLE.as_millis() <= TOLD.as_millis());
+/// Where discovery is asked, the module waits for up to this span after each call that failed.
+const AGAIN: u128 = ASK_AGAIN.1 as u128 + 50;
+/// A silent watch, and then a call that waits for all of its turn; or one that is refused at once or never comes up,
+/// three times over, before one that is answered; or a new watch that is silent again, and the whole list after that.
+const _: () =
+    assert!(SILENCE.as_millis() + AGAIN + CONNECT.as_millis() + TURN.as_millis() <= TOLD.as_millis());
+const _: () =
+    assert!(SILENCE.as_millis() + 3 * (AGAIN + CONNECT.as_millis()) + WHOLE.as_millis() <= TOLD.as_millis());
 const _: () = assert!(BEAT.as_millis() + 500 <= SILENCE.as_millis());
 /// Within the least span that settings give to keep a drain, with as much again to see and to act on it.
 const _: () = assert!(2 * HEDGE.as_millis() < 500);
--- a/crates/sandgap/src/discovery/lines.rs
+++ b/crates/sandgap/src/discovery/lines.rs
@@ -11,17 +11,22 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::clocks::CONNECT;
+use super::clocks::{CALL, CONNECT, TURN};
 
 /// Bytes of a list, and of what is not yet a whole line: a thousand backends take 200 kB.
 pub(super) const MOST: usize = 4 << 20;
 
-/// Opens a watch of what came after a version.
-pub(super) async fn open(address: SocketAddr, after: Option<u64>) -> Result<Lines, String> {
+/// Opens a watch of what came after a version; see [`super::clocks`] for how long that may take.
+pub(super) async fn open(address: SocketAddr, after: Option<u64>, pushed: bool) -> Result<Lines, String> {
     let after = after.map_or(String::new(), |seq| format!("&after={seq}"));
-    timeout(CONNECT, get(address, &format!("watch=1{after}")))
-        .await
-        .unwrap_or_else(|_| Err("no answer".into()))
+    let query = format!("watch=1{after}");
+    let (up, answered) = if pushed { (CALL, CALL) } else { (CONNECT, TURN) };
+    let call = async {
+        let stream =
+            timeout(up, TcpStream::connect(address)).await.map_err(|_| "no connection".to_owned())?;
+        get_on(stream.map_err(|e| e.to_string())?, address, &query).await
+    };
+    timeout(answered.max(up), call).await.unwrap_or_else(|_| Err("no answer".into()))
 }
 
 /// An answer's body, line by line.
@@ -69,6 +74,10 @@
 
 pub(super) async fn get(address: SocketAddr, query: &str) -> Result<Lines, String> {
     let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    get_on(stream, address, query).await
+}
+
+async fn get_on(stream: TcpStream, address: SocketAddr, query: &str) -> Result<Lines, String> {
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
     let mut task = JoinSet::new();
     task.spawn_local(async move {
--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -140,15 +140,28 @@
 
     /// Where calls cost discovery something: no more of them than are wished for.
     async fn keep_asked(mut self, asked: &Notify) {
-        let mut backoff = BACKOFF.0;
+        let (mut backoff, mut silent) = (BACKOFF.0, false);
         loop {
             let waits = self.number == 0 || self.seq.is_some();
             if waits {
                 asked.notified().await;
             }
             let before = self.seq;
-            let error = match open(self.address, self.seq).await {
-                Ok(lines) => self.watch_on(lines).await,
+            // After a silent watch the whole list is asked for: one that resumes says nothing while nothing changes,
+            // and a second silence would be seen too late.
+            let after = self.seq.filter(|_| !silent);
+            let first = if silent { WHOLE } else { SILENCE };
+            let error = match open(self.address, after, false).await {
+                Ok(lines) => match self.watch_on(lines, first).await {
+                    Trouble::Silent => {
+                        silent = true;
+                        Trouble::Silent.to_string()
+                    }
+                    trouble => {
+                        silent = false;
+                        trouble.to_string()
+                    }
+                },
                 Err(e) => e,
             };
             if self.is_past() {
@@ -169,18 +182,17 @@
     }
 
     /// Reads a watch until it ends; a broken line is mended by a new watch from the last good one.
-    async fn watch_on(&mut self, mut lines: Lines) -> String {
+    async fn watch_on(&mut self, mut lines: Lines, mut first: Duration) -> Trouble {
         loop {
-            match self.read(&mut lines, SILENCE).await {
+            match self.read(&mut lines, first).await {
                 Trouble::Broken(e) => {
                     note!(warn: "discovery: a broken line: {e}");
                     match self.renew(Some(lines), false).await {
-                        Some(new) => lines = new,
-                        None => return "discovery has moved".into(),
+                        Some(new) => (lines, first) = (new, SILENCE),
+                        None => return Trouble::Useless("discovery has moved".into()),
                     }
                 }
-                Trouble::Silent => return "the watch is silent".into(),
-                Trouble::Over(e) | Trouble::Useless(e) => return e,
+                trouble => return trouble,
             }
         }
     }
@@ -270,7 +282,8 @@
                 },
                 () = sleep_until(next), if self.pushed || calls.is_empty() => {
                     let address = self.address;
-                    calls.spawn_local(async move { open(address, after).await });
+                    let pushed = self.pushed;
+                    calls.spawn_local(async move { open(address, after, pushed).await });
                     let now = Instant::now();
                     (self.asked, next) = (Some(now), now + wait);
                     if !self.pushed {
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -63,11 +63,12 @@
     type Reply = Reply;
 
     fn attempt(&mut self, held: &Held, attempt: core::Attempt) {
-        let core::Attempt { request, number, endpoint, wanted, until } = attempt;
+        let core::Attempt { request, number, endpoint, wanted, until, before } = attempt;
         let report = Report::new(self.parts.inbox.clone(), request, number, endpoint.hold());
         let until = self.start + until;
+        let before = before.map(|at| self.start + at);
         let licence = held.licence.clone();
-        held.exchange.clone().attempt(Attempt { endpoint, wanted, licence, until, report });
+        held.exchange.clone().attempt(Attempt { endpoint, wanted, licence, until, before, report });
     }
 
     fn may_send(&self, held: &Held) -> bool {
@@ -209,6 +210,7 @@
                 self.core.request(now, arrival);
             }
             Input::Uploaded(id) => self.core.uploaded(now, id),
+            Input::End(at) => self.core.end_by(at.saturating_duration_since(self.start)),
             Input::Started { request, attempt, reply } => self.core.started(now, request, attempt, reply),
             Input::Gone(id) => self.core.gone(now, id),
             Input::Ended { request, attempt, latency, outcome, reply } => {
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -19,6 +19,8 @@
     Request(Box<Arrival>),
     /// Its client has left.
     Gone(RequestId),
+    /// This process ends: all that it has taken has its answer by then.
+    End(Instant),
     /// A long request has gone out whole.
     Uploaded(RequestId),
     /// A long answer has begun.
@@ -137,6 +139,8 @@
     pub licence: Option<Rc<dyn Licence>>,
     /// When it is given up.
     pub until: Instant,
+    /// Nothing of it may be written from then on, if it may be a repeat.
+    pub before: Option<Instant>,
     /// Tells how it ended.
     pub report: Report,
 }
--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -2,13 +2,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::Frontend;
-use super::limits::{IDLE_MOST, NEXT, SPARED};
+use super::limits::{AHEAD, BACKENDS, IDLE_MOST, NEXT, SPARED, WHOLE};
+use crate::body::Upload;
+use crate::socket::Socket;
 
 /// How far a connection has come. The order is the one in which connections give way to others.
 #[derive(Clone, Copy, PartialEq)]
@@ -39,12 +43,63 @@
     pub(super) queued: Cell<Option<Instant>>,
     /// It has ended its sending.
     pub(super) ended: Cell<bool>,
+    /// Its request has been read whole.
+    pub(super) whole: Cell<bool>,
+    /// Its request has been read, but for the rest of a long one, and its answer is awaited.
+    waits: Cell<bool>,
+    /// That rest.
+    upload: RefCell<Option<Rc<Upload>>>,
+    /// What it has sent behind that request, not yet read by the parser.
+    pub(super) ahead: RefCell<Vec<u8>>,
+    /// More of that has come than is kept.
+    pub(super) flooded: Cell<bool>,
     pub(super) close: Notify,
     /// What has come of a head, until it has been read.
     pub(super) head: RefCell<Vec<u8>>,
 }
 
 impl Client {
+    /// A connection that has just been accepted; it may have come at `queued` already.
+    pub(super) fn new(queued: Instant) -> Rc<Self> {
+        let now = Instant::now();
+        Rc::new(Client {
+            stage: Cell::new(Stage::Busy),
+            ticket: Cell::new(0),
+            since: Cell::new(now),
+            due: Cell::new(now + WHOLE),
+            accepted: now,
+            queued: Cell::new(Some(queued)),
+            ended: Cell::new(false),
+            whole: Cell::new(false),
+            waits: Cell::new(false),
+            upload: RefCell::default(),
+            ahead: RefCell::default(),
+            flooded: Cell::new(false),
+            close: Notify::new(),
+            head: RefCell::default(),
+        })
+    }
+
+    /// While the answer is awaited: whether the client has gone. The parser sees that by itself only for as long as
+    /// nothing unread stands behind the request.
+    pub(super) fn poll_gone(&self, stream: &Socket, cx: &mut Context) -> Poll<()> {
+        let mut bytes = [0; AHEAD];
+        let read = || self.upload.borrow().as_ref().is_none_or(|u| u.is_read());
+        while self.waits.get() && read() {
+            let mut buf = ReadBuf::new(&mut bytes);
+            let came = std::task::ready!(stream.poll_read(cx, &mut buf)).is_ok();
+            if !came || buf.filled().is_empty() {
+                self.ended.set(true);
+                return Poll::Ready(());
+            }
+            let mut ahead = self.ahead.borrow_mut();
+            let kept = buf.filled().len().min(AHEAD - ahead.len());
+            ahead.extend_from_slice(&buf.filled()[..kept]);
+            self.flooded.set(self.flooded.get() || kept < buf.filled().len());
+        }
+        Poll::Pending
+    }
+
     /// Whether the head in hand tells a body's form once: by its chunks, and by no length. A head that came along
     /// with the request before is not at hand, and tells nothing.
     pub(super) fn is_plainly_chunked(&self) -> bool {
@@ -58,6 +113,27 @@
     }
 }
 
+/// A client's answer is awaited for as long as this lives.
+pub(super) struct Awaited<'a>(&'a Client);
+
+impl<'a> Awaited<'a> {
+    /// The request has been read, but for the rest of a long one.
+    pub(super) fn new(client: &'a Client, upload: Option<&Rc<Upload>>) -> Self {
+        client.whole.set(upload.is_none());
+        client.waits.set(true);
+        client.upload.replace(upload.cloned());
+        Awaited(client)
+    }
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        self.0.waits.set(false);
+        let upload = self.0.upload.take();
+        self.0.whole.set(upload.is_none_or(|u| u.is_read()));
+    }
+}
+
 /// See [`Frontend::busy_until_dropped`].
 pub(super) struct BusyUntilDropped {
     front: Rc<Frontend>,
@@ -73,10 +149,11 @@
 }
 
 impl Frontend {
-    /// Connections that are let in: what backends leave of the budget, less a little for what they need next.
+    /// Connections that are let in: what backends leave of the budget, less a little for what they need next. They are
+    /// left a part in any case: clients that stay may fill the rest before the first request goes out.
     pub(super) fn most(&self) -> usize {
         let budget = self.budget.get();
-        (budget - budget / NEXT).saturating_sub(self.upstreams.in_use())
+        (budget - budget / NEXT).saturating_sub(self.upstreams.in_use().max(budget / BACKENDS))
     }
 
     /// Moves a connection to another stage.
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -12,7 +12,7 @@
 use wharfhitch::RequestId;
 
 use super::Frontend;
-use super::admission::Client;
+use super::admission::{Awaited, Client};
 use super::head::{Asked, OpenId, target};
 use super::receive::{receive, told};
 use crate::body::{self, Answering};
@@ -97,7 +97,9 @@
         })));
         // Hyper drops this future when the client leaves.
         let mut leaves = Leaves { inbox: &self.inbox, id, waits: true };
+        let awaited = Awaited::new(client, upload.as_ref());
         let answer = answered.await;
+        drop(awaited);
         leaves.waits = false;
         if let (Some(trouble), Ok(Answer::Refused(_) | Answer::Failed)) =
             (upload.and_then(|u| u.trouble()), &answer)
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -1,6 +1,7 @@
 //! One client's connection, from its accept to its end.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -29,6 +30,7 @@
                 if client.stage.get() == Stage::Idle {
                     client.due.set(Instant::now() + WHOLE); // its head came along with the request before
                 }
+                client.whole.set(false);
                 // A request that came while its connection was waiting to be accepted is as old as that.
                 let queued = client.queued.take().filter(|_| client.accepted.elapsed() < GRACE);
                 let came = queued.unwrap_or_else(Instant::now);
@@ -45,7 +47,8 @@
                     stream.wait_for_reader(READER);
                 }
                 // Where one request was wrong, nobody knows where the next one would begin.
-                if over || front.serving.sends_away() || response.status().is_client_error() {
+                let spoilt = client.flooded.get() || response.status().is_client_error();
+                if over || spoilt || front.serving.sends_away() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 } else if !long {
                     front.turn(&client, Stage::Idle);
@@ -67,6 +70,7 @@
             tokio::select! {
                 biased; // what has come in counts before a wish to close
                 _ = connection.as_mut() => break,
+                () = poll_fn(|cx| client.poll_gone(&stream, cx)) => return, // and its request goes with it
                 () = client.close.notified() => {
                     if matches!(client.stage.get(), Stage::Silent | Stage::Begun) {
                         return;
@@ -95,7 +99,7 @@
         if !client.ended.get() {
             self.turn(client, Stage::Refused);
             tokio::select! {
-                _ = timeout(LINGER.0, linger(&stream)) => {}
+                _ = timeout(LINGER.0, linger(&stream, client)) => {}
                 () = client.close.notified() => {}
             }
         }
@@ -112,7 +116,15 @@
 impl AsyncRead for Heard {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        std::task::ready!(self.stream.poll_read(cx, buf))?;
+        let mut ahead = self.client.ahead.borrow_mut();
+        if ahead.is_empty() {
+            std::task::ready!(self.stream.poll_read(cx, buf))?;
+        } else {
+            let now = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..now]);
+            ahead.drain(..now);
+        }
+        drop(ahead);
         if buf.filled().len() == before {
             self.client.ended.set(true);
         }
@@ -146,9 +158,18 @@
     }
 }
 
-/// Ends the sending and reads on until the client ends its own, within bounds.
-async fn linger(stream: &Socket) {
-    if stream.end_sending().is_ok() {
+/// Ends the sending and waits until the client ends its own, within bounds. What it still sends of a request that was
+/// not read whole is read and dropped, as a close over it would reset the connection before the answer has been read.
+/// But behind a request that was read whole stands the answer, and what comes then is a request that crosses the close:
+/// it stays unread, so that the close resets it and its client knows that nobody has taken it.
+async fn linger(stream: &Socket, client: &Client) {
+    if stream.end_sending().is_err() {
+        return;
+    }
+    let spoilt = client.flooded.get() || !client.ahead.borrow().is_empty();
+    if client.whole.get() && !spoilt {
+        stream.heard().await;
+    } else {
         stream.drain(LINGER.1).await;
     }
 }
--- a/crates/sandgap/src/front/limits.rs
+++ b/crates/sandgap/src/front/limits.rs
@@ -33,13 +33,21 @@
 pub(super) const SILENT: Duration = Duration::from_millis(200);
 /// What the last answers may take to go out, after the longest deadline.
 pub(super) const FINISH: Duration = Duration::from_millis(200);
+/// After SIGTERM the process lives for the longest deadline, as far as the platform counts it, and 0.7 s more. What it
+/// holds then is lost, so that its last answer is out a little before: so long after that deadline.
+pub(super) const LAST_ANSWER: Duration = Duration::from_millis(500);
 /// A connection asked to close that neither reads nor writes for this span is cut.
 pub(super) const CUT: Duration = Duration::from_secs(1);
+/// Bytes that a client sends behind a request and that are kept until its answer is out. There should be none: what
+/// comes beyond them is dropped, and the connection ends with the answer.
+pub(super) const AHEAD: usize = 4 << 10;
 /// Wait after a failed accept, lest it spin.
 pub(super) const PAUSE: Duration = Duration::from_millis(10);
 
 /// One socket in so many is kept free for backends.
 pub(super) const NEXT: usize = 16;
+/// One socket in so many is left to backends, whether they need it at present or not.
+pub(super) const BACKENDS: usize = 8;
 /// Part of the budget that may have requests open at once; those beyond it are refused.
 pub(super) const BUSY: (usize, usize) = (5, 8);
 
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -20,7 +20,7 @@
 use wharfhitch::settings::Names;
 use wharfhitch::{Change, Settings};
 
-use crate::event::Inbox;
+use crate::event::{Inbox, Input};
 use crate::generation::Generations;
 use crate::note;
 use crate::rules::Rules;
@@ -29,7 +29,7 @@
 use crate::upstream::Upstreams;
 use admission::{Client, Stage};
 use head::OpenIds;
-use limits::{BACKLOG, FINISH, PAUSE, QUEUE, QUIET, SILENT, SPARED, STAY, SWEEP, WHOLE};
+use limits::{BACKLOG, FINISH, LAST_ANSWER, PAUSE, QUEUE, QUIET, SILENT, SPARED, STAY, SWEEP};
 
 /// What all connections share.
 pub struct Frontend {
@@ -49,6 +49,8 @@
     uploading: Cell<usize>,
     /// Long requests at once.
     uploads: usize,
+    /// See [`crate::config::Config::grace`].
+    grace: Duration,
     /// When the accept queue was last seen empty.
     empty: Cell<Instant>,
     standing: RefCell<[BTreeMap<u64, Rc<Client>>; SPARED.len()]>,
@@ -60,10 +62,11 @@
 
 impl Frontend {
     /// A front for clients. `budget` counts sockets of clients and backends together; `serving` says
-    /// whether clients are taken; `uploads` is how many long requests may go on at once.
+    /// whether clients are taken; `uploads` is how many long requests may go on at once; for `grace` see
+    /// [`crate::config::Config`].
     pub fn new(
         inbox: Inbox, generations: Generations, upstreams: Rc<Upstreams>, budget: usize,
-        serving: Rc<Serving>, uploads: usize,
+        serving: Rc<Serving>, uploads: usize, grace: Duration,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
@@ -77,6 +80,7 @@
             answering: Cell::new(0),
             uploading: Cell::new(0),
             uploads,
+            grace,
             empty: Cell::new(Instant::now()),
             standing: RefCell::default(),
             ids: OpenIds::default(),
@@ -128,6 +132,8 @@
                 () = self.clone().accept(&listener), if self.serving.accepts() => {}
             }
         }
+        let longest = Duration::from_secs_f64(self.generations.borrow().longest().min(1e6) / 1000.0);
+        self.inbox.put(Input::End(Instant::now() + longest.min(self.grace) + LAST_ANSWER));
         // Idle connections close now: a request that crosses that comes again while connections still do.
         self.serving.stop();
         self.close_all(Stage::Idle);
@@ -144,8 +150,7 @@
         drop(listener);
         sleep(SILENT).await;
         self.close_all(Stage::Silent);
-        let longest = self.generations.borrow().longest();
-        let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
+        let end = Instant::now() + longest + FINISH;
         while self.busy.get() > 0 {
             // A long answer that has begun is not cut off for as long as the process may live.
             let end = if self.answering.get() > 0 { end.max(Instant::now() + SWEEP) } else { end };
@@ -186,26 +191,15 @@
                 if self.open.get() >= most * 7 / 8 {
                     self.make_room(false);
                 }
-                let now = Instant::now();
-                let client = Rc::new(Client {
-                    stage: Cell::new(Stage::Busy),
-                    ticket: Cell::new(0),
-                    since: Cell::new(now),
-                    due: Cell::new(now + WHOLE),
-                    accepted: now,
-                    queued: Cell::new(Some(self.empty.get())),
-                    ended: Cell::new(false),
-                    close: Notify::new(),
-                    head: RefCell::default(),
-                });
-                self.open.set(self.open.get() + 1);
+                let client = Client::new(self.empty.get());
+                self.set_open(self.open.get() + 1);
                 self.busy.set(self.busy.get() + 1);
                 self.turn(&client, Stage::Silent);
                 tokio::task::spawn_local(async move {
                     self.connection(Socket::new(stream), &client).await;
                     self.turn(&client, Stage::Busy);
                     self.busy.set(self.busy.get() - 1);
-                    self.open.set(self.open.get() - 1);
+                    self.set_open(self.open.get() - 1);
                     self.left.notify_waiters();
                 });
             }
@@ -231,9 +225,16 @@
     /// Sets how many sockets clients and backends may hold together: two processes share them while both run.
     pub fn set_budget(&self, budget: usize) {
         self.budget.set(budget);
+        self.set_open(self.open.get());
         self.upstreams.shrink(budget / 4);
     }
 
+    /// Notes how many connections there are, and how many sockets that leaves to backends.
+    fn set_open(&self, open: usize) {
+        self.open.set(open);
+        self.upstreams.leave(self.budget.get().saturating_sub(open));
+    }
+
     fn number(&self) -> u64 {
         self.next.replace(self.next.get() + 1)
     }
--- a/crates/sandgap/src/platform.rs
+++ b/crates/sandgap/src/platform.rs
@@ -1,6 +1,7 @@
 //! The platform's configuration: the JSON file that NODE_CONFIG names, read into a [`Config`].
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -33,6 +34,9 @@
     memory_mb: Option<f64>,
 }
 
+/// The platform counts deadlines up to this when it says how long a process may live after SIGTERM.
+const GRACE: Duration = Duration::from_secs(3);
+
 /// Reads a text.
 ///
 /// # Errors
@@ -69,6 +73,7 @@
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
         memory: (file.limits.memory_mb.unwrap_or(192.0).clamp(16.0, 1e6) * (1 << 20) as f64) as usize,
         sockets,
+        grace: GRACE,
         peers,
         known: file.known,
         connections: settings::connections(&file.settings),
--- a/crates/sandgap/src/settings/mod.rs
+++ b/crates/sandgap/src/settings/mod.rs
@@ -289,6 +289,7 @@
         seed,
         memory: file.proxy.memory_mb << 20,
         sockets: file.proxy.sockets,
+        grace: std::time::Duration::MAX, // whoever ends this process says when
         peers: None,
         known: Json::Null,
         connections: Connections {
--- a/crates/sandgap/src/socket.rs
+++ b/crates/sandgap/src/socket.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Waits until the other side says something or ends, and leaves that unread.
+    pub async fn heard(&self) {
+        let mut byte = [0];
+        let _ = poll_fn(|cx| self.0.borrow().poll_peek(cx, &mut ReadBuf::new(&mut byte))).await; // an end, too
+    }
+
     /// Reads and drops what comes until the other side ends, or `most` bytes have come.
     pub async fn drain(&self, most: usize) {
         let mut buffer = vec![0; 16 << 10];
--- a/crates/sandgap/src/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -20,7 +20,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use wharfhitch::Outcome;
 
@@ -30,6 +30,9 @@
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
+/// A connection rests for this span after an answer: a second one may come some milliseconds late, and written behind
+/// the next request it would pass for that one's.
+const REST: Duration = Duration::from_millis(30);
 const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
 /// Longest wait until a connection is ready for its next request.
 const READY: Duration = Duration::from_secs(1);
@@ -126,12 +129,13 @@
     read: Notify,
 }
 
-/// The backend must still take work and the request still lack its answer: either may have changed while the
-/// connection came up.
+/// The backend must still take work, the request still lack its answer, and a repeat still be dropped: each may have
+/// changed while the connection came up.
 struct Gate {
     endpoint: Rc<Endpoint>,
     wanted: Rc<Cell<bool>>,
     licence: Option<Rc<dyn Licence>>,
+    before: Option<Instant>,
 }
 
 const BLANK: &[u8] = b"\r\n\r\n";
@@ -191,7 +195,8 @@
     /// Whether a write may go on.
     fn admit(&self) -> bool {
         let licensed = |g: &Gate| g.licence.as_ref().is_none_or(|l| l.holds());
-        let fits = |g: &Gate| g.endpoint.is_open() && g.wanted.get() && licensed(g);
+        let in_time = |g: &Gate| g.before.is_none_or(|before| Instant::now() < before);
+        let fits = |g: &Gate| g.endpoint.is_open() && g.wanted.get() && licensed(g) && in_time(g);
         let go = self.begun.get() || self.gate.borrow().as_ref().is_some_and(fits);
         self.denied.set(!go);
         go
@@ -271,6 +276,8 @@
     idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
     most: usize,
+    /// Sockets that clients leave to backends at present, see [`Upstreams::leave`].
+    left: Cell<usize>,
     /// Idle connections by the number of their endpoint, in the order of their last use. Each holds a permit,
     /// so that the budget of sockets bounds them all together.
     idle: RefCell<FxHashMap<u64, Vec<Idle>>>,
@@ -284,6 +291,7 @@
             idle_limit: Cell::default(),
             sockets: Arc::new(Semaphore::new(sockets)),
             most: sockets,
+            left: Cell::new(sockets),
             idle: RefCell::default(),
         };
         new.change(connections);
@@ -302,6 +310,11 @@
         self.most - self.sockets.available_permits()
     }
 
+    /// So many sockets are left to backends: clients hold the others.
+    pub fn leave(&self, sockets: usize) {
+        self.left.set(sockets);
+    }
+
     /// Closes idle connections until no more than so many sockets are in use, or none is idle.
     pub fn shrink(&self, most: usize) {
         while self.in_use() > most && self.idle.borrow().values().any(|all| !all.is_empty()) {
@@ -325,9 +338,12 @@
         }
     }
 
-    /// The one used last: it is the least likely to have been closed.
+    /// Of those that have rested the one used last: it is the least likely to have been closed.
     fn unpark(&self, endpoint: &Endpoint) -> Option<Idle> {
-        self.idle.borrow_mut().get_mut(&endpoint.number)?.pop()
+        let mut idle = self.idle.borrow_mut();
+        let all = idle.get_mut(&endpoint.number)?;
+        let rested = all.iter().rposition(|i| i.since.elapsed() >= REST)?;
+        Some(all.remove(rested))
     }
 
     async fn connection(&self, endpoint: &Endpoint) -> io::Result<Connection> {
@@ -341,10 +357,14 @@
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
-        if self.sockets.available_permits() == 0 {
+        if self.sockets.available_permits() == 0 || self.in_use() >= self.left.get() {
             self.close_idle();
+            yield_now().await; // its task lets go of it
         }
         let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
+        if self.in_use() > self.left.get() {
+            return Err(io::ErrorKind::QuotaExceeded.into());
+        }
         let stream = Socket::new(TcpStream::connect(address).await?);
         let meter = Rc::new(Meter::default());
         let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
@@ -361,7 +381,7 @@
 
     /// Makes one attempt and tells how it ended; the report gets that before the connection is pooled.
     async fn attempt(&self, message: &Outgoing, attempt: Attempt) {
-        let Attempt { endpoint, wanted, licence, mut until, mut report } = attempt;
+        let Attempt { endpoint, wanted, licence, mut until, before, mut report } = attempt;
         let mut uploads = match &message.body {
             Payload::Long(upload) if upload.is_spent() => return report.tell(Outcome::Moot, None),
             body => matches!(body, Payload::Long(_)),
@@ -369,6 +389,10 @@
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
         let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
             Ok(Ok(connection)) => connection,
+            // No descriptor of this process is left, which is no fault of the backend's.
+            Ok(Err(e)) if e.kind() == io::ErrorKind::QuotaExceeded => {
+                return report.tell(Outcome::Moot, None);
+            }
             Ok(Err(_)) | Err(_) => return report.tell(Outcome::ConnectFailed, None),
         };
         if !endpoint.is_open() || !wanted.get() {
@@ -376,7 +400,7 @@
         }
         let Some(request) = message.request(until) else { return report.tell(Outcome::Moot, None) };
         let meter = connection.meter.clone();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted, licence }, &message.body);
+        meter.start(Gate { endpoint: endpoint.clone(), wanted, licence, before }, &message.body);
         let sender = &mut connection.sender;
         let answer = async {
             tokio::select! {
@@ -398,6 +422,8 @@
                         until = Instant::now() + message.patience;
                     }
                     () = sleep_until(until), if !uploads => break None,
+                    // Its last byte would come when its repeat is no longer dropped.
+                    () = sleep_until(before.unwrap_or(until)), if uploads && before.is_some() => break None,
                 }
             }
         };
@@ -632,7 +658,7 @@
         let wanted = Rc::new(Cell::new(true));
         let meter = Meter::default();
         meter.start(
-            Gate { endpoint: endpoint.clone(), wanted: wanted.clone(), licence: None },
+            Gate { endpoint: endpoint.clone(), wanted: wanted.clone(), licence: None, before: None },
             &Payload::Short(Bytes::from_static(body)),
         );
         (meter, endpoint, wanted)
--- a/crates/sandgap/tests/proxy.rs
+++ b/crates/sandgap/tests/proxy.rs
@@ -4,7 +4,9 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::process::Command;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use sockets::*;
 
@@ -36,7 +38,8 @@
     assert_eq!((seen.header("host"), seen.header("x-hop")), (Some("origin.svc"), None));
     let left: f64 = seen.header("x-timeout").expect("a time").parse().expect("a number");
     assert!(left > 0.0 && left <= 3.5, "{left}");
-    // The connections on both sides are used again.
+    // The connections on both sides are used again, the backend's once it has rested.
+    std::thread::sleep(Duration::from_millis(100));
     assert_eq!(status(client.ask(&page("r-2"))), 200);
     assert_eq!(backend.seen().len(), 2);
     assert_eq!(backend.came.load(std::sync::atomic::Ordering::SeqCst), 1);
@@ -222,21 +225,21 @@
     };
     // Drain: the pooled connection goes at once, and later requests go to the other.
     tell(&[host("s-0", one.address, "draining", 0), host("s-1", two.address, "up", 0)], false);
-    wait_for("the pooled connection's end", || one.ended() == 1);
+    wait_for("the pooled connections' end", || one.came() > 0 && one.ended() == one.came());
     let before = one.seen().len();
     (0..5).for_each(|n| assert_eq!(text(&format!("r-a{n}")).as_deref(), Some("two")));
     assert_eq!(one.seen().len(), before);
     // Gone from a whole list.
     let three = Backend::new(Deed::Write(ok("three")));
     tell(&[host("s-2", three.address, "up", 0)], true);
-    wait_for("the pooled connection's end", || two.ended() == 1);
+    wait_for("the pooled connections' end", || two.came() > 0 && two.ended() == two.came());
     let before = two.seen().len();
     (0..5).for_each(|n| assert_eq!(text(&format!("r-b{n}")).as_deref(), Some("three")));
     assert_eq!(two.seen().len(), before);
     // Restarted at another address.
     let four = Backend::new(Deed::Write(ok("four")));
     tell(&[host("s-2", four.address, "up", 0)], false);
-    wait_for("the pooled connection's end", || three.ended() == 1);
+    wait_for("the pooled connections' end", || three.came() > 0 && three.ended() == three.came());
     (0..5).for_each(|n| assert_eq!(text(&format!("r-c{n}")).as_deref(), Some("four")));
 }
 
@@ -650,6 +653,44 @@
     assert_eq!(backend.seen().len(), 60);
 }
 
+#[test]
+fn a_second_answer_that_comes_late_is_not_the_next_request_s() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    // A machine that stalls makes it later than the proxy can know of: such a one proves nothing.
+    let latest = Arc::new(AtomicUsize::new(0));
+    let late = latest.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, late) = (stream.expect("a connection"), late.clone());
+            std::thread::spawn(move || {
+                let mut reader = std::io::BufReader::new(stream.try_clone().expect("a handle"));
+                while let Some(request) = read_message(&mut reader) {
+                    let answer = ok(request.id());
+                    std::thread::sleep(Duration::from_millis(40));
+                    let _ = stream.write_all(answer.as_bytes()); // the proxy may have closed it
+                    let (mut again, late) = (stream.try_clone().expect("a handle"), late.clone());
+                    let first = Instant::now();
+                    std::thread::spawn(move || {
+                        std::thread::sleep(Duration::from_millis(8));
+                        let _ = again.write_all(answer.as_bytes());
+                        late.fetch_max(first.elapsed().as_millis() as usize, Ordering::SeqCst);
+                    });
+                }
+            });
+        }
+    });
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[host("s-0", address, "up", 0)]));
+    let proxy = Proxy::up(&discovery, &Setup::default());
+    let mut client = Client::new(&proxy);
+    for n in 0..20 {
+        let id = format!("r-{n}");
+        let got = client.ask(&page(&id)).expect("an answer").text();
+        assert!(got == id || latest.load(Ordering::SeqCst) > 25, "{id} got {got}");
+    }
+}
+
 #[test]
 fn a_refused_client_is_told_when_to_come_back() {
     let backend = Backend::new(Deed::Write(empty("503 Busy\r\nX-Not-Processed: 1")));
--- a/crates/sandgap/tests/restart.rs
+++ b/crates/sandgap/tests/restart.rs
@@ -49,8 +49,7 @@
     let whole = |id: &str| submit(id, "5", "body");
     let name = |kind: &str, n: usize| format!("{kind}-{n}");
 
-    let (mut idle, mut silent, mut head, mut body) = (open(), open(), open(), open());
-    let (mut busy, mut piped, mut prompt) = (open(), open(), open());
+    let (mut idle, mut busy, mut piped, mut prompt) = (open(), open(), open(), open());
     for (n, client) in idle.iter_mut().enumerate() {
         assert_eq!(status(client.ask(&whole(&name("before", n)))), 200);
     }
@@ -60,6 +59,8 @@
         prompt[n].send(&whole(&name("held-prompt", n)));
     }
     wait_for("the held requests", || backend.seen().len() == EACH * 4);
+    // Opened now, as those that say nothing for long are closed in any case.
+    let (mut silent, mut head, mut body) = (open(), open(), open());
     for n in 0..EACH {
         let text = whole(&name("head", n));
         head[n].send(&text[..text.len() / 2]);
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -97,7 +97,7 @@
         self.0.store(1, Ordering::SeqCst);
     }
 
-    fn wait(&self) {
+    pub fn wait(&self) {
         wait_for("a gate", || self.0.load(Ordering::SeqCst) == 1);
     }
 }
@@ -150,6 +150,10 @@
         self.seen.lock().expect("no panic").clone()
     }
 
+    pub fn came(&self) -> usize {
+        self.came.load(Ordering::SeqCst)
+    }
+
     pub fn ended(&self) -> usize {
         self.ended.load(Ordering::SeqCst)
     }
@@ -190,6 +194,8 @@
     frozen: Arc<AtomicUsize>,
     /// Calls that have ended.
     pub ended: Arc<AtomicUsize>,
+    /// What comes next is answered this many ms late, and so many of them are turned away.
+    turn: Arc<(AtomicUsize, AtomicUsize)>,
     _stop: Sender<()>,
 }
 
@@ -203,17 +209,35 @@
         let (told, heard) = (lines.clone(), asked.clone());
         let [hushed, frozen, ended] = std::array::from_fn(|_| Arc::<AtomicUsize>::default());
         let (quiet, still, over) = (hushed.clone(), frozen.clone(), ended.clone());
+        let turn = Arc::<(AtomicUsize, AtomicUsize)>::default();
+        let waits = turn.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (told, heard, stopped) = (told.clone(), heard.clone(), stopped.clone());
-                let (quiet, still, over) = (quiet.clone(), still.clone(), over.clone());
+                let (quiet, still, over, waits) = (quiet.clone(), still.clone(), over.clone(), waits.clone());
                 thread::spawn(move || {
-                    watch(stream.expect("a connection"), &told, &heard, &stopped, &quiet, &still);
+                    let stream = stream.expect("a connection");
+                    watch(stream, &told, &heard, &stopped, &quiet, &still, &waits);
                     over.fetch_add(1, Ordering::SeqCst);
                 });
             }
         });
-        Discovery { address, lines, asked, hushed, frozen, ended, _stop: stop }
+        Discovery { address, lines, asked, hushed, frozen, ended, turn, _stop: stop }
+    }
+
+    /// Calls wait for their turn from now on.
+    pub fn answer_late(&self, ms: usize) {
+        self.turn.0.store(ms, Ordering::SeqCst);
+    }
+
+    /// The next calls are turned away.
+    pub fn turn_away(&self, next: usize) {
+        self.turn.1.store(next, Ordering::SeqCst);
+    }
+
+    /// The heads of all calls so far.
+    pub fn heads(&self) -> Vec<String> {
+        self.asked.lock().expect("no panic").iter().map(|m| m.first.clone()).collect()
     }
 
     /// Watches that are opened from now on get no answer.
@@ -243,7 +267,7 @@
 
 fn watch(
     mut stream: TcpStream, lines: &Mutex<Vec<String>>, asked: &Seen, stop: &Mutex<Receiver<()>>,
-    hushed: &AtomicUsize, frozen: &AtomicUsize,
+    hushed: &AtomicUsize, frozen: &AtomicUsize, turn: &(AtomicUsize, AtomicUsize),
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
     let Some(request) = read_message(&mut reader) else { return };
@@ -258,6 +282,12 @@
         let _ = stream.read(&mut [0; 1]); // until the proxy gives it up
         return;
     }
+    let turned_away = turn.1.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1)).is_ok();
+    if turned_away {
+        let _ = stream.write_all(empty("503 Busy").as_bytes());
+        return;
+    }
+    thread::sleep(Duration::from_millis(turn.0.load(Ordering::SeqCst) as u64));
     let seq = |line: &String| serde_json::from_str::<serde_json::Value>(line).ok()?["seq"].as_u64();
     let mut sent = match after {
         Some(after) => {
@@ -341,6 +371,10 @@
     pub shared: Option<std::path::PathBuf>,
     /// Descriptors that the system allows the process.
     pub descriptors: Option<u32>,
+    /// For how long a repeat of what is keyed is dropped.
+    pub window: u32,
+    /// How lists come.
+    pub discovery: &'static str,
 }
 
 impl Default for Setup {
@@ -356,6 +390,8 @@
             listen: None,
             shared: None,
             descriptors: None,
+            window: 2500,
+            discovery: "pushed",
         }
     }
 }
@@ -371,16 +407,18 @@
     format!(
         r#"{{"name":"n0",{admin}"listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
-        "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"pushed",
+        "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"{}",
         "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],
         "classes":[{{"name":"page","effect":"idempotent","promise":{aim},"deadline":{deadline},"worth":1}},
         {{"name":"submit","effect":"at_most_once","promise":{aim},"deadline":{deadline},"worth":1}},
-        {{"name":"booking","effect":"deduplicated","dedupScope":"cell","window":2500,"promise":{aim},"deadline":{deadline},"worth":1}}],
+        {{"name":"booking","effect":"deduplicated","dedupScope":"cell","window":{},"promise":{aim},"deadline":{deadline},"worth":1}}],
         "ceilings":{{"maxAttempts":6,"dialTimeout":{},"idleClose":{},"mayTell":{tells}}},
         "rules":{{"startCapacity":0.3,"cold":8700,"fall":1500,"fallMultiple":2.5,"drainGrace":500}}}}}}"#,
         setup.sockets,
         setup.known,
         if tells { 2 } else { 1 },
+        setup.discovery,
+        setup.window,
         setup.dial_timeout,
         setup.idle_close,
     )
@@ -500,6 +538,11 @@
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
     }
 
+    /// Descriptors that the process holds at present.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("the process runs").count()
+    }
+
     /// Resident memory in KiB.
     pub fn memory(&self) -> usize {
         let path = format!("/proc/{}/status", self.child.id());
@@ -573,6 +616,12 @@
         self.0.get_ref().shutdown(Shutdown::Write).expect("a connection");
     }
 
+    /// Is gone at once, with a reset, whatever is still on its way.
+    pub fn vanish(self) {
+        let socket = socket2::SockRef::from(self.0.get_ref());
+        socket.set_linger(Some(Duration::ZERO)).expect("a connection");
+    }
+
     /// Whether the proxy closes the connection with nothing more on it.
     pub fn is_closed(&mut self) -> bool {
         match self.0.read(&mut [0; 1]) {
@@ -589,6 +638,13 @@
     )
 }
 
+/// One whose repeat is dropped within a cell.
+pub fn booking(id: &str, timeout: &str) -> String {
+    format!(
+        "POST /booking?sid=7f HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\nX-Timeout: {timeout}\r\nIdempotency-Key: k-{id}\r\nContent-Length: 1\r\n\r\nx"
+    )
+}
+
 /// One that must not run twice.
 pub fn submit(id: &str, timeout: &str, body: &str) -> String {
     let length = body.len();
--- a/src/bin/wharfhitch-wirehost/wire.rs
+++ b/src/bin/wharfhitch-wirehost/wire.rs
@@ -260,7 +260,7 @@
     fn write(&mut self, action: Action, i: u64, reply: &mut String) {
         // Writing to a String cannot fail.
         let _ = match action {
-            Action::Send { request, backend, timeout } => {
+            Action::Send { request, backend, timeout, .. } => {
                 let Some(known) = self.requests.get_mut(&request.0) else { return };
                 known.out += 1;
                 let backend = self.backends.get(&backend.0).map_or("-", String::as_str);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,8 +45,11 @@
 const COMEBACK: (Millis, Millis) = (50.0, BACKOFF_MAX); // spans for which a refused client is sent away
 const RETRY_SHARE: f64 = 0.15; // further attempts per arrival: what a proxy may add in a storm
 const COLD_SHARE: f64 = 0.5; // part of what pushes a cold server over that the proxies together send it
+const COLD_KEPT: f64 = 0.25; // part of the span of a fall for which a send that it may have is kept for it
 const COLD_PART: f64 = 0.25; // part of a cold server's budget that one request may take
 const NEWS: f64 = 0.3; // part of a request's time within which others' word must come to show idleness
+/// Span after which discovery is asked again: what it has to tell counts as told in 6 s, however often a call fails.
+pub const ASK_AGAIN: (Millis, Millis) = (100.0, 450.0);
 const TELL_SHARE: f64 = 0.6; // full messages a proxy may spend for each request it gets
 pub(crate) const STALE: Millis = 500.0; // what a peer told longer ago no longer counts
 
@@ -99,11 +102,11 @@
             }
             Event::Abandoned(id) => self.finish(id),
             Event::Timer(0) => self.tick(now, out),
-            Event::Timer(token) => self.answer(RequestId(token - 1), out), // its time is up
+            Event::Timer(token) => self.answer(now, RequestId(token - 1), out), // its time is up
             Event::Message { from, bytes } => return self.hear(now, from as usize, &bytes),
         }
         self.pump(now, out);
-        self.shed(out);
+        self.shed(now, out);
     }
 
     // ---- queue and threshold ----
@@ -123,7 +126,7 @@
         let request = Request::new(class, size, over_share, aim, now + budget, key, home);
         self.requests.insert(id, request);
         if budget < MARGIN {
-            return self.answer(id, out); // the next look could come too late for an answer in time
+            return self.answer(now, id, out); // the next look could come too late for an answer in time
         }
         self.enqueue(id, false);
     }
@@ -179,7 +182,7 @@
 
     /// Gives up what waits beyond the requests that may be held, the least valuable first and among their
     /// like the last to come, which would wait longest. Held on, they would keep better ones out.
-    fn shed(&mut self, out: &mut Vec<Action>) {
+    fn shed(&mut self, now: Millis, out: &mut Vec<Action>) {
         let most = self.cfg.limits.most_held;
         let over =
             |s: &Self| s.requests.len() > most && s.requests.values().filter(|r| !r.done).count() > most;
@@ -188,7 +191,7 @@
             let last = self.queues.iter().filter_map(|q| q.iter().rev().find(waits));
             let value = |id: &RequestId| self.value(&self.requests[id]);
             let Some(&id) = last.min_by(|a, b| value(a).total_cmp(&value(b))) else { return };
-            self.answer(id, out);
+            self.answer(now, id, out);
         }
     }
 
@@ -374,12 +377,13 @@
     fn send(&mut self, now: Millis, id: RequestId, k: usize, out: &mut Vec<Action>) {
         // Did it find the server idle? Only others' word tells.
         let lone = self.cfg.may_tell && self.news < NEWS * self.mean && self.servers[k].held() == 0;
+        let before = self.bound(&self.requests[&id]).map(|(.., until)| until);
         self.begin(now, id, k, lone);
         let s = &mut self.servers[k];
         s.progress = if s.own == 0 { now } else { s.progress };
         s.own += 1;
         s.tokens -= 1.0;
-        out.push(Action::Send { request: id, backend: s.info.id, timeout: None });
+        out.push(Action::Send { request: id, backend: s.info.id, timeout: None, before });
         self.place(k, now);
     }
 
@@ -433,17 +437,20 @@
             self.retries -= 1.0;
             self.enqueue(id, true);
         } else {
-            self.answer(id, out);
+            self.answer(now, id, out);
         }
     }
 
-    /// Gives the final answer: a refusal where it surely had no effect, else a failure.
-    fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    /// Gives the final answer: a refusal where it surely had no effect, or where whoever comes back when told to
+    /// still finds his repeat dropped; else a failure.
+    fn answer(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.done && !r.started) else { return };
-        let effect = self.cfg.classes[r.class].effect;
-        let harmless = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
-        let harmless = harmless || !r.may_have_run();
-        let refuse = Action::Refuse { request: id, retry_after: Some(self.comeback(id)) };
+        let back = self.comeback(id);
+        let dropped = |(_, group, until)| group == Group::All && now + back < until;
+        let harmless = self.cfg.classes[r.class].effect == Effect::Safe
+            || !r.may_have_run()
+            || self.bound(r).is_some_and(dropped);
+        let refuse = Action::Refuse { request: id, retry_after: Some(back) };
         out.push(if harmless { refuse } else { Action::Fail(id) });
         self.finish(id);
     }
@@ -471,7 +478,7 @@
             let late = |r: &Request| now + MARGIN.max(0.5 * self.usual(r)) > self.end(r);
             let useless = |id: &RequestId| self.requests.get(id).is_some_and(|r| r.waiting && late(r));
             let ids: Vec<RequestId> = self.queues[q].iter().copied().filter(useless).collect();
-            ids.into_iter().for_each(|id| self.answer(id, out));
+            ids.into_iter().for_each(|id| self.answer(now, id, out));
         }
         for i in (0..self.running.len()).rev() {
             self.watch(now, self.running[i], out);
@@ -561,8 +568,11 @@
                     s.room.min(s.prior) / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
                 let rate = COLD_SHARE * self.cfg.limits.fall_multiple * warmth * capacity
                     / f64::from(self.cfg.proxies);
-                s.tokens = (s.tokens + rate * (now - s.tokens_at)).min((rate * 300.0).max(1.0));
+                s.tokens += rate * (now - s.tokens_at);
                 s.tokens_at = now;
+                // What is not used lapses: saved by many proxies, it would all come at once in a surge.
+                let saved = s.tokens - 1.0 - rate * COLD_KEPT * self.cfg.limits.fall;
+                s.tokens -= saved.max(0.0).ceil();
             }
             self.rate(k, warmth, now);
         }
@@ -573,7 +583,8 @@
     fn list(&mut self, now: Millis, scope: Scope, entries: Vec<Backend>) {
         if scope == Scope::Failed {
             // Ask again, but not all proxies at once.
-            (self.subscribed, self.ask_at) = (false, now + 500.0 + 1500.0 * self.rng.f64());
+            let spread = (ASK_AGAIN.1 - ASK_AGAIN.0) * self.rng.f64();
+            (self.subscribed, self.ask_at) = (false, now + ASK_AGAIN.0 + spread);
             return;
         }
         for k in self.record_all(now, scope == Scope::Full, entries) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -327,6 +327,8 @@
         backend: BackendId,
         /// When to give the attempt up; `None` is the client's patience.
         timeout: Option<Millis>,
+        /// Nothing of it may go out later: from then on nobody would drop it as the repeat that it may be.
+        before: Option<Millis>,
     },
     /// Final answer: refused; a retry does no harm.
     Refuse {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,7 @@
 mod slots;
 mod state;
 
-pub use choice::threshold;
+pub use choice::{ASK_AGAIN, threshold};
 pub use interface::*;
 pub use slots::Belief;
 pub use state::Balancer;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -452,3 +452,50 @@
     }
     assert!(count > 2500 && refused < 100, "{count} answered, {refused} refused");
 }
+
+#[test]
+fn what_may_have_run_is_refused_only_while_whoever_comes_back_finds_its_repeat_dropped() {
+    let answer_after = |span: Millis| {
+        let mut all = Settings { limits: Limits { max_attempts: 1, ..settings(1).limits }, ..settings(1) };
+        all.classes[2].effect = Effect::Keyed { group: Group::All, window: 500.0 };
+        let mut hand = Hand::new(all, vec![server(1)]);
+        assert_eq!(sends(&hand.give(request(1, 2, 2000.0))).len(), 1);
+        hand.pass(span);
+        hand.give(ended(1, 0, span, Outcome::Reset))
+    };
+    assert!(matches!(answer_after(100.0)[..], [Action::Refuse { .. }]));
+    assert!(
+        matches!(answer_after(490.0)[..], [Action::Fail(_)]),
+        "a second try would come too late to be dropped"
+    );
+}
+
+#[test]
+fn a_repeat_bears_the_time_until_which_it_is_dropped() {
+    let mut hand = Hand::new(settings(1), vec![server(1), server(2)]);
+    let first = hand.give(request(1, 2, 2000.0));
+    assert!(matches!(first[..], [Action::Send { before: None, .. }]), "{first:?}");
+    let sent = hand.now;
+    hand.pass(50.0);
+    let mut second = hand.give(ended(1, 0, 50.0, Outcome::Reset));
+    second.extend(hand.pass(100.0));
+    let Some(Action::Send { before: Some(before), .. }) = second.first() else { panic!("{second:?}") };
+    assert_eq!(*before, sent + 2000.0);
+    // One that surely never ran is no repeat.
+    hand.give(request(9, 2, 2000.0));
+    let again = hand.give(ended(9, 0, 1.0, Outcome::ConnectFailed));
+    assert!(!again.iter().any(|a| matches!(a, Action::Send { before: Some(_), .. })), "{again:?}");
+}
+
+#[test]
+fn discovery_that_is_asked_is_asked_again_soon_however_often_a_call_fails() {
+    // What it has to tell counts as told in 6 s: after a silent watch there is no time for waits of seconds.
+    let asked = Settings { discovery: Discovery::OnRequest, ..settings(300) };
+    let mut hand = Hand::new(asked, vec![server(1)]);
+    assert!(hand.pass(25.0).contains(&Action::Subscribe));
+    for _ in 0..20 {
+        hand.give(Event::List { scope: Scope::Failed, entries: vec![] });
+        assert!(!hand.pass(ASK_AGAIN.0 - 1.0).contains(&Action::Subscribe), "not all at once");
+        assert!(hand.pass(ASK_AGAIN.1 - ASK_AGAIN.0 + 25.0).contains(&Action::Subscribe));
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -69,7 +69,11 @@
 
 impl Hand {
     pub fn new(settings: Settings, servers: Vec<Backend>) -> Self {
-        let mut hand = Hand { balancer: Balancer::new(settings, 7), now: 1000.0, timers: vec![] };
+        Hand::seeded(settings, servers, 7)
+    }
+
+    pub fn seeded(settings: Settings, servers: Vec<Backend>, seed: u64) -> Self {
+        let mut hand = Hand { balancer: Balancer::new(settings, seed), now: 1000.0, timers: vec![] };
         hand.give(full(servers));
         hand
     }
