Believe a server of unknown size to hold what one core answers in half the aim

Change: where no rating tells a size, the prior is LATE x least aim / mean latency, 32 at most; latencies of a crowd lower it by themselves, and what is learned takes its place as before. Cold budgets still count one core.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -564,8 +564,9 @@
                 // By its calm latency, as waits in a crowd are not work, and by no more than its rating: what was
                 // learned is of the process before it.
                 let kind = &self.kinds[s.kind];
+                let surely = if self.cfg.rating == Rating::Size { s.prior } else { 1.0 };
                 let capacity =
-                    s.room.min(s.prior) / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
+                    s.room.min(surely) / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
                 let rate = COLD_SHARE * self.cfg.limits.fall_multiple * warmth * capacity
                     / f64::from(self.cfg.proxies);
                 s.tokens += rate * (now - s.tokens_at);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! and carry out the [`Action`]s that it returns.
 #![doc = include_str!("../README.md")]
 
+mod belief;
 mod change;
 mod choice;
 pub mod interface;
@@ -15,7 +16,7 @@
 mod slots;
 mod state;
 
+pub use belief::Belief;
 pub use choice::{ASK_AGAIN, threshold};
 pub use interface::*;
-pub use slots::Belief;
 pub use state::Balancer;
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -9,35 +9,10 @@
 const OWN_LEAST: f64 = 8.0; // own slots under which proxies share all, for answers of exponential spread
 const WINDOW_CUT: f64 = 0.9; // by which such an answer shrinks the in-flight window
 pub(crate) const CLASS_KNOWN: f64 = 20.0; // answers of a class before it tells of limits
+const UNRATED: f64 = 32.0; // greatest limit believed of a server of unknown size before anything is learned
 const TURN: Millis = 300.0; // span for which a proxy's turn to try a server's limit lasts
 
-/// What is believed of a server's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Belief {
-    /// Which server.
-    pub backend: BackendId,
-    /// Requests that its rating says it holds.
-    pub rated: f64,
-    /// Requests that it is believed to hold, of all proxies.
-    pub limit: f64,
-    /// Whether that is but tried at present.
-    pub trial: bool,
-    /// Why the limit moved last.
-    pub why: Why,
-}
-
 impl Balancer {
-    /// What is believed of each listed server.
-    pub fn beliefs(&self) -> impl Iterator<Item = Belief> {
-        self.servers.iter().filter(|s| s.told.is_none()).map(|s| Belief {
-            backend: s.info.id,
-            rated: s.prior,
-            limit: s.room,
-            trial: s.limit.known().1,
-            why: s.limit.why(),
-        })
-    }
-
     /// Whether this proxy's part of all slots is too small to do without the others': a few servers of one's
     /// own leave long waits, in proportion to (1 + cv²) / slots (Pollaczek and Khinchine).
     pub(crate) fn pools(&self) -> bool {
@@ -65,7 +40,13 @@
         let rating = if self.cfg.rating == Rating::Size { s.info.rating } else { 1.0 };
         let kind = &self.kinds[s.kind];
         let cores = rating * (kind.core / self.slowest).min(1.0);
-        let prior = (FULLNESS * kind.throttle * cores).max(1.0);
+        let prior = if self.cfg.rating == Rating::Size {
+            (FULLNESS * kind.throttle * cores).max(1.0)
+        } else {
+            // Nobody tells its size: as many as one core alone would answer within a part of the least aim, by what
+            // answers take at present, so that crowds lower it by themselves.
+            (LATE * self.least_aim / (self.mean * kind.slow.0.max(0.05))).clamp(1.0, UNRATED)
+        };
         let room = s.limit.slots(prior);
         let mine = if self.pools() && !s.limit.learned() {
             1.0 // one slot on every server
