Hold addresses at which nobody listens, and play further signals and answers without a length

Cause: proxy.rs failed once in eight plays (502 for 200): a test took the address of a closed listener for dead, and the system gave its port to another test's stand-in. dead_address holds a bound socket that does not listen; used in the three places that dial such an address. New crossings, no fault seen: SIGTERM before the first list; SIGTERM, SIGHUP, SIGTERM in turn with a request open; answers without a length, ended in order and by a reset.

--- a/crates/sandgap/tests/ending.rs
+++ b/crates/sandgap/tests/ending.rs
@@ -209,3 +209,43 @@
         assert!(proxy.descriptors() <= 64, "{}", proxy.descriptors());
     }
 }
+
+#[test]
+fn sigterm_before_the_first_list_leaves_nobody_without_an_answer() {
+    let discovery = Discovery::new();
+    discovery.hush();
+    let mut proxy = Proxy::start(&discovery, &Setup { deadline: PATIENT, ..Setup::default() });
+    let mut early = Client::new(&proxy);
+    early.send(&submit("r-early", "25", "x"));
+    wait_for("a call to discovery", || discovery.calls() > 0);
+    proxy.terminate();
+    let mut late = Client::new(&proxy);
+    late.send(&submit("r-late", "25", "x"));
+    assert_eq!((status(early.answer()), status(late.answer())), (503, 503), "neither went out");
+    assert!(proxy.wait().success());
+}
+
+#[test]
+fn further_signals_while_it_ends_change_nothing() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |_| Deed::Hold(held.clone(), ok("well")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let mut proxy = Proxy::up(&discovery, &Setup { deadline: PATIENT, ..Setup::default() });
+    let mut client = Client::new(&proxy);
+    client.send(&submit("r-1", "25", "x"));
+    wait_for("the request", || backend.seen().len() == 1);
+    proxy.terminate();
+    proxy.reload("half a file");
+    proxy.terminate();
+    proxy.reload(&config(discovery.address, &Setup { deadline: PATIENT, ..Setup::default() }));
+    wait_for("the settings", || proxy.said("settings in force"));
+    proxy.terminate();
+    gate.open();
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.text().as_str()), (200, "well"));
+    assert!(client.is_closed());
+    assert!(proxy.wait().success());
+    assert_eq!(backend.seen().len(), 1);
+}
--- a/crates/sandgap/tests/long.rs
+++ b/crates/sandgap/tests/long.rs
@@ -280,7 +280,7 @@
 #[test]
 fn an_upload_goes_elsewhere_only_while_its_start_is_kept() {
     // One that can't be reached costs nothing; one that breaks off in the midst leaves a refusal, as it never ran.
-    let dead = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let (dead, _held) = dead_address();
     let good = Raw::new(|_, stream| drop(stream.write_all(ok("done").as_bytes())));
     let discovery = Discovery::new();
     discovery.say(&list(1, true, &[host("s-0", dead, "up", 0), host("s-1", good.address, "up", 0)]));
--- a/crates/sandgap/tests/proxy.rs
+++ b/crates/sandgap/tests/proxy.rs
@@ -59,7 +59,8 @@
 fn without_discovery_it_serves_from_the_list_it_remembers() {
     let backend = Backend::new(Deed::Write(ok("")));
     let mut discovery = Discovery::new();
-    discovery.address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap(); // nobody there now
+    let (nobody, _held) = dead_address();
+    discovery.address = nobody;
     let proxy = Proxy::up(&discovery, &Setup { known: all_up(&[&backend]), ..Setup::default() });
     assert_eq!(status(Client::new(&proxy).ask(&page("r-1"))), 200);
 }
@@ -195,7 +196,7 @@
 #[test]
 fn a_backend_that_refuses_or_never_takes_connections_costs_nothing() {
     // Nobody listens at the one; the other's accept queue is full, so that connections never come up.
-    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (dead, _held) = dead_address();
     let (mute, _full) = full_listener();
     let at = mute.local_addr().unwrap();
     for address in [dead, at] {
@@ -690,6 +691,51 @@
     }
 }
 
+/// A backend that answers with no length, and ends it in order or by a reset.
+fn unmeasured(head: &'static str, reset: bool) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            std::thread::spawn(move || {
+                let mut reader = std::io::BufReader::new(stream.try_clone().expect("a handle"));
+                if read_message(&mut reader).is_none() {
+                    return;
+                }
+                let _ = stream.write_all(format!("{head}\r\n\r\nhalf").as_bytes()); // the proxy may have gone
+                std::thread::sleep(Duration::from_millis(20));
+                if reset {
+                    let linger = Some(Duration::ZERO);
+                    socket2::SockRef::from(&stream).set_linger(linger).expect("a connection");
+                } else {
+                    let _ = stream.write_all(b" and half");
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection_where_it_says_so_and_never_with_a_reset() {
+    for (head, says_so) in [("HTTP/1.1 200 OK", false), ("HTTP/1.1 200 OK\r\nConnection: close", true)] {
+        for reset in [false, true] {
+            let discovery = Discovery::new();
+            discovery.say(&list(1, true, &[host("s-0", unmeasured(head, reset), "up", 0)]));
+            let proxy = Proxy::up(&discovery, &Setup::default());
+            let answer = Client::new(&proxy).ask(&submit("r-1", "5", "x")).expect("an answer");
+            let (status, text) = (answer.status(), answer.text());
+            match says_so && !reset {
+                true => assert_eq!((status, text.as_str()), (200, "half and half"), "{head}"),
+                false => {
+                    assert_eq!(status, 502, "{head}: it may have run, and nobody knows whether it is whole")
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn a_refused_client_is_told_when_to_come_back() {
     let backend = Backend::new(Deed::Write(empty("503 Busy\r\nX-Not-Processed: 1")));
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -332,6 +332,16 @@
     format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
 }
 
+/// An address at which nobody listens, and nobody else will for as long as the socket is held: the system may give a port
+/// that is free to the next test that asks for one.
+pub fn dead_address() -> (SocketAddr, socket2::Socket) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("a port");
+    let address = socket.local_addr().expect("an address").as_socket().expect("of IPv4");
+    (address, socket)
+}
+
 /// A listener whose accept queue is full: connections to it don't come up until `accept` has made room.
 pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
