Cap deadlines in one place, and clear no buffer at each step of a connection

From reading the change once more; behaviour as it was. core.rs capped a deadline by the process's end in three places and looked a request up three times in the last resort (within_end, one look). poll_gone cleared 4 kB each time a connection was polled, also while nothing was awaited.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -248,7 +248,7 @@
     /// A whole request has come in.
     pub fn request(&mut self, now: Time, arrival: Arrival<O::Held>) {
         let Arrival { id, class, tenant, key, hint, deadline, upload, held } = arrival;
-        let deadline = self.end.map_or(deadline, |end| deadline.min(end));
+        let deadline = self.within_end(deadline);
         let last = deadline.saturating_sub(LAST_RESORT);
         let budget = ms(last.saturating_sub(now));
         let wanted = Rc::new(Cell::new(true));
@@ -261,7 +261,8 @@
 
     /// This process ends: whatever it has taken has its answer by then, however long its client would wait.
     pub fn end_by(&mut self, end: Time) {
-        self.end = Some(self.end.map_or(end, |before| before.min(end)));
+        let end = self.within_end(end);
+        self.end = Some(end);
         let last = end.saturating_sub(LAST_RESORT);
         for (id, live) in self.live.iter_mut().filter(|(_, l)| l.open && (l.uploading || l.deadline > end)) {
             live.deadline = live.deadline.min(end);
@@ -269,6 +270,11 @@
         }
     }
 
+    /// A deadline, or the end of this process if that comes before.
+    fn within_end(&self, deadline: Time) -> Time {
+        self.end.map_or(deadline, |end| deadline.min(end))
+    }
+
     /// A request's client has left.
     pub fn gone(&mut self, now: Time, id: RequestId) {
         if self.close(id, |_, _| {}) {
@@ -285,11 +291,11 @@
 
     /// No more of a request goes out; `spent` where it can't go out again.
     fn end_upload(&mut self, now: Time, id: RequestId, spent: bool) {
+        let Some(patience) = self.live.get(&id).and_then(|l| l.upload) else { return };
+        let deadline = self.within_end(now + patience);
         let Some(live) = self.live.get_mut(&id) else { return };
-        let Some(patience) = live.upload else { return };
-        live.uploading = false;
-        live.deadline = self.end.map_or(now + patience, |end| end.min(now + patience));
-        let last = live.deadline.saturating_sub(LAST_RESORT);
+        (live.uploading, live.deadline) = (false, deadline);
+        let last = deadline.saturating_sub(LAST_RESORT);
         self.due.push(Reverse((last, Due::LastResort(id))));
         let budget = if spent { 0.0 } else { ms(last.saturating_sub(now)) };
         self.handle(now, Event::Uploaded { request: id, budget });
@@ -361,13 +367,12 @@
 
     /// Answers a request that nobody else has answered in time. It has failed if it may have run.
     fn last_resort(&mut self, now: Time, id: RequestId) {
+        let Some(live) = self.live.get(&id) else { return };
         let ends = self.end.is_some_and(|end| end <= now + LAST_RESORT);
-        let later = |l: &Live<O::Held>| l.uploading || l.deadline > now + LAST_RESORT;
-        if !ends && self.live.get(&id).is_some_and(later) {
+        if !ends && (live.uploading || live.deadline > now + LAST_RESORT) {
             return; // another is set once it has gone out
         }
-        let unsent = self.live.get(&id).is_some_and(|l| l.attempts == 0);
-        let answer = if unsent { Answer::Refused(None) } else { Answer::Failed };
+        let answer = if live.attempts == 0 { Answer::Refused(None) } else { Answer::Failed };
         if self.close(id, |outside, held| outside.answer(held, id, answer)) {
             self.handle(now, Event::Abandoned(id));
         }
--- a/crates/sandgap/src/discovery/lines.rs
+++ b/crates/sandgap/src/discovery/lines.rs
@@ -26,7 +26,7 @@
             timeout(up, TcpStream::connect(address)).await.map_err(|_| "no connection".to_owned())?;
         get_on(stream.map_err(|e| e.to_string())?, address, &query).await
     };
-    timeout(answered.max(up), call).await.unwrap_or_else(|_| Err("no answer".into()))
+    timeout(answered, call).await.unwrap_or_else(|_| Err("no answer".into()))
 }
 
 /// An answer's body, line by line.
--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -152,16 +152,11 @@
             let after = self.seq.filter(|_| !silent);
             let first = if silent { WHOLE } else { SILENCE };
             let error = match open(self.address, after, false).await {
-                Ok(lines) => match self.watch_on(lines, first).await {
-                    Trouble::Silent => {
-                        silent = true;
-                        Trouble::Silent.to_string()
-                    }
-                    trouble => {
-                        silent = false;
-                        trouble.to_string()
-                    }
-                },
+                Ok(lines) => {
+                    let trouble = self.watch_on(lines, first).await;
+                    silent = matches!(trouble, Trouble::Silent);
+                    trouble.to_string()
+                }
                 Err(e) => e,
             };
             if self.is_past() {
--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -1,6 +1,7 @@
 //! Admission and eviction: how many connections are let in, and which give way to others.
 
 use std::cell::{Cell, RefCell};
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -83,10 +84,10 @@
     /// While the answer is awaited: whether the client has gone. The parser sees that by itself only for as long as
     /// nothing unread stands behind the request.
     pub(super) fn poll_gone(&self, stream: &Socket, cx: &mut Context) -> Poll<()> {
-        let mut bytes = [0; AHEAD];
+        let mut bytes = [MaybeUninit::uninit(); AHEAD]; // not cleared: this is polled with each step of a connection
         let read = || self.upload.borrow().as_ref().is_none_or(|u| u.is_read());
         while self.waits.get() && read() {
-            let mut buf = ReadBuf::new(&mut bytes);
+            let mut buf = ReadBuf::uninit(&mut bytes);
             let came = std::task::ready!(stream.poll_read(cx, &mut buf)).is_ok();
             if !came || buf.filled().is_empty() {
                 self.ended.set(true);
@@ -119,7 +120,6 @@
 impl<'a> Awaited<'a> {
     /// The request has been read, but for the rest of a long one.
     pub(super) fn new(client: &'a Client, upload: Option<&Rc<Upload>>) -> Self {
-        client.whole.set(upload.is_none());
         client.waits.set(true);
         client.upload.replace(upload.cloned());
         Awaited(client)
