Share what tests of lists, raw servers and fleets in faults wrote again

They use sockets/mod.rs (serve, quick_and_slower, only, first_drains_whole), play/mod.rs and Fleet::holds now.

--- a/crates/sandgap/tests/asked.rs
+++ b/crates/sandgap/tests/asked.rs
@@ -2,39 +2,10 @@
 //! could have told is acted on in time.
 mod sockets;
 
-use std::time::Duration;
-
 use sockets::*;
 
-const ASKED: Setup = Setup {
-    known: String::new(),
-    sockets: 256,
-    idle_close: 30_000,
-    dial_timeout: 400,
-    deadline: 5000,
-    may_tell: None,
-    admin: false,
-    listen: None,
-    shared: None,
-    descriptors: None,
-    window: 2500,
-    discovery: "on_request",
-};
-
 fn asked() -> Setup {
-    Setup { known: "null".into(), ..ASKED }
-}
-
-/// Until the proxy answers by one backend alone.
-fn only(proxy: &Proxy, what: &str, which: &str) {
-    let mut n = 0;
-    wait_for(what, || {
-        n += 1;
-        (0..10).all(|i| {
-            let answer = Client::new(proxy).ask(&page(&format!("r-{which}-{n}-{i}"))).expect("an answer");
-            answer.text() == which
-        })
-    });
+    Setup { discovery: "on_request", ..Setup::default() }
 }
 
 struct Site {
@@ -44,12 +15,7 @@
 
 impl Site {
     fn new() -> Self {
-        // As long as the first, which is faster, may be used, it is.
-        let second = Backend::with(|_| {
-            std::thread::sleep(Duration::from_millis(25));
-            Deed::Write(ok("two"))
-        });
-        let backends = [Backend::new(Deed::Write(ok("one"))), second];
+        let backends = quick_and_slower();
         let discovery = Discovery::new();
         discovery.say(&all_up(&[&backends[0], &backends[1]]));
         Site { backends, discovery }
@@ -63,8 +29,7 @@
     }
 
     fn first_drains(&self) {
-        let line = |n: usize, health| host(&format!("s-{n}"), self.backends[n].address, health, 0);
-        self.discovery.say(&list(2, true, &[line(0, "draining"), line(1, "up")]));
+        self.discovery.say(&first_drains_whole(&self.backends, 2));
     }
 }
 
--- a/crates/sandgap/tests/ending.rs
+++ b/crates/sandgap/tests/ending.rs
@@ -2,7 +2,7 @@
 mod sockets;
 
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -51,25 +51,15 @@
 
 /// A backend whose one answer is long, and that counts what it has written whole.
 fn long_backend(size: usize) -> (std::net::SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
     let written = Arc::new(AtomicUsize::new(0));
     let done = written.clone();
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (mut stream, done) = (stream.expect("a connection"), done.clone());
-            std::thread::spawn(move || {
-                let mut reader = std::io::BufReader::new(stream.try_clone().expect("a handle"));
-                if read_message(&mut reader).is_some() {
-                    let head =
-                        format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\nConnection: close\r\n\r\n");
-                    let body = vec![b'y'; size];
-                    if stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body)).is_err() {
-                        return;
-                    }
-                    done.fetch_add(1, Ordering::SeqCst);
-                }
-            });
+    let address = serve(move |mut reader, mut stream| {
+        if read_message(&mut reader).is_some() {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\nConnection: close\r\n\r\n");
+            let body = vec![b'y'; size];
+            if stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body)).is_ok() {
+                done.fetch_add(1, Ordering::SeqCst);
+            }
         }
     });
     (address, written)
@@ -195,8 +185,7 @@
         assert!(proxy.call(b"ready\n").contains("200 ready"), "staff are answered");
         proxy.reload(&config(discovery.address, &Setup { sockets: 64, admin: true, ..Setup::default() }));
         wait_for("the settings", || proxy.said("settings in force"));
-        let line = |n: usize, health| host(&format!("s-{n}"), backends[n].address, health, 0);
-        discovery.say(&list(2, true, &[line(0, "draining"), line(1, "up")]));
+        discovery.say(&first_drains_whole(&backends, 2));
         discovery.speak();
         let mut n = 0;
         wait_for("the drain", || {
--- a/crates/sandgap/tests/fleet.rs
+++ b/crates/sandgap/tests/fleet.rs
@@ -1,19 +1,13 @@
 //! Fleets of the program's processes that agree on their rules, with faults between them. More seeds, longer:
 //! `sandgap-rig fleet --seed 1 --seeds 200`.
 
-use std::path::PathBuf;
+mod play;
+
 use std::time::Duration;
 
+use play::play;
 use sandgap_rig::fleet::net::Way;
 use sandgap_rig::fleet::plan::{Fault, Size, draw};
-use sandgap_rig::fleet::{Report, run_plan};
-
-fn play(size: Size, seed: u64, plan: Vec<(Duration, Fault)>) -> Report {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_sandgap"));
-    let (report, folder) = run_plan(&program, size, seed, plan).expect("a verdict");
-    println!("{report}\n{}", folder.path.display());
-    report
-}
 
 fn holds(seeds: std::ops::Range<u64>) {
     let size = Size { faulty: Duration::from_secs(5), ..Size::default() };
--- a/crates/sandgap/tests/lists.rs
+++ b/crates/sandgap/tests/lists.rs
@@ -3,21 +3,10 @@
 mod sockets;
 
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use sockets::*;
 
-/// What the second backend takes longer than the first: as long as the first may be used, it is.
-const SLOWER: Duration = Duration::from_millis(25);
-
-fn backends() -> [Backend; 2] {
-    let second = Backend::with(|_| {
-        std::thread::sleep(SLOWER);
-        Deed::Write(ok("two"))
-    });
-    [Backend::new(Deed::Write(ok("one"))), second]
-}
-
 /// Two backends behind a proxy.
 struct Site {
     backends: [Backend; 2],
@@ -27,7 +16,7 @@
 
 impl Site {
     fn new() -> Self {
-        let backends = backends();
+        let backends = quick_and_slower();
         let discovery = Discovery::new();
         discovery.say(&all_up(&[&backends[0], &backends[1]]));
         let proxy = Proxy::up(&discovery, &Setup::default());
@@ -42,21 +31,12 @@
 
     /// What is known then as a whole.
     fn first_drains_whole(&self, seq: u64) -> String {
-        let line = |n: usize, health| host(&format!("s-{n}"), self.backends[n].address, health, 0);
-        list(seq, true, &[line(0, "draining"), line(1, "up")])
-    }
-
-    fn answers(&self, id: &str) -> String {
-        Client::new(&self.proxy).ask(&page(id)).expect("an answer").text()
+        first_drains_whole(&self.backends, seq)
     }
 
     /// Waits until all that is asked is answered by one of them.
     fn only(&self, what: &str, which: &str) {
-        let mut n = 0;
-        wait_for(what, || {
-            n += 1;
-            (0..10).all(|i| self.answers(&format!("r-{which}-{n}-{i}")) == which)
-        });
+        only(&self.proxy, what, which);
     }
 
     /// Waits until the first is sent nothing.
@@ -72,7 +52,7 @@
 
 #[test]
 fn a_list_may_come_indented_as_a_whole_and_as_changes() {
-    let backends = backends();
+    let backends = quick_and_slower();
     let discovery = Discovery::new();
     discovery.say(&indented(&all_up(&[&backends[0], &backends[1]])));
     let proxy = Proxy::up(&discovery, &Setup::default());
@@ -128,7 +108,7 @@
 
 #[test]
 fn a_new_process_while_discovery_is_down_serves_by_its_list_and_hears_the_return() {
-    let backends = backends();
+    let backends = quick_and_slower();
     let discovery = Discovery::new();
     discovery.hush();
     let known = all_up(&[&backends[0], &backends[1]]);
--- a/crates/sandgap/tests/outs_in_faults.rs
+++ b/crates/sandgap/tests/outs_in_faults.rs
@@ -1,23 +1,17 @@
 //! Fleets of the program's processes whose backends are taken out and brought back all the while, with faults between
 //! them. More seeds, longer: `sandgap-rig fleet --backends 6 --holders 4 --seed 1 --seeds 200`.
 
-use std::path::PathBuf;
+mod play;
+
 use std::time::Duration;
 
-use sandgap_rig::fleet::plan::{Fault, Hasty, Size, draw};
-use sandgap_rig::fleet::{Report, run_plan};
+use play::play;
+use sandgap_rig::fleet::plan::{Hasty, Size, draw};
 
 fn size() -> Size {
     Size { faulty: Duration::from_secs(6), backends: 6, holders: 4, bound_out: 2, ..Size::default() }
 }
 
-fn play(size: Size, seed: u64, plan: Vec<(Duration, Fault)>) -> Report {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_sandgap"));
-    let (report, folder) = run_plan(&program, size, seed, plan).expect("a verdict");
-    println!("{report}\n{}", folder.path.display());
-    report
-}
-
 fn holds(seeds: std::ops::Range<u64>) {
     for seed in seeds {
         let report = play(size(), seed, draw(&size(), seed));
--- a/crates/sandgap/tests/proxy.rs
+++ b/crates/sandgap/tests/proxy.rs
@@ -655,28 +655,20 @@
 
 #[test]
 fn a_second_answer_that_comes_late_is_not_the_next_request_s() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
     // A machine that stalls makes it later than the proxy can know of: such a one proves nothing.
     let latest = Arc::new(AtomicUsize::new(0));
     let late = latest.clone();
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (mut stream, late) = (stream.expect("a connection"), late.clone());
+    let address = serve(move |mut reader, mut stream| {
+        while let Some(request) = read_message(&mut reader) {
+            let answer = ok(request.id());
+            std::thread::sleep(Duration::from_millis(40));
+            let _ = stream.write_all(answer.as_bytes()); // the proxy may have closed it
+            let (mut again, late) = (stream.try_clone().expect("a handle"), late.clone());
+            let first = Instant::now();
             std::thread::spawn(move || {
-                let mut reader = std::io::BufReader::new(stream.try_clone().expect("a handle"));
-                while let Some(request) = read_message(&mut reader) {
-                    let answer = ok(request.id());
-                    std::thread::sleep(Duration::from_millis(40));
-                    let _ = stream.write_all(answer.as_bytes()); // the proxy may have closed it
-                    let (mut again, late) = (stream.try_clone().expect("a handle"), late.clone());
-                    let first = Instant::now();
-                    std::thread::spawn(move || {
-                        std::thread::sleep(Duration::from_millis(1));
-                        let _ = again.write_all(answer.as_bytes());
-                        late.fetch_max(first.elapsed().as_millis() as usize, Ordering::SeqCst);
-                    });
-                }
+                std::thread::sleep(Duration::from_millis(1));
+                let _ = again.write_all(answer.as_bytes());
+                late.fetch_max(first.elapsed().as_millis() as usize, Ordering::SeqCst);
             });
         }
     });
@@ -693,28 +685,19 @@
 
 /// A backend that answers with no length, and ends it in order or by a reset.
 fn unmeasured(head: &'static str, reset: bool) -> std::net::SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.expect("a connection");
-            std::thread::spawn(move || {
-                let mut reader = std::io::BufReader::new(stream.try_clone().expect("a handle"));
-                if read_message(&mut reader).is_none() {
-                    return;
-                }
-                let _ = stream.write_all(format!("{head}\r\n\r\nhalf").as_bytes()); // the proxy may have gone
-                std::thread::sleep(Duration::from_millis(20));
-                if reset {
-                    let linger = Some(Duration::ZERO);
-                    socket2::SockRef::from(&stream).set_linger(linger).expect("a connection");
-                } else {
-                    let _ = stream.write_all(b" and half");
-                }
-            });
+    serve(move |mut reader, mut stream| {
+        if read_message(&mut reader).is_none() {
+            return;
         }
-    });
-    address
+        let _ = stream.write_all(format!("{head}\r\n\r\nhalf").as_bytes()); // the proxy may have gone
+        std::thread::sleep(Duration::from_millis(20));
+        if reset {
+            let linger = Some(Duration::ZERO);
+            socket2::SockRef::from(&stream).set_linger(linger).expect("a connection");
+        } else {
+            let _ = stream.write_all(b" and half");
+        }
+    })
 }
 
 #[test]
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -342,6 +342,47 @@
     (address, socket)
 }
 
+/// A server of a test's own making, a thread a connection.
+pub fn serve(each: impl Fn(BufReader<TcpStream>, TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let each = Arc::new(each);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, each) = (stream.expect("a connection"), each.clone());
+            thread::spawn(move || each(BufReader::new(stream.try_clone().expect("a handle")), stream));
+        }
+    });
+    address
+}
+
+/// Two backends that answer `one` and `two`. As long as the first, which is faster, may be used, it is.
+pub fn quick_and_slower() -> [Backend; 2] {
+    let second = Backend::with(|_| {
+        thread::sleep(Duration::from_millis(25));
+        Deed::Write(ok("two"))
+    });
+    [Backend::new(Deed::Write(ok("one"))), second]
+}
+
+/// Waits until all that is asked is answered by one of them.
+pub fn only(proxy: &Proxy, what: &str, which: &str) {
+    let mut n = 0;
+    wait_for(what, || {
+        n += 1;
+        (0..10).all(|i| {
+            let answer = Client::new(proxy).ask(&page(&format!("r-{which}-{n}-{i}"))).expect("an answer");
+            answer.text() == which
+        })
+    });
+}
+
+/// The whole list once the first of two drains.
+pub fn first_drains_whole(backends: &[Backend; 2], seq: u64) -> String {
+    let line = |n: usize, health| host(&format!("s-{n}"), backends[n].address, health, 0);
+    list(seq, true, &[line(0, "draining"), line(1, "up")])
+}
+
 /// A listener whose accept queue is full: connections to it don't come up until `accept` has made room.
 pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -142,23 +142,14 @@
 
 #[test]
 fn a_surge_everywhere_at_once_is_within_what_a_cold_server_bears() {
-    let mut broken = vec![];
     for cores in [2.0, 4.0, CORES] {
         for (proxies, quiet) in
             [(3, 1000.0), (20, 1000.0), (30, 4000.0), (30, 7500.0), (300, 1000.0), (300, 7500.0)]
         {
             let (fleet, born) = surge(proxies, cores, quiet);
-            let (part, got, bears) = fleet.worst(born);
-            let what = format!(
-                "{proxies} proxies, {cores} cores, a surge after {quiet} ms: {got} of {bears:.0}, {part:.2}"
-            );
-            println!("{what}");
-            if part > 1.0 {
-                broken.push(what);
-            }
+            fleet.holds(&format!("{proxies} proxies, {cores} cores, a surge after {quiet} ms"), born);
         }
     }
-    assert!(broken.is_empty(), "{broken:#?}");
 }
 
 #[test]
--- a/tests/unrated.rs
+++ b/tests/unrated.rs
@@ -14,11 +14,7 @@
     let mut hand = Hand::new(unrated(proxies, may_tell, aim), (1..=12).map(server).collect());
     hand.train(0, 120, |_| 25.0);
     hand.pass(2000.0);
-    burst(&mut hand, 0, 200).len()
-}
-
-fn burst(hand: &mut Hand, class: usize, count: u64) -> Vec<(u64, u64)> {
-    (0..count).flat_map(|n| sends(&hand.give(request(5000 + n, class, 600.0)))).collect()
+    (5000..5200).flat_map(|id| sends(&hand.give(request(id, 0, 600.0)))).count()
 }
 
 #[test]
