See clients that left behind a long request's unread bytes, as the system tells it

Cause: `Client::poll_gone` (front/admission.rs) read on to see an end only once `Upload::is_read`. Until an attempt draws a long body its rest stands unread, the end stands behind it, and nobody looked.

Change: the connection waits for the system's word that the read side has closed (EPOLLRDHUP), which comes at once behind unread bytes, too.

What does not fit the system's receive buffer (300 kB on loopback) still hides an end: next.

--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -1,7 +1,9 @@
 //! Admission and eviction: how many connections are let in, and which give way to others.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::mem::MaybeUninit;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -81,12 +83,26 @@
         })
     }
 
-    /// While the answer is awaited: whether the client has gone. The parser sees that by itself only for as long as
-    /// nothing unread stands behind the request.
-    pub(super) fn poll_gone(&self, stream: &Socket, cx: &mut Context) -> Poll<()> {
+    /// Waits until the client has gone while its answer is awaited.
+    pub(super) async fn disconnected(&self, stream: &Socket) {
+        let mut closing = None;
+        poll_fn(|cx| self.poll_disconnected(stream, &mut closing, cx)).await;
+    }
+
+    /// The parser sees by itself that a client has gone only for as long as nothing unread stands behind the request.
+    /// What may be read ahead of it is read here. The rest of a body stays unread until an attempt asks for it, and the
+    /// system tells of an end behind that.
+    fn poll_disconnected<'a>(
+        &self, stream: &'a Socket, closing: &mut Option<Closing<'a>>, cx: &mut Context,
+    ) -> Poll<()> {
         let mut bytes = [MaybeUninit::uninit(); AHEAD]; // not cleared: this is polled with each step of a connection
-        let read = || self.upload.borrow().as_ref().is_none_or(|u| u.is_read());
-        while self.waits.get() && read() {
+        while self.waits.get() {
+            if self.upload.borrow().as_ref().is_some_and(|u| !u.is_read()) {
+                let closing = closing.get_or_insert_with(|| Box::pin(stream.peer_closed()));
+                std::task::ready!(closing.as_mut().poll(cx));
+                self.ended.set(true);
+                return Poll::Ready(());
+            }
             let mut buf = ReadBuf::uninit(&mut bytes);
             let came = std::task::ready!(stream.poll_read(cx, &mut buf)).is_ok();
             if !came || buf.filled().is_empty() {
@@ -114,6 +130,9 @@
     }
 }
 
+/// Ends when the system has told that the other side has closed.
+type Closing<'a> = Pin<Box<dyn Future<Output = ()> + 'a>>;
+
 /// A client's answer is awaited for as long as this lives.
 pub(super) struct Awaited<'a>(&'a Client);
 
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -1,7 +1,6 @@
 //! One client's connection, from its accept to its end.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -62,7 +61,8 @@
             .header_read_timeout(None)
             .max_buf_size(HEAD_SIZE)
             .serve_connection(TokioIo::new(io), service);
-        tokio::pin!(connection);
+        let disconnected = client.disconnected(&stream);
+        tokio::pin!(connection, disconnected);
         let mut cut = None;
         let mut closed_idle = None;
         loop {
@@ -70,7 +70,7 @@
             tokio::select! {
                 biased; // what has come in counts before a wish to close
                 _ = connection.as_mut() => break,
-                () = poll_fn(|cx| client.poll_gone(&stream, cx)) => return, // and its request goes with it
+                () = &mut disconnected => return, // and its request goes with it
                 () = client.close.notified() => {
                     if matches!(client.stage.get(), Stage::Silent | Stage::Begun) {
                         return;
