Read long requests on within a budget while they wait, to see their clients leave

Change: while an answer is awaited and no attempt asks for the rest of a body, the connection reads on into pieces of 64 KiB, an eighth of the memory for all requests together (6 MiB of 48). What was read goes out first, unchanged. An answer that only the connection's end delimits (HTTP/1.0) is reset where it breaks off; before it looked whole.

Tests: FIN and RST, counted and chunked, 65,535 bytes to 32 MiB before the first attempt; 60 in a burst; while a connection comes up; in mid upload; a slow client stays.

--- /dev/null
+++ b/crates/sandgap/src/body/upload.rs
@@ -0,0 +1,294 @@
+//! A client's long request on its way to a backend.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker, ready};
+
+use bytes::{Bytes, BytesMut};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::{Broken, LONGEST, Pace};
+
+/// What is wrong with a long request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// It is longer than [`LONGEST`].
+    TooLong,
+    /// It came too slowly.
+    TooSlow,
+    /// Its connection or its form broke.
+    Malformed,
+}
+
+/// Bytes that are read ahead into one piece of memory.
+const PIECE: usize = 64 << 10;
+/// Largest part of a body that comes at once: what the parser's buffer holds.
+const LARGEST_PART: usize = 16 << 10;
+
+/// Memory that all requests together may read ahead into, while no attempt asks for the rest of their bodies.
+pub struct ReadAheadBudget {
+    /// Pieces that are left.
+    left: Cell<usize>,
+    /// Those that found none left; each stands here once.
+    waiting: RefCell<Vec<Waker>>,
+}
+
+impl ReadAheadBudget {
+    /// A budget of so many bytes.
+    pub fn new(bytes: usize) -> Rc<Self> {
+        Rc::new(ReadAheadBudget { left: Cell::new(bytes / PIECE), waiting: RefCell::default() })
+    }
+
+    fn poll_take(&self, cx: &mut Context) -> Poll<()> {
+        if let Some(left) = self.left.get().checked_sub(1) {
+            self.left.set(left);
+            return Poll::Ready(());
+        }
+        let mut waiting = self.waiting.borrow_mut();
+        if !waiting.iter().any(|waker| waker.will_wake(cx.waker())) {
+            waiting.push(cx.waker().clone());
+        }
+        Poll::Pending
+    }
+
+    fn give_back(&self, pieces: usize) {
+        self.left.set(self.left.get() + pieces);
+        if pieces > 0 {
+            self.waiting.take().into_iter().for_each(Waker::wake);
+        }
+    }
+}
+
+/// What has been read of a body before an attempt has asked for it.
+struct ReadAhead {
+    pieces: VecDeque<BytesMut>,
+    budget: Rc<ReadAheadBudget>,
+}
+
+impl ReadAhead {
+    /// Waits for room for the next part, whatever its size.
+    fn poll_room(&mut self, cx: &mut Context) -> Poll<()> {
+        if self.pieces.back().is_none_or(|piece| piece.capacity() - piece.len() < LARGEST_PART) {
+            ready!(self.budget.poll_take(cx));
+            self.pieces.push_back(BytesMut::with_capacity(PIECE));
+        }
+        Poll::Ready(())
+    }
+
+    fn push(&mut self, data: &[u8]) {
+        if let Some(piece) = self.pieces.back_mut() {
+            piece.extend_from_slice(data);
+        }
+    }
+
+    fn pop(&mut self) -> Option<Bytes> {
+        let piece = self.pieces.pop_front()?;
+        self.budget.give_back(1);
+        Some(piece.freeze())
+    }
+}
+
+impl Drop for ReadAhead {
+    fn drop(&mut self) {
+        self.budget.give_back(self.pieces.len());
+    }
+}
+
+/// A long request's body: its first part, kept until more has gone out, and the rest as it comes.
+pub struct Upload {
+    first: RefCell<Bytes>,
+    ahead: RefCell<ReadAhead>,
+    rest: RefCell<Incoming>,
+    pace: Cell<Pace>,
+    length: Option<u64>,
+    /// An attempt asks for the rest at present.
+    drawn: Cell<bool>,
+    /// Its end has been read.
+    read: Cell<bool>,
+    spent: Cell<bool>,
+    ended: Cell<bool>,
+    trouble: Cell<Option<Trouble>>,
+}
+
+impl Upload {
+    /// A body of which `first` has come, at that pace; its whole length, where that is told.
+    pub fn new(
+        first: Bytes, rest: Incoming, pace: Pace, length: Option<u64>, budget: Rc<ReadAheadBudget>,
+    ) -> Rc<Self> {
+        Rc::new(Upload {
+            first: RefCell::new(first),
+            ahead: RefCell::new(ReadAhead { pieces: VecDeque::new(), budget }),
+            rest: RefCell::new(rest),
+            pace: Cell::new(pace),
+            length,
+            drawn: Cell::new(false),
+            read: Cell::new(false),
+            spent: Cell::new(false),
+            ended: Cell::new(false),
+            trouble: Cell::default(),
+        })
+    }
+
+    /// Whether more than the part that is kept has gone out, or never will.
+    pub fn is_spent(&self) -> bool {
+        self.spent.get()
+    }
+
+    /// Whether all of it has been handed on.
+    pub fn has_ended(&self) -> bool {
+        self.ended.get()
+    }
+
+    /// Whether all of it has come in.
+    pub fn is_read(&self) -> bool {
+        self.read.get() || self.length.is_some_and(|length| self.pace.get().passed() >= length)
+    }
+
+    /// Its whole length, where that is told.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// What is wrong with it, if anything.
+    pub fn trouble(&self) -> Option<Trouble> {
+        self.trouble.get()
+    }
+
+    fn fail(&self, trouble: Trouble) -> Broken {
+        self.spent.set(true);
+        self.trouble.set(Some(trouble));
+        "the request's body has not come whole".into()
+    }
+
+    /// The next part from the connection; `None` at the end.
+    fn poll_part(&self, cx: &mut Context) -> Poll<Result<Option<Bytes>, Trouble>> {
+        loop {
+            let frame = ready!(Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx));
+            let Some(frame) = frame else {
+                self.read.set(true);
+                return Poll::Ready(Ok(None));
+            };
+            let Ok(frame) = frame else { return Poll::Ready(Err(Trouble::Malformed)) };
+            let Ok(data) = frame.into_data() else { continue }; // trailers may be left out (RFC 9110, 6.5.1)
+            let mut pace = self.pace.get();
+            pace.moved(Instant::now(), data.len());
+            self.pace.set(pace);
+            let fits = pace.passed() <= LONGEST;
+            return Poll::Ready(if fits { Ok(Some(data)) } else { Err(Trouble::TooLong) });
+        }
+    }
+
+    /// Reads on while no attempt asks for the rest, within the budget: an end of the client's sending stands behind
+    /// what nobody has read, and the system tells of it only once that fits its own buffer.
+    pub fn poll_read_ahead(&self, cx: &mut Context) {
+        let mut ahead = self.ahead.borrow_mut();
+        while !self.is_read() && !self.drawn.get() && self.trouble.get().is_none() {
+            if ahead.poll_room(cx).is_pending() {
+                return;
+            }
+            match self.poll_part(cx) {
+                Poll::Ready(Ok(Some(data))) => ahead.push(&data),
+                Poll::Ready(Err(trouble)) => self.trouble.set(Some(trouble)),
+                Poll::Ready(Ok(None)) | Poll::Pending => return,
+            }
+        }
+    }
+
+    /// The next chunk after the first part.
+    fn poll_rest(
+        &self, cx: &mut Context, timer: &mut Option<Pin<Box<Sleep>>>,
+    ) -> Poll<Option<Result<Bytes, Broken>>> {
+        self.drawn.set(true);
+        if let Some(trouble) = self.trouble.get() {
+            return Poll::Ready(Some(Err(self.fail(trouble))));
+        }
+        if let Some(data) = self.ahead.borrow_mut().pop() {
+            self.hand_on();
+            return Poll::Ready(Some(Ok(data)));
+        }
+        if self.read.get() {
+            self.ended.set(true);
+            return Poll::Ready(None);
+        }
+        let Poll::Ready(part) = self.poll_part(cx) else {
+            let mut pace = self.pace.get();
+            let until = pace.blocked(Instant::now());
+            self.pace.set(pace);
+            let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(until)));
+            timer.as_mut().reset(until);
+            ready!(timer.as_mut().poll(cx));
+            return Poll::Ready(Some(Err(self.fail(Trouble::TooSlow))));
+        };
+        *timer = None;
+        Poll::Ready(match part {
+            Ok(None) => {
+                self.ended.set(true);
+                None
+            }
+            Ok(Some(data)) => {
+                self.hand_on();
+                Some(Ok(data))
+            }
+            Err(trouble) => Some(Err(self.fail(trouble))),
+        })
+    }
+
+    /// More than the first part goes out: it can't go out again.
+    fn hand_on(&self) {
+        self.spent.set(true);
+        self.first.take();
+    }
+}
+
+/// A long request's body as one attempt asks for it.
+pub struct Draw(Rc<Upload>);
+
+impl Drop for Draw {
+    fn drop(&mut self) {
+        self.0.drawn.set(false);
+    }
+}
+
+/// A request's body on its way to a backend.
+pub enum Sending {
+    /// A short one.
+    Whole(Option<Bytes>),
+    /// A long one; it goes out once.
+    Long(Draw, Option<Bytes>, Option<Pin<Box<Sleep>>>),
+}
+
+impl Sending {
+    /// A long one, from its start.
+    pub fn long(upload: &Rc<Upload>) -> Self {
+        Sending::Long(Draw(upload.clone()), Some(upload.first.borrow().clone()), None)
+    }
+}
+
+impl HttpBody for Sending {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Sending::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Sending::Long(upload, first, timer) => match first.take().filter(|f| !f.is_empty()) {
+                Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+                None => upload.0.poll_rest(cx, timer).map(|next| next.map(|data| data.map(Frame::data))),
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Sending::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Sending::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Sending::Long(upload, ..) => upload.0.length.map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
+}
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::config::{Config, Source};
 use crate::driver::{Driver, Parts};
 use crate::event::{Inbox, Input};
-use crate::front::Frontend;
+use crate::front::{Frontend, UploadLimits};
 use crate::generation::Generations;
 use crate::handover::{self, Taken, Upgrade};
 use crate::rules::{self, Rules};
@@ -33,6 +33,8 @@
 const MEMORY_PART: usize = 4;
 /// Bytes that a long request holds at most: the part that is kept, and a chunk on each side.
 const UPLOAD: usize = body::WHOLE + 2 * (32 << 10);
+/// Part of the memory, as 1 over it, into which they may read ahead besides, while they wait for a backend.
+const READ_AHEAD_PART: usize = 8;
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
@@ -203,7 +205,10 @@
             up.listed();
         }
     });
-    let uploads = config.memory / MEMORY_PART / UPLOAD;
+    let uploads = UploadLimits {
+        at_once: config.memory / MEMORY_PART / UPLOAD,
+        read_ahead_bytes: config.memory / READ_AHEAD_PART,
+    };
     let address = listener.local_addr().map_err(at("the listener"))?;
     let front = front::Frontend::new(
         inbox.clone(),
--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -48,6 +48,8 @@
     pub(super) ended: Cell<bool>,
     /// Its request has been read whole.
     pub(super) whole: Cell<bool>,
+    /// Of the answer on its way only the connection's end tells where it ends.
+    pub(super) unframed: Cell<bool>,
     /// Its request has been read, but for the rest of a long one, and its answer is awaited.
     waits: Cell<bool>,
     /// That rest.
@@ -74,6 +76,7 @@
             queued: Cell::new(Some(queued)),
             ended: Cell::new(false),
             whole: Cell::new(false),
+            unframed: Cell::new(false),
             waits: Cell::new(false),
             upload: RefCell::default(),
             ahead: RefCell::default(),
@@ -90,14 +93,14 @@
     }
 
     /// The parser sees by itself that a client has gone only for as long as nothing unread stands behind the request.
-    /// What may be read ahead of it is read here. The rest of a body stays unread until an attempt asks for it, and the
-    /// system tells of an end behind that.
+    /// What may be read ahead of it is read here: within a budget the rest of a long body, too. The system tells of an
+    /// end behind what then stays unread, if it has room for that.
     fn poll_disconnected<'a>(
         &self, stream: &'a Socket, closing: &mut Option<Closing<'a>>, cx: &mut Context,
     ) -> Poll<()> {
         let mut bytes = [MaybeUninit::uninit(); AHEAD]; // not cleared: this is polled with each step of a connection
         while self.waits.get() {
-            if self.upload.borrow().as_ref().is_some_and(|u| !u.is_read()) {
+            if self.is_upload_unread(cx) {
                 let closing = closing.get_or_insert_with(|| Box::pin(stream.peer_closed()));
                 std::task::ready!(closing.as_mut().poll(cx));
                 self.ended.set(true);
@@ -117,6 +120,14 @@
         Poll::Pending
     }
 
+    /// Reads ahead what may be of a long request, and tells whether more of it has still to come.
+    fn is_upload_unread(&self, cx: &mut Context) -> bool {
+        let upload = self.upload.borrow();
+        let Some(upload) = upload.as_ref() else { return false };
+        upload.poll_read_ahead(cx);
+        !upload.is_read()
+    }
+
     /// Whether the head in hand tells a body's form once: by its chunks, and by no length. A head that came along
     /// with the request before is not at hand, and tells nothing.
     pub(super) fn is_plainly_chunked(&self) -> bool {
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -47,7 +47,7 @@
         let Some(open) = OpenId::take(&self.ids, &asked.id) else {
             return plain(StatusCode::CONFLICT, "a request with this id is open");
         };
-        let received = match receive(body).await {
+        let received = match receive(body, &self.read_ahead).await {
             Ok(received) => received,
             Err(trouble) => {
                 let (status, text) = told(trouble);
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -6,10 +6,11 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, sleep_until, timeout};
@@ -30,6 +31,7 @@
                     client.due.set(Instant::now() + WHOLE); // its head came along with the request before
                 }
                 client.whole.set(false);
+                let old = request.version() == Version::HTTP_10;
                 // A request that came while its connection was waiting to be accepted is as old as that.
                 let queued = client.queued.take().filter(|_| client.accepted.elapsed() < GRACE);
                 let came = queued.unwrap_or_else(Instant::now);
@@ -42,6 +44,8 @@
                 };
                 client.head.borrow_mut().clear();
                 let long = matches!(response.body(), Answering::Long(..));
+                let told = response.body().size_hint().exact().is_some();
+                client.unframed.set(old && long && !told);
                 if long {
                     stream.wait_for_reader(READER);
                 }
@@ -65,11 +69,11 @@
         tokio::pin!(connection, disconnected);
         let mut cut = None;
         let mut closed_idle = None;
-        loop {
+        let outcome = loop {
             let wait = cut.unwrap_or_else(Instant::now);
             tokio::select! {
                 biased; // what has come in counts before a wish to close
-                _ = connection.as_mut() => break,
+                outcome = connection.as_mut() => break outcome,
                 () = &mut disconnected => return, // and its request goes with it
                 () = client.close.notified() => {
                     if matches!(client.stage.get(), Stage::Silent | Stage::Begun) {
@@ -89,6 +93,10 @@
                     cut = Some(Instant::now() + CUT);
                 }
             }
+        };
+        // Of an answer that only the connection's end delimits, a reset alone tells that it is not whole.
+        if outcome.is_err() && client.unframed.get() {
+            return stream.reset_at_close();
         }
         // A request that crosses the close of an idle connection must not be read and dropped: only a reset tells the
         // client that nobody has taken it.
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -20,6 +20,7 @@
 use wharfhitch::settings::Names;
 use wharfhitch::{Change, Settings};
 
+use crate::body::ReadAheadBudget;
 use crate::event::{Inbox, Input};
 use crate::generation::Generations;
 use crate::note;
@@ -49,6 +50,8 @@
     uploading: Cell<usize>,
     /// Long requests at once.
     uploads: usize,
+    /// What they may read ahead together.
+    read_ahead: Rc<ReadAheadBudget>,
     /// See [`crate::config::Config::grace`].
     grace: Duration,
     /// When the accept queue was last seen empty.
@@ -60,13 +63,22 @@
     rules: OnceCell<Rc<Rules>>,
 }
 
+/// Bounds on long requests.
+#[derive(Clone, Copy, Debug)]
+pub struct UploadLimits {
+    /// How many may go on at once.
+    pub at_once: usize,
+    /// Bytes that they may hold together of what no backend has asked for yet.
+    pub read_ahead_bytes: usize,
+}
+
 impl Frontend {
     /// A front for clients. `budget` counts sockets of clients and backends together; `serving` says
-    /// whether clients are taken; `uploads` is how many long requests may go on at once; for `grace` see
+    /// whether clients are taken; `uploads` bounds long requests; for `grace` see
     /// [`crate::config::Config`].
     pub fn new(
         inbox: Inbox, generations: Generations, upstreams: Rc<Upstreams>, budget: usize,
-        serving: Rc<Serving>, uploads: usize, grace: Duration,
+        serving: Rc<Serving>, uploads: UploadLimits, grace: Duration,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
@@ -79,7 +91,8 @@
             busy: Cell::new(0),
             answering: Cell::new(0),
             uploading: Cell::new(0),
-            uploads,
+            uploads: uploads.at_once,
+            read_ahead: ReadAheadBudget::new(uploads.read_ahead_bytes),
             grace,
             empty: Cell::new(Instant::now()),
             standing: RefCell::default(),
--- a/crates/sandgap/src/front/receive.rs
+++ b/crates/sandgap/src/front/receive.rs
@@ -1,12 +1,14 @@
 //! Receiving a request's body: a short one whole, a long one's first part.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout_at};
 
-use crate::body::{self, Pace, Trouble, Upload};
+use crate::body::{self, Pace, ReadAheadBudget, Trouble, Upload};
 use crate::upstream::Payload;
 
 /// A body, and whether its client has been waited for: then its time counts from here.
@@ -25,7 +27,9 @@
 }
 
 /// Receives what has to be there before a request can go on. One that is told to be too long never comes here.
-pub(super) async fn receive(mut incoming: Incoming) -> Result<Received, Trouble> {
+pub(super) async fn receive(
+    mut incoming: Incoming, read_ahead: &Rc<ReadAheadBudget>,
+) -> Result<Received, Trouble> {
     let length = incoming.size_hint().exact();
     let mut pace = Pace::default();
     let mut have: Vec<Bytes> = Vec::new();
@@ -39,7 +43,7 @@
         pace.moved(Instant::now(), data.len());
         have.push(data);
         if pace.passed() > body::WHOLE as u64 {
-            let upload = Upload::new(body::join(have), incoming, pace, length);
+            let upload = Upload::new(body::join(have), incoming, pace, length, read_ahead.clone());
             return Ok(Received { body: Payload::Long(upload), late: pace.has_waited() });
         }
     }
--- a/crates/sandgap/src/socket.rs
+++ b/crates/sandgap/src/socket.rs
@@ -91,6 +91,11 @@
         let _ = SockRef::from(&*self.0).set_tcp_user_timeout(Some(most)); // it waits longer without
     }
 
+    /// Has the close reset the connection, so that the other side sees that what it has is not whole.
+    pub fn reset_at_close(&self) {
+        let _ = SockRef::from(&*self.0).set_linger(Some(std::time::Duration::ZERO)); // it ends in order without
+    }
+
     /// Whether the other side has neither ended the connection nor said anything that has not been read. The
     /// runtime may not have seen it yet, so the system is asked.
     pub fn is_quiet(&self) -> bool {
--- a/crates/sandgap/tests/gone_uploads.rs
+++ b/crates/sandgap/tests/gone_uploads.rs
@@ -6,6 +6,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
+use sockets::full::Full;
 use sockets::*;
 
 /// How a client leaves.
@@ -26,8 +27,8 @@
 
 const LEAVINGS: [Leaving; 2] = [Leaving::HalfClose, Leaving::Reset];
 const FRAMINGS: [Framing; 2] = [Framing::Counted, Framing::Chunked];
-/// What the client's system takes of a body at once, whether the proxy reads or not.
-const TAKEN_AT_ONCE: usize = 150_000;
+/// More than the system holds of a body that nobody reads.
+const OVER_BUFFER: usize = 300_000;
 
 fn request(id: &str, framing: Framing, size: usize) -> Vec<u8> {
     let (told, body) = match framing {
@@ -89,45 +90,11 @@
     }
 }
 
-/// A proxy whose only backend holds all requests back until a gate opens, and clients that fill the backend.
-struct Full {
-    gate: Gate,
-    backend: Backend,
-    _discovery: Discovery,
-    proxy: Proxy,
-    _clients: Vec<Client>,
-}
-
-impl Full {
-    fn new() -> Self {
-        let gate = Gate::default();
-        let held = gate.clone();
-        let backend = Backend::with(move |_| Deed::Hold(held.clone(), ok("")));
-        let discovery = Discovery::new();
-        discovery.say(&all_up(&[&backend]));
-        let proxy = Proxy::up(&discovery, &Setup { deadline: 25_000, ..Setup::default() });
-        let mut clients: Vec<Client> = (0..12).map(|_| Client::new(&proxy)).collect();
-        for (n, client) in clients.iter_mut().enumerate() {
-            client.send(&submit(&format!("r-{n}"), "25", "x"));
-        }
-        wait_for("the first", || !backend.seen().is_empty());
-        assert!(proxy.is_up()); // all that was sent before has most likely been read
-        Full { gate, backend, _discovery: discovery, proxy, _clients: clients }
-    }
-
-    /// Lets all go on, and returns what the backend has seen once nothing waits any more.
-    fn finish(&self) -> Vec<String> {
-        self.gate.open();
-        assert_eq!(status(Client::new(&self.proxy).ask(&submit("r-last", "25", "x"))), 200);
-        self.backend.seen().iter().map(|m| m.id().to_owned()).collect()
-    }
-}
-
 #[test]
 fn one_that_left_a_long_request_before_its_first_attempt_has_gone() {
     let full = Full::new();
     let before = full.proxy.descriptors();
-    for size in [65_535, 65_536, 65_537, 100_000, TAKEN_AT_ONCE] {
+    for size in [65_535, 65_536, 65_537, 150_000, OVER_BUFFER, 1_000_000, 32 << 20] {
         for (framing, how) in FRAMINGS.iter().flat_map(|f| LEAVINGS.map(|l| (*f, l))) {
             let mut client = Uploader::new(&full.proxy);
             client.send(&request(&format!("r-gone-{size}-{framing:?}-{how:?}"), framing, size));
@@ -141,3 +108,96 @@
     let seen = full.finish();
     assert!(!seen.iter().any(|id| id.contains("gone")), "{seen:?}");
 }
+
+#[test]
+fn many_that_left_long_requests_in_one_burst_have_all_gone() {
+    let full = Full::new();
+    let before = full.proxy.descriptors();
+    let mut clients: Vec<Uploader> = (0..60).map(|_| Uploader::new(&full.proxy)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&request(&format!("r-gone-{n}"), FRAMINGS[n % 2], OVER_BUFFER));
+    }
+    assert!(full.proxy.is_up());
+    let left: Vec<TcpStream> =
+        clients.into_iter().enumerate().filter_map(|(n, c)| c.leave(LEAVINGS[n / 2 % 2])).collect();
+    assert!(left.into_iter().all(is_dropped));
+    wait_for("their ends", || full.proxy.descriptors() <= before);
+    let seen = full.finish();
+    assert!(!seen.iter().any(|id| id.contains("gone")), "{seen:?}");
+}
+
+#[test]
+fn nothing_is_written_of_a_long_request_whose_client_left_while_the_connection_came_up() {
+    for (framing, how) in FRAMINGS.iter().flat_map(|f| LEAVINGS.map(|l| (*f, l))) {
+        let (slow, full) = full_listener();
+        let discovery = Discovery::new();
+        discovery.say(&list(1, true, &[host("s-0", slow.local_addr().unwrap(), "up", 0)]));
+        let patient = Setup { dial_timeout: 30_000, deadline: 40_000, ..Setup::default() };
+        let proxy = Proxy::up(&discovery, &patient);
+        let mut client = Uploader::new(&proxy);
+        client.send(&request("r-gone", framing, OVER_BUFFER));
+        assert!(proxy.is_up()); // by now its connection has most likely been begun
+        let with_client = proxy.descriptors();
+        assert!(client.leave(how).is_none_or(is_dropped), "{framing:?} {how:?}: its end is seen");
+        wait_for("its end", || proxy.descriptors() < with_client);
+        full.iter().for_each(|_| drop(slow.accept().unwrap()));
+        let (mut connection, _) = slow.accept().unwrap();
+        connection.set_read_timeout(Some(LIMIT)).unwrap();
+        let mut bytes = Vec::new();
+        let _ = connection.read_to_end(&mut bytes); // an end or a reset
+        assert!(bytes.is_empty(), "{framing:?} {how:?}: {} bytes", bytes.len());
+    }
+}
+
+#[test]
+fn one_that_left_in_the_middle_of_its_upload_is_cut_off_at_the_backend() {
+    for (framing, how) in FRAMINGS.iter().flat_map(|f| LEAVINGS.map(|l| (*f, l))) {
+        // A backend that begins to read and then waits until the client has left.
+        let (begun, go) = (Gate::default(), Gate::default());
+        let (begins, goes) = (begun.clone(), go.clone());
+        let (told, read) = std::sync::mpsc::channel();
+        let told = std::sync::Mutex::new(told);
+        let address = serve(move |_, mut stream| {
+            let mut bytes = vec![0; 1000];
+            stream.read_exact(&mut bytes).expect("its beginning");
+            begins.open();
+            goes.wait();
+            let _ = stream.read_to_end(&mut bytes); // an end or a reset
+            let _ = told.lock().expect("no panic").send(bytes);
+        });
+        let discovery = Discovery::new();
+        discovery.say(&list(1, true, &[host("s-0", address, "up", 0)]));
+        let proxy = Proxy::up(&discovery, &Setup { deadline: 25_000, ..Setup::default() });
+        let bytes = request("r-gone", framing, 20 << 20);
+        let mut client = Uploader::new(&proxy);
+        let mut sent = client.send(&bytes);
+        begun.wait();
+        sent += client.send(&bytes[sent..]);
+        assert!(sent < bytes.len(), "it can't have sent all of it");
+        let _rest = client.leave(how);
+        go.open();
+        let got = read.recv_timeout(LIMIT).expect("the backend's end");
+        assert!(
+            got.len() < bytes.len() && !got.ends_with(b"0\r\n\r\n"),
+            "{framing:?} {how:?}: {}",
+            got.len()
+        );
+    }
+}
+
+#[test]
+fn one_that_is_merely_slow_has_not_gone() {
+    let full = Full::new();
+    let mut stream = TcpStream::connect(full.proxy.address).expect("the proxy accepts");
+    stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    let bytes = request("r-slow", Framing::Counted, OVER_BUFFER);
+    for piece in bytes.chunks(32_000) {
+        stream.write_all(piece).expect("taken");
+        std::thread::sleep(Duration::from_millis(100)); // five times as fast as the slowest that is allowed
+    }
+    full.gate.open();
+    let mut head = [0; 15];
+    stream.read_exact(&mut head).expect("its answer");
+    assert_eq!(&head, b"HTTP/1.1 200 OK");
+    assert!(full.backend.seen().iter().any(|message| message.id() == "r-slow"));
+}
--- a/crates/sandgap/tests/long.rs
+++ b/crates/sandgap/tests/long.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use sockets::*;
 
@@ -236,6 +237,43 @@
     }
 }
 
+#[test]
+fn long_uploads_that_waited_pass_unchanged_in_each_form() {
+    // What is read ahead while they wait goes out before what comes later. The first ones fill the backend.
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Raw::new(move |_, stream| {
+        held.wait();
+        let _ = stream.write_all(ok("done").as_bytes());
+    });
+    let (_discovery, proxy) = proxy(&[&backend], 256);
+    let asks: Vec<_> = (0..12).map(|n| upload(&format!("r-{n}"), "Content-Length: 1", b"x")).collect();
+    thread::scope(|scope| {
+        let (proxy, backend) = (&proxy, &backend);
+        for request in &asks {
+            scope.spawn(move || ask(proxy, request));
+        }
+        wait_for("the first", || !backend.seen().is_empty());
+        assert!(proxy.is_up());
+        let mut waiting = Vec::new();
+        for size in [65_537, 300_000, 2_000_000, 9_000_000] {
+            let body = content(size);
+            let counted = upload(&format!("l-{size}"), &format!("Content-Length: {size}"), &body);
+            let pieces = upload(&format!("c-{size}"), "Transfer-Encoding: chunked", &chunked(&body, 999));
+            for request in [counted, pieces] {
+                waiting.push(scope.spawn(move || ask(proxy, &request).0));
+            }
+        }
+        thread::sleep(Duration::from_millis(300)); // much of them has come by now
+        gate.open();
+        assert!(waiting.into_iter().all(|one| one.join().expect("no panic") == 200));
+        for (id, body, whole) in backend.seen().iter().filter(|r| !r.0.starts_with("r-")) {
+            let size: usize = id[2..].parse().expect("a size");
+            assert!(*whole && *body == content(size), "{id}");
+        }
+    });
+}
+
 #[test]
 fn an_upload_that_stops_anywhere_never_runs() {
     let backend = Raw::new(|read, stream| {
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -1,6 +1,8 @@
 //! A proxy process on loopback, with a small discovery and small backends for it. All ports are the system's
 //! choice, and all waits end on a condition or after a generous limit.
 #![allow(dead_code)] // each test file uses its own part
+pub mod full;
+
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
