End short answers of unknown length with their client's time

Seen in the issue's probe: an answer of 200 in chunks, or with no length and Connection: close, of five bytes and then nothing ended 10.2 s after its request; a trickle never.

Cause: `gather` (upstream.rs) handed an answer on as a long one after 150 ms, and `follow` knew no deadline, only a silence of 10 s.

Change: the core tells each attempt when the client's answer has to be on its way (it moves with the end of an upload and of the process), and an answer whose length is not told and that has not passed 64 KiB by then is cut off, so that its client sees that it is not whole. It is gathered for half of the time left first, so that one that stops short is made good elsewhere where it may run again; one that is told to be long is handed on after 150 ms as before.

Tests (tests/stalled_answers.rs): silence after the head, 5, 65,535, 65,536 bytes; 65,537 and a told length of 200,000 with five bytes go on past the deadline; trickle; HTTP/1.1 and 1.0; SIGTERM in the middle; a late reader.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -111,6 +111,9 @@
     pub wanted: Rc<Cell<bool>>,
     /// When it is given up.
     pub until: Time,
+    /// When the client's answer has to be on its way whole, unless it is a long one. It moves when a long request has
+    /// gone out and when the process ends.
+    pub answer_by: Rc<Cell<Time>>,
     /// Nothing of it may be written from then on, if it may be a repeat.
     pub before: Option<Time>,
 }
@@ -123,6 +126,8 @@
     wanted: Rc<Cell<bool>>,
     held: H,
     deadline: Time,
+    /// The deadline less [`LAST_RESORT`], for attempts on their way.
+    answer_by: Rc<Cell<Time>>,
     /// See [`Arrival::upload`].
     upload: Option<Time>,
     /// It goes out as it comes in, and no deadline counts.
@@ -137,6 +142,16 @@
     LastResort(RequestId),
 }
 
+impl<H> Live<H> {
+    /// Sets when its client gives up, and returns when the last resort answers.
+    fn set_deadline(&mut self, deadline: Time) -> Time {
+        let last = deadline.saturating_sub(LAST_RESORT);
+        self.deadline = deadline;
+        self.answer_by.set(last);
+        last
+    }
+}
+
 /// Runs a module on what comes in. Its maps are bounded by the requests that whoever feeds it lets in.
 pub struct Core<D, O: Outside> {
     decider: D,
@@ -252,8 +267,9 @@
         let last = deadline.saturating_sub(LAST_RESORT);
         let budget = ms(last.saturating_sub(now));
         let wanted = Rc::new(Cell::new(true));
+        let answer_by = Rc::new(Cell::new(last));
         let (uploading, attempts, out) = (false, 0, 0);
-        let live = Live { open: true, wanted, held, deadline, upload, uploading, attempts, out };
+        let live = Live { open: true, wanted, held, deadline, answer_by, upload, uploading, attempts, out };
         self.live.insert(id, live);
         self.due.push(Reverse((last, Due::LastResort(id))));
         self.handle(now, Event::Request { id, class, tenant, key, budget, hint });
@@ -264,9 +280,12 @@
         let end = self.within_end(end);
         self.end = Some(end);
         let last = end.saturating_sub(LAST_RESORT);
-        for (id, live) in self.live.iter_mut().filter(|(_, l)| l.open && (l.uploading || l.deadline > end)) {
-            live.deadline = live.deadline.min(end);
-            self.due.push(Reverse((last, Due::LastResort(*id))));
+        // Those with an answer that has begun keep an attempt, and a short one of these has to end in time, too.
+        for (id, live) in self.live.iter_mut().filter(|(_, l)| l.uploading || l.deadline > end) {
+            live.set_deadline(live.deadline.min(end));
+            if live.open {
+                self.due.push(Reverse((last, Due::LastResort(*id))));
+            }
         }
     }
 
@@ -294,8 +313,8 @@
         let Some(patience) = self.live.get(&id).and_then(|l| l.upload) else { return };
         let deadline = self.within_end(now + patience);
         let Some(live) = self.live.get_mut(&id) else { return };
-        (live.uploading, live.deadline) = (false, deadline);
-        let last = deadline.saturating_sub(LAST_RESORT);
+        live.uploading = false;
+        let last = live.set_deadline(deadline);
         self.due.push(Reverse((last, Due::LastResort(id))));
         let budget = if spent { 0.0 } else { ms(last.saturating_sub(now)) };
         self.handle(now, Event::Uploaded { request: id, budget });
@@ -503,9 +522,10 @@
             live.uploading = true;
             self.begun.push(request);
         }
-        let (endpoint, wanted) = (endpoint.clone(), live.wanted.clone());
+        let (endpoint, wanted, answer_by) = (endpoint.clone(), live.wanted.clone(), live.answer_by.clone());
         let before = before.map(time);
-        self.outside.attempt(&live.held, Attempt { request, number, endpoint, wanted, until, before });
+        let attempt = Attempt { request, number, endpoint, wanted, until, answer_by, before };
+        self.outside.attempt(&live.held, attempt);
     }
 }
 
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -17,7 +17,8 @@
 use crate::discovery;
 use crate::drains::Drains;
 use crate::event::{
-    Answer, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Licence, Look, Looked, Reply, Report,
+    Answer, AnswerBy, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Licence, Look, Looked, Reply,
+    Report,
 };
 use crate::note;
 use crate::peers::Peers;
@@ -63,12 +64,14 @@
     type Reply = Reply;
 
     fn attempt(&mut self, held: &Held, attempt: core::Attempt) {
-        let core::Attempt { request, number, endpoint, wanted, until, before } = attempt;
+        let core::Attempt { request, number, endpoint, wanted, until, answer_by, before } = attempt;
         let report = Report::new(self.parts.inbox.clone(), request, number, endpoint.hold());
         let until = self.start + until;
+        let answer_by = AnswerBy { start: self.start, after: answer_by };
         let before = before.map(|at| self.start + at);
         let licence = held.licence.clone();
-        held.exchange.clone().attempt(Attempt { endpoint, wanted, licence, until, before, report });
+        let attempt = Attempt { endpoint, wanted, licence, until, answer_by, before, report };
+        held.exchange.clone().attempt(attempt);
     }
 
     fn may_send(&self, held: &Held) -> bool {
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -139,12 +139,30 @@
     pub licence: Option<Rc<dyn Licence>>,
     /// When it is given up.
     pub until: Instant,
+    /// When the client's answer has to be on its way whole, unless it is a long one.
+    pub answer_by: AnswerBy,
     /// Nothing of it may be written from then on, if it may be a repeat.
     pub before: Option<Instant>,
     /// Tells how it ended.
     pub report: Report,
 }
 
+/// The time by which a client's answer has to be on its way. It moves when a long request has gone out and when the
+/// process ends.
+pub struct AnswerBy {
+    /// The clock's zero.
+    pub start: Instant,
+    /// Counted from there.
+    pub after: Rc<Cell<Duration>>,
+}
+
+impl AnswerBy {
+    /// As it is set at present.
+    pub fn instant(&self) -> Instant {
+        self.start + self.after.get()
+    }
+}
+
 /// A backend's whole answer, for the front of the same protocol.
 pub type Reply = Box<dyn Any>;
 
--- a/crates/sandgap/src/upstream.rs
+++ b/crates/sandgap/src/upstream.rs
@@ -25,7 +25,7 @@
 use wharfhitch::Outcome;
 
 use crate::body::{self, Answering, Broken, End, Progress, Sending, Stream, Upload};
-use crate::event::{self, Attempt, Back, Endpoint, Exchange, Licence};
+use crate::event::{self, AnswerBy, Attempt, Back, Endpoint, Exchange, Licence};
 use crate::socket::Socket;
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
@@ -42,13 +42,19 @@
 /// Once an answer has begun, a part of it must come at least every so often. An answer that is told longer than it
 /// is would else keep its request until the client gives up.
 const STALL: Duration = Duration::from_millis(500);
-/// A long answer's reader has what has come so far after this span at the latest. What breaks before can still be
-/// answered as failed, or made good elsewhere.
-const GATHER: Duration = Duration::from_millis(150);
+/// The reader of an answer that is told to be long has what has come so far after this span at the latest. What breaks
+/// before can still be answered as failed, or made good elsewhere.
+const GATHER_LONG: Duration = Duration::from_millis(150);
+/// An answer whose length is not told is most likely a short one, of which the last byte counts. It is gathered for this
+/// part of the time left, so that one that stops short can be made good elsewhere, and the first bytes of one that turns
+/// out long are still in time.
+const GATHER_PART: u32 = 2;
 /// A backend that says nothing for this long within a long answer has gone.
 const SILENCE: Duration = Duration::from_secs(10);
 /// Span between looks for that.
 const LOOK: Duration = Duration::from_secs(1);
+/// The same where the time of an answer that may be short is over, but its reader has not taken what there is of it.
+const LOOK_OVERDUE: Duration = Duration::from_millis(100);
 /// Bytes of a connection's buffer: room for any head, and a long body passes in pieces of it.
 const BUFFER: usize = 16 << 10;
 
@@ -395,7 +401,7 @@
 
     /// Makes one attempt and tells how it ended; the report gets that before the connection is pooled.
     async fn attempt(&self, message: &Outgoing, attempt: Attempt) {
-        let Attempt { endpoint, wanted, licence, mut until, before, mut report } = attempt;
+        let Attempt { endpoint, wanted, licence, mut until, answer_by, before, mut report } = attempt;
         let mut uploads = match &message.body {
             Payload::Long(upload) if upload.is_spent() => return report.tell(Outcome::Moot, None),
             body => matches!(body, Payload::Long(_)),
@@ -419,7 +425,7 @@
         let answer = async {
             tokio::select! {
                 biased;
-                answer = exchange(sender, request, &meter) => answer,
+                answer = exchange(sender, request, &meter, &answer_by) => answer,
                 () = meter.stalled() => Err("the answer has no end".into()),
             }
         };
@@ -451,7 +457,7 @@
             Some(Ok(Got::Long(reply, progress, end))) => {
                 report.started(Box::new(reply));
                 meter.gate.replace(None);
-                let (outcome, keep) = follow(&progress, end).await;
+                let (outcome, keep) = follow(&progress, end, &answer_by).await;
                 report.tell(outcome, None);
                 self.keep(&endpoint, connection, keep && meter.complete(), took).await;
             }
@@ -471,9 +477,16 @@
 }
 
 /// Waits for the end of a long answer; the flag says whether its connection may be kept. A reader that leaves or
-/// takes nothing is no fault of the backend.
-async fn follow(progress: &Progress, mut end: End) -> (Outcome, bool) {
+/// takes nothing is no fault of the backend. One that has not shown to be long ends with its client's time: the reader
+/// sees it cut.
+async fn follow(progress: &Progress, mut end: End, answer_by: &AnswerBy) -> (Outcome, bool) {
     loop {
+        let left = answer_by.instant().saturating_duration_since(Instant::now());
+        let look = match progress.may_be_short() {
+            true if left.is_zero() => LOOK_OVERDUE,
+            true => left.min(LOOK),
+            false => LOOK,
+        };
         tokio::select! {
             biased;
             end = &mut end => return match end {
@@ -481,9 +494,12 @@
                 Ok(false) => (Outcome::Reset, false),
                 Err(_) => (Outcome::Served, false),
             },
-            () = sleep(LOOK) => if progress.silence() >= SILENCE {
-                return (Outcome::Reset, false); // the connection goes, and the reader sees the answer cut
-            },
+            () = sleep(look) => {
+                let over = progress.may_be_short() && Instant::now() >= answer_by.instant();
+                if progress.silence() >= SILENCE || over && progress.waits_for_backend() {
+                    return (Outcome::Reset, false); // the connection goes, and the reader sees the answer cut
+                }
+            }
         }
     }
 }
@@ -539,7 +555,7 @@
 
 /// Sends a request and reads the answer, or the beginning of a long one.
 async fn exchange(
-    sender: &mut SendRequest<Sending>, request: Request<Sending>, meter: &Meter,
+    sender: &mut SendRequest<Sending>, request: Request<Sending>, meter: &Meter, answer_by: &AnswerBy,
 ) -> Result<Got, Broken> {
     let answer = sender.send_request(request).await?;
     meter.body_begins();
@@ -556,7 +572,7 @@
         StatusCode::OK => {
             let mut headers = head.headers;
             strip(&mut headers);
-            return Ok(match gather(body, length).await? {
+            return Ok(match gather(body, length, answer_by).await? {
                 Gathered::Whole(bytes) => {
                     Got::Whole(Outcome::Served, Some(Reply { headers, body: bytes.into() }), keep)
                 }
@@ -587,17 +603,20 @@
 }
 
 /// Gathers a short answer whole, and of a long one no more than it takes to tell that it is long.
-async fn gather(mut incoming: Incoming, length: Option<u64>) -> Result<Gathered, Broken> {
-    match length {
+async fn gather(
+    mut incoming: Incoming, length: Option<u64>, answer_by: &AnswerBy,
+) -> Result<Gathered, Broken> {
+    let span = match length {
         Some(length) if length <= body::WHOLE as u64 => {
             return Ok(Gathered::Whole(incoming.collect().await?.to_bytes()));
         }
         Some(length) if length > body::LONGEST_ANSWER => return Err("the answer is too long".into()),
-        _ => {}
-    }
+        Some(_) => GATHER_LONG,
+        None => answer_by.instant().saturating_duration_since(Instant::now()) / GATHER_PART,
+    };
     let mut have: Vec<Bytes> = Vec::new();
     let mut size = 0;
-    let patience = sleep(GATHER);
+    let patience = sleep(span);
     tokio::pin!(patience);
     loop {
         let frame = tokio::select! {
--- /dev/null
+++ b/crates/sandgap/tests/stalled_answers.rs
@@ -0,0 +1,244 @@
+//! Answers whose length is not told and that stop or trickle. Up to 64 KiB the last byte counts, so that they end with
+//! their client's time; what is longer has only to begin in time.
+mod sockets;
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use sockets::*;
+
+/// How long clients of these tests wait.
+const DEADLINE: Duration = Duration::from_millis(1200);
+/// No verdict by a stopwatch: a stalled long answer ends 10 s after its last byte, and a trickle never.
+const FAR_BEYOND: Duration = Duration::from_secs(7);
+/// Bytes up to which the last one counts.
+const SHORT: usize = 65_536;
+
+/// How an answer without a told length ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Form {
+    /// With its last chunk.
+    Chunked,
+    /// With the connection.
+    Close,
+}
+
+const FORMS: [Form; 2] = [Form::Chunked, Form::Close];
+
+impl Form {
+    fn head(self) -> &'static str {
+        match self {
+            Form::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            Form::Close => "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        }
+    }
+
+    fn part(self, size: usize) -> Vec<u8> {
+        let bytes = "x".repeat(size);
+        match self {
+            Form::Chunked if size == 0 => Vec::new(),
+            Form::Chunked => format!("{size:x}\r\n{bytes}\r\n").into_bytes(),
+            Form::Close => bytes.into_bytes(),
+        }
+    }
+
+    fn end(self, stream: &mut TcpStream) {
+        match self {
+            Form::Chunked => drop(stream.write_all(b"0\r\n\r\n")),
+            Form::Close => drop(stream.shutdown(std::net::Shutdown::Write)),
+        }
+    }
+}
+
+/// A backend whose answer is written by a script; it then waits until the proxy closes.
+fn backend(script: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    serve(move |mut reader, mut stream| {
+        while read_message(&mut reader).is_some() {
+            script(&mut stream);
+        }
+    })
+}
+
+fn up(address: SocketAddr, deadline: Duration) -> (Discovery, Proxy) {
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[host("s-0", address, "up", 0)]));
+    let setup = Setup { deadline: deadline.as_millis() as u32, ..Setup::default() };
+    let proxy = Proxy::up(&discovery, &setup);
+    (discovery, proxy)
+}
+
+/// What a client has at the connection's end.
+struct Ended {
+    bytes: Vec<u8>,
+    reset: bool,
+    took: Duration,
+}
+
+impl Ended {
+    fn status(&self) -> u16 {
+        let text = String::from_utf8_lossy(&self.bytes[..self.bytes.len().min(20)]).into_owned();
+        text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// Whether it can take what it has for a whole answer of 200.
+    fn is_whole(&self) -> bool {
+        let chunked =
+            String::from_utf8_lossy(&self.bytes).to_ascii_lowercase().contains("transfer-encoding: chunked");
+        self.status() == 200 && !self.reset && (!chunked || self.bytes.ends_with(b"0\r\n\r\n"))
+    }
+
+    fn body(&self) -> usize {
+        self.bytes.iter().filter(|b| **b == b'x').count()
+    }
+}
+
+/// Asks and reads until the connection ends; `pause` goes by before the client reads.
+fn ask(proxy: &Proxy, request: &str, pause: Duration) -> Ended {
+    let mut stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+    stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    stream.write_all(request.as_bytes()).expect("taken");
+    let start = Instant::now();
+    std::thread::sleep(pause);
+    let mut bytes = Vec::new();
+    let reset = match stream.read_to_end(&mut bytes) {
+        Ok(_) => false,
+        Err(e) if e.kind() == ErrorKind::ConnectionReset => true,
+        Err(e) => panic!("{e}"),
+    };
+    Ended { bytes, reset, took: start.elapsed() }
+}
+
+/// Requests of each form of HTTP that end their connection with the answer.
+fn requests(id: &str) -> [(&'static str, String); 2] {
+    let text = submit(id, "1.2", "x").replace("Host: x", "Host: x\r\nConnection: close");
+    let old = text.replace("HTTP/1.1", "HTTP/1.0").replace(id, &format!("{id}-old"));
+    [("1.1", text), ("1.0", old)]
+}
+
+#[test]
+fn a_short_answer_that_stops_ends_with_its_client_s_time_and_is_seen_to_be_cut() {
+    for (form, size) in FORMS.iter().flat_map(|f| [0, 5, SHORT - 1, SHORT].map(|size| (*f, size))) {
+        let address = backend(move |stream| {
+            let _ = stream.write_all(form.head().as_bytes());
+            let _ = stream.write_all(&form.part(size));
+        });
+        let (_discovery, proxy) = up(address, DEADLINE);
+        for (version, request) in requests("r-1") {
+            let ended = ask(&proxy, &request, Duration::ZERO);
+            assert!(!ended.is_whole(), "{form:?} {size} {version}");
+            assert!(ended.took < FAR_BEYOND, "{form:?} {size} {version}: {:?}", ended.took);
+        }
+        let kept = Client::new(&proxy).ask(&submit("r-2", "1.2", "x"));
+        assert!(kept.is_none_or(|answer| answer.status() != 200), "{form:?} {size}");
+    }
+}
+
+#[test]
+fn a_trickle_ends_with_its_client_s_time_and_is_seen_to_be_cut() {
+    for form in FORMS {
+        let address = backend(move |stream| {
+            let _ = stream.write_all(form.head().as_bytes());
+            while stream.write_all(&form.part(5)).is_ok() {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        });
+        let (_discovery, proxy) = up(address, DEADLINE);
+        for (version, request) in requests("r-1") {
+            let ended = ask(&proxy, &request, Duration::ZERO);
+            assert!(!ended.is_whole(), "{form:?} {version}");
+            assert!(ended.took < FAR_BEYOND, "{form:?} {version}: {:?}", ended.took);
+        }
+    }
+}
+
+#[test]
+fn a_long_answer_that_began_in_time_may_go_on_beyond_it() {
+    for (form, told) in [(Form::Chunked, false), (Form::Close, false), (Form::Close, true)] {
+        // Told to be long, five bytes show it as well as 64 KiB and one do.
+        let (first, all) = (if told { 5 } else { SHORT + 1 }, 200_000);
+        let address = backend(move |stream| {
+            let head = match told {
+                true => format!("HTTP/1.1 200 OK\r\nContent-Length: {all}\r\n\r\n"),
+                false => form.head().to_owned(),
+            };
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.write_all(&form.part(first));
+            std::thread::sleep(2 * DEADLINE);
+            let _ = stream.write_all(&form.part(all - first));
+            if !told {
+                form.end(stream);
+            }
+        });
+        let (_discovery, proxy) = up(address, DEADLINE);
+        for (version, request) in requests("r-1") {
+            let ended = ask(&proxy, &request, Duration::ZERO);
+            assert!(ended.is_whole(), "{form:?} {told} {version}: {}", ended.status());
+            assert_eq!(ended.body(), all, "{form:?} {told} {version}");
+        }
+    }
+}
+
+#[test]
+fn a_client_that_reads_late_still_gets_all_of_an_answer_whose_length_is_not_told() {
+    let late = DEADLINE + Duration::from_millis(300);
+    for (form, size) in FORMS.iter().flat_map(|f| [SHORT, SHORT + 1, 400_000].map(|size| (*f, size))) {
+        let address = backend(move |stream| {
+            let _ = stream.write_all(form.head().as_bytes());
+            let _ = stream.write_all(&form.part(size));
+            form.end(stream);
+        });
+        let (_discovery, proxy) = up(address, DEADLINE);
+        std::thread::scope(|scope| {
+            let ask = |(version, request): (&'static str, String)| (version, ask(&proxy, &request, late));
+            for asked in requests("r-1").map(|request| scope.spawn(move || ask(request))) {
+                let (version, ended) = asked.join().expect("no panic");
+                assert!(ended.is_whole() && ended.body() == size, "{form:?} {size} {version}");
+            }
+        });
+    }
+}
+
+#[test]
+fn a_short_answer_that_stops_is_made_good_elsewhere_where_it_may_run_again() {
+    for form in FORMS {
+        let bad = backend(move |stream| {
+            let _ = stream.write_all(form.head().as_bytes());
+            let _ = stream.write_all(&form.part(5));
+        });
+        let good = Backend::new(Deed::Write(ok("good")));
+        let discovery = Discovery::new();
+        discovery.say(&list(1, true, &[host("s-0", bad, "up", 0), host("s-1", good.address, "up", 0)]));
+        let proxy = Proxy::up(&discovery, &Setup::default());
+        for n in 0..4 {
+            let answer = Client::new(&proxy).ask(&page(&format!("r-{n}"))).expect("an answer");
+            assert_eq!((answer.status(), answer.text()), (200, "good".into()), "{form:?} {n}");
+        }
+    }
+}
+
+#[test]
+fn at_sigterm_a_trickle_ends_before_the_process_does() {
+    // Its client would wait longer than the process may live, and other requests have their answer in time.
+    let began = Arc::new(Mutex::new(0));
+    let count = began.clone();
+    let address = backend(move |stream| {
+        *count.lock().expect("no panic") += 1;
+        let _ = stream.write_all(Form::Chunked.head().as_bytes());
+        while stream.write_all(&Form::Chunked.part(5)).is_ok() {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let (_discovery, mut proxy) = up(address, Duration::from_secs(25));
+    let text = submit("r-1", "25", "x");
+    std::thread::scope(|scope| {
+        let asked = scope.spawn(|| ask(&proxy, &text, Duration::ZERO));
+        wait_for("its beginning", || *began.lock().expect("no panic") == 1);
+        proxy.terminate();
+        let ended = asked.join().expect("no panic");
+        assert!(!ended.is_whole());
+        assert!(ended.took < Duration::from_secs(18), "{:?}", ended.took);
+    });
+    assert!(proxy.wait().success());
+}
