Tell the module that the first watch after a move has ended, so that another follows

Cause: discovery/mod.rs, `keep_asked`. The first watch after SIGHUP is opened unasked (`waits` is false); the next one waits for the module's wish, as there is a list by then; but the module was told of an end only `if waits`, so that it took its watch for open and wished for none. Nothing was asked any more.

Change: once there is a list, the end of a watch is told, whoever opened it. Ruled out: silent watches and turns given up (their tests in asked.rs pass, as before). Test: after_a_move_a_watch_that_falls_silent_is_opened_anew; on it waits in vain for 30 s.

--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -146,7 +146,6 @@
             if waits {
                 asked.notified().await;
             }
-            let before = self.seq;
             // After a silent watch the whole list is asked for: one that resumes says nothing while nothing changes,
             // and a second silence would be seen too late.
             let after = self.seq.filter(|_| !silent);
@@ -162,14 +161,13 @@
             if self.is_past() {
                 return; // what it would say is late
             }
-            if waits {
+            // Once there is a list the next watch waits for the module's wish, and the module wishes for none before it
+            // is told of this one's end: also of the first one after a move, which it did not wish for.
+            if waits || self.seq.is_some() {
                 note!(warn: "discovery: {error}");
                 self.inbox.put(Input::List(Scope::Failed, Vec::new()));
                 continue;
             }
-            if self.seq != before {
-                backoff = BACKOFF.0;
-            }
             note!(warn: "discovery: {error}; again in {} ms", backoff.as_millis());
             sleep(backoff).await;
             backoff = (backoff * 2).min(BACKOFF.1);
--- a/crates/sandgap/tests/asked.rs
+++ b/crates/sandgap/tests/asked.rs
@@ -81,3 +81,17 @@
     site.discovery.turn_away(0);
     only(&proxy, "the drain, once discovery is back", "two");
 }
+
+#[test]
+fn after_a_move_a_watch_that_falls_silent_is_opened_anew() {
+    // The first watch after a move is opened unasked; its end was told to nobody, and no other one followed it.
+    let site = Site::new();
+    let proxy = site.up();
+    let moved = Discovery::new();
+    moved.say(&all_up(&[&site.backends[0], &site.backends[1]]));
+    proxy.reload(&config(moved.address, &asked()));
+    wait_for("its list", || proxy.said(&format!("{} has told its list", moved.address)));
+    moved.freeze(0);
+    moved.say(&first_drains_whole(&site.backends, 2));
+    only(&proxy, "the drain, behind a silent watch after a move", "two");
+}
