Read what had come before a client's time was over, and close only what is quiet

Where the system had the last bytes already and the runtime had not been told of them, a whole request was cut off. Forced by stopping the process past the time, sending the rest, and letting it go on: the runtime looks at its timers first then.

Change: on such a look the system is asked; what is there is read, and a later look closes what has still not come whole.

--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -76,7 +76,13 @@
                 outcome = connection.as_mut() => break outcome,
                 () = &mut disconnected => return, // and its request goes with it
                 () = client.close.notified() => {
-                    if matches!(client.stage.get(), Stage::Silent | Stage::Begun) {
+                    let stage = client.stage.get();
+                    if matches!(stage, Stage::Silent | Stage::Begun) {
+                        // What the system had before its time was over is read first; a later look closes the rest.
+                        if client.due.get() <= Instant::now() && !stream.is_quiet() {
+                            self.turn(client, stage);
+                            continue;
+                        }
                         return;
                     }
                     if client.stage.get() == Stage::Idle {
--- a/crates/sandgap/tests/proxy.rs
+++ b/crates/sandgap/tests/proxy.rs
@@ -105,6 +105,24 @@
     });
 }
 
+#[test]
+fn a_request_whose_last_bytes_crossed_the_end_of_its_time_is_answered() {
+    // The process stands still while both come: the end of the time for a head, and the head's last bytes.
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, proxy) = proxy_with(&[&backend]);
+    let mut clients: Vec<Client> = (0..10).map(|_| Client::new(&proxy)).collect();
+    let texts: Vec<String> = (0..10).map(|n| page(&format!("r-{n}"))).collect();
+    clients.iter_mut().zip(&texts).for_each(|(client, text)| client.send(&text[..text.len() / 2]));
+    assert!(proxy.is_up()); // what was sent before has most likely been read
+    proxy.signal("-STOP");
+    clients.iter_mut().zip(&texts).for_each(|(client, text)| client.send(&text[text.len() / 2..]));
+    std::thread::sleep(Duration::from_millis(2600)); // a head may take 2.2 s
+    proxy.signal("-CONT");
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(status(client.answer()), 200, "{n}");
+    }
+}
+
 #[test]
 fn bad_requests_get_a_plain_4xx_and_reach_no_backend() {
     let backend = Backend::new(Deed::Write(ok("")));
