--- a/crates/sandgap/tests/long.rs
+++ b/crates/sandgap/tests/long.rs
@@ -315,6 +315,33 @@
     assert!(backend.seen().iter().all(|r| !r.2), "none ran");
 }
 
+#[test]
+fn a_short_body_may_come_in_pieces_and_late() {
+    let backend = Raw::new(|_, stream| drop(stream.write_all(ok("done").as_bytes())));
+    let (_discovery, proxy) = proxy(&[&backend], 256);
+    let pauses: [&[u64]; 3] = [&[1200], &[300, 300, 300, 300], &[900, 300]];
+    thread::scope(|scope| {
+        for (n, pauses) in pauses.iter().enumerate() {
+            let address = proxy.address;
+            scope.spawn(move || {
+                let body = content(1000);
+                let request = upload(&format!("p-{n}"), "Content-Length: 1000", &body);
+                let mut stream = TcpStream::connect(address).expect("the proxy accepts");
+                stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+                let (mut sent, head) = (0, request.len() - body.len());
+                for (piece, pause) in pauses.iter().enumerate() {
+                    stream.write_all(&request[sent..head + piece]).expect("taken");
+                    sent = head + piece;
+                    thread::sleep(Duration::from_millis(*pause));
+                }
+                stream.write_all(&request[sent..]).expect("taken");
+                let lines = headers(&mut BufReader::new(stream)).expect("an answer");
+                assert!(lines[0].contains(" 200 "), "{pauses:?}: {}", lines[0]);
+            });
+        }
+    });
+}
+
 #[test]
 fn an_upload_goes_elsewhere_only_while_its_start_is_kept() {
     // One that can't be reached costs nothing; one that breaks off in the midst leaves a refusal, as it never ran.
