Raise every bound on backends, proxies and tenants to 1,024 at least, and most far beyond

Need: the operators rule out caps under 1,024. `sandgap check` refused the 1,001st [[backend]], [[tenant]] and [[way]].

Change: 65,536 of each in a file; links 4,096; targets known 16,384, of one permit and watched at once 1,024 (256 and 512 before), with room for them in an entry and in what a leader says; a rulebook 1 MiB. Tenants and peers are found by a map: both were sought from the first on, for each request and datagram.

--- a/crates/sandgap-agree/src/limits.rs
+++ b/crates/sandgap-agree/src/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Bytes of an encoded rulebook: a thousand backends, a hundred classes and a thousand tenants take 150 kB.
-pub const BOOK: usize = 512 << 10;
+pub const BOOK: usize = 1 << 20;
 /// Versions whose books are kept, for `history` and `rollback`.
 pub const HISTORY: usize = 32;
 /// Bytes of all kept books together: older ones are forgotten first. A snapshot has to fit into one frame.
@@ -26,10 +26,10 @@
 pub const PUBLISHERS: usize = 64;
 /// Bytes of a reason, a note or who published.
 pub const TEXT: usize = 400;
-/// Bytes that a rider says to a proxy with a lease, or a proxy to it with a question: some kB for each of hundreds.
-pub const TOLD: usize = 16 << 10;
-/// Bytes of a rider's entry or question: a plan for a few hundred targets.
-pub const ENTRY: usize = 64 << 10;
+/// Bytes that a rider says to a proxy with a lease, or a proxy to it with a question: 1,024 names that are watched.
+pub const TOLD: usize = 128 << 10;
+/// Bytes of a rider's entry or question: a plan for 1,024 targets.
+pub const ENTRY: usize = 128 << 10;
 /// Riders that a proxy says something to.
 pub const RIDERS: usize = 8;
 /// Questions that are passed on for others at once.
--- a/crates/sandgap-fleet/src/limits.rs
+++ b/crates/sandgap-fleet/src/limits.rs
@@ -12,8 +12,8 @@
 pub const QUEUED: usize = 2 * BODY;
 /// Bytes that wait for all links together: what a cut from everybody may hold.
 pub const QUEUED_ALL: usize = 32 << 20;
-/// Links at once, both ways: a few hundred proxies, each twice while it restarts.
-pub const LINKS: usize = 1024;
+/// Links at once, both ways: 1,024 proxies, each twice while it restarts, and as many again that are about to go.
+pub const LINKS: usize = 4096;
 /// Connections that have not proved the key yet. Strangers share these and nothing else.
 pub const UNPROVED: usize = 64;
 /// A peer has proved the key by then, or goes. Longer than a slow handshake between zones.
--- a/crates/sandgap-rollout/src/limits.rs
+++ b/crates/sandgap-rollout/src/limits.rs
@@ -5,11 +5,11 @@
 /// Bounds that a fleet sets: a few scopes for proxies and backends.
 pub const BOUNDS: usize = 16;
 /// Targets known: each proxy and each backend of a large fleet.
-pub const TARGETS: usize = 4096;
+pub const TARGETS: usize = 16_384;
 /// Permits that wait or are out, together. Each is somebody's work in hand.
 pub const PERMITS: usize = 128;
-/// Targets of one permit: a zone of a large fleet.
-pub const SET: usize = 256;
+/// Targets of one permit: a zone of a large fleet. An entry of the log has room for them.
+pub const SET: usize = 1024;
 /// Releases that are kept, those that have ended included.
 pub const RELEASES: usize = 16;
 /// Targets of one release: its plan has to fit into an entry of the log.
@@ -25,8 +25,9 @@
 pub const ENDED: usize = 512;
 /// How often a waiting permit is passed over by later ones before it goes first, whatever its priority.
 pub const OVERTAKEN: u32 = 3;
-/// Targets that proxies watch for a leader at once: all that are out.
-pub const WATCHED: usize = 512;
+/// Targets that proxies watch for a leader at once: all that are out. What a leader may say to a proxy has room for
+/// them.
+pub const WATCHED: usize = 1024;
 /// Changes of what is known of targets in one entry.
 pub const SEEN: usize = 512;
 /// How long a target must be seen well without a break before it counts as well: it may flap.
--- a/crates/sandgap/src/generation.rs
+++ b/crates/sandgap/src/generation.rs
@@ -3,6 +3,7 @@
 
 use std::rc::{Rc, Weak};
 
+use rustc_hash::FxHashMap;
 use wharfhitch::settings::Names;
 use wharfhitch::{Change, Class, ClassId, Settings, Tenant, TenantId};
 
@@ -10,12 +11,12 @@
 /// number at each backend.
 const CLASSES: usize = 256;
 /// Tenants ever named, in a process. Their numbers are kept, as the module counts what each has asked for.
-const TENANTS: usize = 4096;
+pub const MAX_TENANTS: usize = 65_536;
 
 /// What is in force for the requests that come.
 pub struct Generation {
     classes: Vec<(String, ClassId, Class)>,
-    tenants: Vec<(String, TenantId)>,
+    tenants: FxHashMap<String, TenantId>,
 }
 
 impl Generation {
@@ -26,7 +27,7 @@
 
     /// The tenant of a name.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
-        self.tenants.iter().find(|(n, _)| n == name).map(|(_, id)| *id)
+        self.tenants.get(name).copied()
     }
 
     /// Whether requests have to name a tenant.
@@ -46,8 +47,9 @@
     /// By number, the rules given last.
     table: Vec<Class>,
     max_attempts: u32,
-    /// By number.
-    tenants: Vec<(String, Tenant)>,
+    /// All that were ever named, by number, and their numbers.
+    tenants: Vec<Tenant>,
+    tenant_ids: FxHashMap<String, TenantId>,
     longest: f64,
 }
 
@@ -56,13 +58,15 @@
     pub fn new(settings: &Settings, names: &Names) -> Self {
         let named = names.classes.iter().cloned().zip(settings.classes.iter().cloned());
         let classes = named.enumerate().map(|(i, (name, class))| (name, ClassId(i), class)).collect();
-        let tenants = names.tenants.iter().enumerate().map(|(i, name)| (name.clone(), TenantId(i))).collect();
+        let tenant_ids: FxHashMap<String, TenantId> =
+            names.tenants.iter().enumerate().map(|(i, name)| (name.clone(), TenantId(i))).collect();
         Generations {
-            current: Rc::new(Generation { classes, tenants }),
+            current: Rc::new(Generation { classes, tenants: tenant_ids.clone() }),
             past: Vec::new(),
             table: settings.classes.clone(),
             max_attempts: settings.limits.max_attempts,
-            tenants: names.tenants.iter().cloned().zip(settings.tenants.iter().cloned()).collect(),
+            tenants: settings.tenants.clone(),
+            tenant_ids,
             longest: longest(&settings.classes),
         }
     }
@@ -103,7 +107,7 @@
         let live = (0..self.table.len()).map(|id| self.current.holds(ClassId(id))).collect();
         let mut settings = settings.clone();
         settings.classes = self.table.clone();
-        settings.tenants = self.tenants.iter().map(|(_, t)| t.clone()).collect();
+        settings.tenants = self.tenants.clone();
         Ok(Change { settings, live, fresh })
     }
 
@@ -141,25 +145,28 @@
     }
 
     fn room_for_tenants(&self, names: &Names) -> Result<(), String> {
-        let new = names.tenants.iter().filter(|name| !self.tenants.iter().any(|(n, _)| n == *name)).count();
-        if self.tenants.len() + new > TENANTS {
-            return Err(format!("more than {TENANTS} tenants have been named since the start; start anew"));
+        let new = names.tenants.iter().filter(|name| !self.tenant_ids.contains_key(*name)).count();
+        if self.tenants.len() + new > MAX_TENANTS {
+            return Err(format!(
+                "more than {MAX_TENANTS} tenants have been named since the start; start anew"
+            ));
         }
         Ok(())
     }
 
     fn number_tenants(
         &mut self, settings: &Settings, names: &Names,
-    ) -> Result<Vec<(String, TenantId)>, String> {
+    ) -> Result<FxHashMap<String, TenantId>, String> {
         self.room_for_tenants(names)?;
-        let mut tenants = Vec::new();
+        let mut tenants = FxHashMap::default();
         for (name, tenant) in names.tenants.iter().zip(&settings.tenants) {
-            let id = self.tenants.iter().position(|(n, _)| n == name).unwrap_or_else(|| {
-                self.tenants.push((name.clone(), tenant.clone()));
-                self.tenants.len() - 1
-            });
-            self.tenants[id].1 = tenant.clone();
-            tenants.push((name.clone(), TenantId(id)));
+            let next = TenantId(self.tenants.len());
+            let id = *self.tenant_ids.entry(name.clone()).or_insert(next);
+            if id == next {
+                self.tenants.push(tenant.clone());
+            }
+            self.tenants[id.0] = tenant.clone();
+            tenants.insert(name.clone(), id);
         }
         Ok(tenants)
     }
--- a/crates/sandgap/src/handover.rs
+++ b/crates/sandgap/src/handover.rs
@@ -29,7 +29,7 @@
 use crate::event::{Inbox, Input};
 use crate::front::Frontend;
 use crate::note;
-use crate::peers::{Datagram, MOST, Peers};
+use crate::peers::{Datagram, MAX_MESSAGE_BYTES, Peers};
 use crate::serving::Serving;
 
 /// What the new process says first: the format and its version.
@@ -241,7 +241,7 @@
 
 async fn datagrams(write: &mut OwnedWriteHalf, relay: Option<mpsc::Receiver<Datagram>>) -> io::Result<()> {
     let Some(mut relay) = relay else { return std::future::pending().await };
-    let mut frame = Vec::with_capacity(7 + MOST);
+    let mut frame = Vec::with_capacity(7 + MAX_MESSAGE_BYTES);
     while let Some((from, bytes)) = relay.recv().await {
         frame.clear();
         frame.push(DATAGRAM);
@@ -262,7 +262,7 @@
                 let Ok(from) = read.read_u32_le().await else { return };
                 let Ok(size) = read.read_u16_le().await else { return };
                 let mut bytes = vec![0; usize::from(size)];
-                if usize::from(size) > MOST || read.read_exact(&mut bytes).await.is_err() {
+                if usize::from(size) > MAX_MESSAGE_BYTES || read.read_exact(&mut bytes).await.is_err() {
                     return;
                 }
                 inbox.put(Input::Datagram { from, bytes });
--- a/crates/sandgap/src/peers.rs
+++ b/crates/sandgap/src/peers.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, UdpSocket as StdSocket};
 use std::rc::Rc;
 
+use rustc_hash::FxHashMap;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
@@ -14,7 +15,7 @@
 use crate::note;
 
 /// Bytes of a message, by the protocol.
-pub const MOST: usize = 256;
+pub const MAX_MESSAGE_BYTES: usize = 256;
 /// Datagrams that wait to be handed to the process beside this one; more are lost, as on the way.
 const RELAYED: usize = 64;
 
@@ -24,7 +25,10 @@
 /// Sends to the other proxies.
 pub struct Peers {
     socket: UdpSocket,
-    addresses: PeerAddresses,
+    /// What is sent here reaches every other proxy.
+    all: SocketAddr,
+    /// The numbers of the proxies by their addresses.
+    numbers: FxHashMap<SocketAddr, u32>,
     /// This proxy's own number, under which the process beside it hears it.
     me: u32,
     /// Whether this process reads the socket; another that shares it may.
@@ -49,7 +53,8 @@
         socket.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(socket)?;
         let (changed, relay) = (Notify::new(), RefCell::default());
-        Ok(Rc::new(Peers { socket, addresses, me, reads, changed, relay }))
+        let numbers = addresses.peers.iter().zip(0..).map(|(address, number)| (*address, number)).collect();
+        Ok(Rc::new(Peers { socket, all: addresses.all, numbers, me, reads, changed, relay }))
     }
 
     /// The socket, to be handed on.
@@ -83,28 +88,28 @@
 
     /// Tells every other proxy. What the socket can't take at once is lost, as on the way.
     pub fn tell(&self, bytes: &[u8]) {
-        if bytes.len() > MOST {
+        if bytes.len() > MAX_MESSAGE_BYTES {
             return note!(warn: "a message of {} bytes is not sent", bytes.len());
         }
         self.pass_on(self.me, bytes);
-        if let Err(e) = self.socket.try_send_to(bytes, self.addresses.all) {
+        if let Err(e) = self.socket.try_send_to(bytes, self.all) {
             note!(warn: "peers: {e}");
         }
     }
 
     /// Hands on what the others send; a datagram from elsewhere or over the size is dropped.
     pub async fn listen(self: Rc<Self>, inbox: Inbox) {
-        let mut buffer = [0; MOST + 1];
+        let mut buffer = [0; MAX_MESSAGE_BYTES + 1];
         loop {
             let heard = tokio::select! {
                 heard = self.socket.recv_from(&mut buffer), if self.reads.get() => heard,
                 () = self.changed.notified() => continue,
             };
             match heard {
-                Ok((size, from)) => match self.addresses.peers.iter().position(|p| *p == from) {
-                    Some(number) if size <= MOST => {
-                        self.pass_on(number as u32, &buffer[..size]);
-                        inbox.put(Input::Datagram { from: number as u32, bytes: buffer[..size].to_vec() });
+                Ok((size, from)) => match self.numbers.get(&from) {
+                    Some(&number) if size <= MAX_MESSAGE_BYTES => {
+                        self.pass_on(number, &buffer[..size]);
+                        inbox.put(Input::Datagram { from: number, bytes: buffer[..size].to_vec() });
                     }
                     _ => note!(warn: "a datagram of {size} bytes or more from {from} is dropped"),
                 },
--- a/crates/sandgap/src/settings/schema.rs
+++ b/crates/sandgap/src/settings/schema.rs
@@ -1,6 +1,8 @@
 //! Every key of the settings file: what it is for, its unit, default and bounds. This is the only place that
 //! holds them; the reader, `sandgap check` and `sandgap check --keys` all go by it.
 
+use crate::generation::MAX_TENANTS;
+
 /// What a key may hold.
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
@@ -64,6 +66,11 @@
 /// A day, in milliseconds: the upper bound of spans.
 const DAY_MS: f64 = 86_400_000.0;
 
+/// Backends of a fixed list, and proxies that are dialled elsewhere: more than the largest fleet that is planned for. What
+/// they take in memory is told on the operators' page.
+const MAX_BACKENDS: usize = 65_536;
+const MAX_PROXIES: usize = 65_536;
+
 /// The whole file.
 pub const TABLES: &[Table] = &[
     Table {
@@ -107,7 +114,7 @@
     },
     Table {
         name: "backend",
-        most: 1000,
+        most: MAX_BACKENDS,
         about: "a backend of a fixed list, in place of [discovery]; SIGHUP reads the list again",
         keys: &[
             key("name", Kind::Text, Default::Required, "its name, the same at every proxy"),
@@ -176,7 +183,7 @@
     },
     Table {
         name: "tenant",
-        most: 1000,
+        most: MAX_TENANTS,
         about: "a tenant; where there are any, X-Tenant-Id must name one",
         keys: &[
             key("name", Kind::Text, Default::Required, "as X-Tenant-Id has it"),
@@ -286,7 +293,7 @@
     },
     Table {
         name: "way",
-        most: 1000,
+        most: MAX_PROXIES,
         about: "another proxy of the fleet that is dialled elsewhere from here: over a tunnel, a translated address",
         keys: &[
             key("to", Kind::Text, Default::Required, "its [proxy] name"),
