--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -24,19 +24,19 @@
 const NAMES: usize = 250;
 
 /// Decides server, retry and refusal: the module, or in the laboratory a rival on the same model.
-pub trait Decide {
+pub trait Policy {
     /// Takes in an event and appends what is to be done, in order; see [`Balancer::handle`].
     fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>);
 }
 
-impl Decide for Balancer {
+impl Policy for Balancer {
     fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         Balancer::handle(self, now, event, out);
     }
 }
 
 /// Does what the core says. Calls come in the order in which things are to happen; none may call back.
-pub trait Outside {
+pub trait Effects {
     /// What is kept with a request until its answer is given and its last attempt has ended.
     type Held;
     /// A backend's whole answer.
@@ -65,7 +65,7 @@
     /// A list of this scope is in force; `some` if it names any backend.
     fn listed(&mut self, scope: Scope, some: bool);
     /// Something that should not happen has been passed over.
-    fn odd(&mut self, what: &'static str);
+    fn report_anomaly(&mut self, what: &'static str);
 }
 
 /// The one final answer.
@@ -119,7 +119,7 @@
 }
 
 /// A request that lacks its answer or has attempts out.
-struct Live<H> {
+struct PendingRequest<H> {
     /// Whether it lacks its answer.
     open: bool,
     /// The same, for attempts on their way.
@@ -142,7 +142,7 @@
     LastResort(RequestId),
 }
 
-impl<H> Live<H> {
+impl<H> PendingRequest<H> {
     /// Sets when its client gives up, and returns when the last resort answers.
     fn set_deadline(&mut self, deadline: Time) -> Time {
         let last = deadline.saturating_sub(LAST_RESORT);
@@ -153,17 +153,17 @@
 }
 
 /// Runs a module on what comes in. Its maps are bounded by the requests that whoever feeds it lets in.
-pub struct Core<D, O: Outside> {
+pub struct Core<D, O: Effects> {
     decider: D,
     /// Does what is to be done.
-    pub outside: O,
+    pub effects: O,
     names: Names,
     /// Unix time of the clock's zero: an offset taken once, so that one start always gives one time.
     unix_zero: Millis,
     endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
     /// Endpoints numbered so far.
     numbered: u64,
-    live: FxHashMap<RequestId, Live<O::Held>>,
+    pending: FxHashMap<RequestId, PendingRequest<O::Held>>,
     due: BinaryHeap<Reverse<(Time, Due)>>,
     actions: Vec<Action>,
     /// The time of the input in hand.
@@ -178,17 +178,17 @@
     end: Option<Time>,
 }
 
-impl<D: Decide, O: Outside> Core<D, O> {
+impl<D: Policy, O: Effects> Core<D, O> {
     /// A core with nothing in it yet; `unix_zero` is the Unix time in ms at which [`Time`] is zero.
-    pub fn new(decider: D, outside: O, names: Names, unix_zero: Millis) -> Self {
+    pub fn new(decider: D, effects: O, names: Names, unix_zero: Millis) -> Self {
         Core {
             decider,
-            outside,
+            effects,
             names,
             unix_zero,
             endpoints: FxHashMap::default(),
             numbered: 0,
-            live: FxHashMap::default(),
+            pending: FxHashMap::default(),
             due: BinaryHeap::new(),
             actions: Vec::new(),
             now: Time::ZERO,
@@ -201,7 +201,7 @@
 
     /// Requests that lack their answer or have attempts out.
     pub fn held(&self) -> usize {
-        self.live.len()
+        self.pending.len()
     }
 
     /// Who decides.
@@ -241,7 +241,7 @@
         loop {
             let Reverse((at, due)) = self.due.peek()?;
             match due {
-                Due::LastResort(id) if self.live.get(id).is_none_or(|l| !l.open) => {
+                Due::LastResort(id) if self.pending.get(id).is_none_or(|l| !l.open) => {
                     self.due.pop();
                 }
                 _ => return Some(*at),
@@ -255,7 +255,7 @@
             let Some(Reverse((_, due))) = self.due.pop() else { break };
             match due {
                 Due::Module(token) => self.handle(now, Event::Timer(token)),
-                Due::LastResort(id) => self.last_resort(now, id),
+                Due::LastResort(id) => self.on_deadline(now, id),
             }
         }
     }
@@ -269,8 +269,18 @@
         let wanted = Rc::new(Cell::new(true));
         let answer_by = Rc::new(Cell::new(last));
         let (uploading, attempts, out) = (false, 0, 0);
-        let live = Live { open: true, wanted, held, deadline, answer_by, upload, uploading, attempts, out };
-        self.live.insert(id, live);
+        let live = PendingRequest {
+            open: true,
+            wanted,
+            held,
+            deadline,
+            answer_by,
+            upload,
+            uploading,
+            attempts,
+            out,
+        };
+        self.pending.insert(id, live);
         self.due.push(Reverse((last, Due::LastResort(id))));
         self.handle(now, Event::Request { id, class, tenant, key, budget, hint });
     }
@@ -281,7 +291,7 @@
         self.end = Some(end);
         let last = end.saturating_sub(LAST_RESORT);
         // Those with an answer that has begun keep an attempt, and a short one of these has to end in time, too.
-        for (id, live) in self.live.iter_mut().filter(|(_, l)| l.uploading || l.deadline > end) {
+        for (id, live) in self.pending.iter_mut().filter(|(_, l)| l.uploading || l.deadline > end) {
             live.set_deadline(live.deadline.min(end));
             if live.open {
                 self.due.push(Reverse((last, Due::LastResort(*id))));
@@ -295,7 +305,7 @@
     }
 
     /// A request's client has left.
-    pub fn gone(&mut self, now: Time, id: RequestId) {
+    pub fn client_disconnected(&mut self, now: Time, id: RequestId) {
         if self.close(id, |_, _| {}) {
             self.handle(now, Event::Abandoned(id));
         }
@@ -303,16 +313,16 @@
 
     /// A request has gone out whole: from now on its client waits.
     pub fn uploaded(&mut self, now: Time, id: RequestId) {
-        if self.live.get(&id).is_some_and(|l| l.uploading) {
+        if self.pending.get(&id).is_some_and(|l| l.uploading) {
             self.end_upload(now, id, false);
         }
     }
 
     /// No more of a request goes out; `spent` where it can't go out again.
     fn end_upload(&mut self, now: Time, id: RequestId, spent: bool) {
-        let Some(patience) = self.live.get(&id).and_then(|l| l.upload) else { return };
+        let Some(patience) = self.pending.get(&id).and_then(|l| l.upload) else { return };
         let deadline = self.within_end(now + patience);
-        let Some(live) = self.live.get_mut(&id) else { return };
+        let Some(live) = self.pending.get_mut(&id) else { return };
         live.uploading = false;
         let last = live.set_deadline(deadline);
         self.due.push(Reverse((last, Due::LastResort(id))));
@@ -322,31 +332,31 @@
 
     /// A long answer has begun, and goes on as it comes. Its end is told with [`Core::ended`].
     pub fn started(&mut self, now: Time, request: RequestId, attempt: u32, reply: O::Reply) {
-        if self.live.get(&request).is_some_and(|l| l.uploading) {
+        if self.pending.get(&request).is_some_and(|l| l.uploading) {
             self.end_upload(now, request, false); // answered before it had gone out whole
         }
-        if self.close(request, |outside, held| outside.answer(held, request, Answer::Served(reply))) {
+        if self.close(request, |effects, held| effects.answer(held, request, Answer::Served(reply))) {
             self.handle(now, Event::Started { request, attempt });
         }
     }
 
-    /// An attempt has ended: one that [`Outside::attempt`] began, once.
+    /// An attempt has ended: one that [`Effects::attempt`] began, once.
     pub fn ended(
         &mut self, now: Time, request: RequestId, attempt: u32, latency: Millis, outcome: Outcome,
         reply: Option<O::Reply>,
     ) {
-        let Some(live) = self.live.get(&request) else { return };
+        let Some(live) = self.pending.get(&request) else { return };
         if live.open && live.upload.is_some() {
-            let spent = outcome != Outcome::Served && self.outside.is_spent(&live.held);
+            let spent = outcome != Outcome::Served && self.effects.is_spent(&live.held);
             if live.uploading || spent {
                 self.end_upload(now, request, spent);
             }
         }
-        let Some(live) = self.live.get_mut(&request) else { return };
+        let Some(live) = self.pending.get_mut(&request) else { return };
         live.out -= 1;
         let was_open = live.open;
         if let (Outcome::Served, Some(reply)) = (outcome, reply) {
-            self.close(request, |outside, held| outside.answer(held, request, Answer::Served(reply)));
+            self.close(request, |effects, held| effects.answer(held, request, Answer::Served(reply)));
         }
         let closed = !was_open || outcome == Outcome::Served;
         self.forget(request);
@@ -369,56 +379,56 @@
         let entries: Vec<Backend> = hosts.into_iter().map(|host| self.backend(host)).collect();
         if whole {
             let listed: FxHashSet<BackendId> = entries.iter().map(|e| e.id).collect();
-            let outside = &mut self.outside;
+            let effects = &mut self.effects;
             // Attempts that are out keep what they need of a backend that has left.
             self.endpoints.retain(|id, endpoint| {
                 let stays = listed.contains(id);
                 if !stays {
-                    shut(endpoint, outside);
+                    shut(endpoint, effects);
                 }
                 stays
             });
         }
         let some = !entries.is_empty();
         self.handle(now, Event::List { scope, entries });
-        self.outside.listed(scope, some);
+        self.effects.listed(scope, some);
     }
 
     /// Answers a request that nobody else has answered in time. It has failed if it may have run.
-    fn last_resort(&mut self, now: Time, id: RequestId) {
-        let Some(live) = self.live.get(&id) else { return };
+    fn on_deadline(&mut self, now: Time, id: RequestId) {
+        let Some(live) = self.pending.get(&id) else { return };
         let ends = self.end.is_some_and(|end| end <= now + LAST_RESORT);
         if !ends && (live.uploading || live.deadline > now + LAST_RESORT) {
             return; // another is set once it has gone out
         }
         let answer = if live.attempts == 0 { Answer::Refused(None) } else { Answer::Failed };
-        if self.close(id, |outside, held| outside.answer(held, id, answer)) {
+        if self.close(id, |effects, held| effects.answer(held, id, answer)) {
             self.handle(now, Event::Abandoned(id));
         }
     }
 
     /// Uses the right to answer a request, if it is still there; from here on nothing more begins for it.
     fn close(&mut self, id: RequestId, answer: impl FnOnce(&mut O, &mut O::Held)) -> bool {
-        let Some(live) = self.live.get_mut(&id).filter(|l| l.open) else { return false };
+        let Some(live) = self.pending.get_mut(&id).filter(|l| l.open) else { return false };
         live.open = false;
         live.wanted.set(false);
-        answer(&mut self.outside, &mut live.held);
+        answer(&mut self.effects, &mut live.held);
         self.forget(id);
         true
     }
 
     /// Answers a request that may not be sent any more: refused, if nothing was ever sent.
-    fn give_up(&mut self, now: Time, id: RequestId) {
-        let first = self.live.get(&id).is_some_and(|l| l.attempts <= 1);
+    fn reject_unsent(&mut self, now: Time, id: RequestId) {
+        let first = self.pending.get(&id).is_some_and(|l| l.attempts <= 1);
         let answer = if first { Answer::Refused(None) } else { Answer::Failed };
-        if self.close(id, |outside, held| outside.answer(held, id, answer)) {
+        if self.close(id, |effects, held| effects.answer(held, id, answer)) {
             self.handle(now, Event::Abandoned(id));
         }
     }
 
     fn forget(&mut self, id: RequestId) {
-        if self.live.get(&id).is_some_and(|l| !l.open && l.out == 0) {
-            self.live.remove(&id);
+        if self.pending.get(&id).is_some_and(|l| !l.open && l.out == 0) {
+            self.pending.remove(&id);
         }
     }
 
@@ -437,14 +447,14 @@
                 let old = self.endpoints.get(&id).map(|e| &**e);
                 let endpoint = Endpoint::after(old, self.numbered, address, host.born_ms);
                 if let Some(old) = self.endpoints.insert(id, endpoint) {
-                    shut(&old, &mut self.outside);
+                    shut(&old, &mut self.effects);
                 }
             }
         }
         if let Some(endpoint) = self.endpoints.get(&id) {
             match state {
                 State::Up => endpoint.set_open(true),
-                State::Draining | State::Gone => shut(endpoint, &mut self.outside),
+                State::Draining | State::Gone => shut(endpoint, &mut self.effects),
             }
         }
         if state == State::Gone {
@@ -474,10 +484,10 @@
             self.handle(now, Event::Uploading(id));
         }
         while let Some(id) = self.unsent.pop() {
-            self.give_up(now, id);
+            self.reject_unsent(now, id);
         }
         while let Some((request, attempt)) = self.moot.pop_front() {
-            self.ended(now, request, attempt, 0.0, Outcome::Moot, None);
+            self.ended(now, request, attempt, 0.0, Outcome::NotSent, None);
         }
     }
 
@@ -487,30 +497,30 @@
                 self.send(request, backend, timeout, before);
             }
             Action::Refuse { request, retry_after } => {
-                self.close(request, |outside, held| {
-                    outside.answer(held, request, Answer::Refused(retry_after));
+                self.close(request, |effects, held| {
+                    effects.answer(held, request, Answer::Refused(retry_after));
                 });
             }
             Action::Fail(request) => {
-                self.close(request, |outside, held| outside.answer(held, request, Answer::Failed));
+                self.close(request, |effects, held| effects.answer(held, request, Answer::Failed));
             }
             Action::Timer { token, at } => self.due.push(Reverse((time(at), Due::Module(token)))),
-            Action::Broadcast(bytes) => self.outside.broadcast(bytes),
-            Action::Subscribe => self.outside.subscribe(),
-            Action::FetchList => self.outside.fetch_list(),
+            Action::Broadcast(bytes) => self.effects.broadcast(bytes),
+            Action::Subscribe => self.effects.subscribe(),
+            Action::FetchList => self.effects.fetch_list(),
         }
     }
 
     fn send(
         &mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>, before: Option<Millis>,
     ) {
-        let Some(live) = self.live.get_mut(&request) else {
-            return self.outside.odd("a send for a request that is not held");
+        let Some(live) = self.pending.get_mut(&request) else {
+            return self.effects.report_anomaly("a send for a request that is not held");
         };
         let number = live.attempts;
         live.attempts += 1;
         live.out += 1;
-        if !self.outside.may_send(&live.held) {
+        if !self.effects.may_send(&live.held) {
             self.unsent.push(request);
             return self.moot.push_back((request, number));
         }
@@ -525,7 +535,7 @@
         let (endpoint, wanted, answer_by) = (endpoint.clone(), live.wanted.clone(), live.answer_by.clone());
         let before = before.map(time);
         let attempt = Attempt { request, number, endpoint, wanted, until, answer_by, before };
-        self.outside.attempt(&live.held, attempt);
+        self.effects.attempt(&live.held, attempt);
     }
 }
 
@@ -538,9 +548,9 @@
 }
 
 /// Nothing new goes there any more, and nothing is kept for it.
-fn shut<O: Outside>(endpoint: &Endpoint, outside: &mut O) {
+fn shut<O: Effects>(endpoint: &Endpoint, effects: &mut O) {
     endpoint.set_open(false);
-    outside.retire(endpoint);
+    effects.retire(endpoint);
 }
 
 /// The number of a zone or kind; past `NAMES` of them, what is new has none.
--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -11,7 +11,7 @@
     heard: Vec<Event>,
 }
 
-impl Decide for Script {
+impl Policy for Script {
     fn handle(&mut self, _: Millis, event: Event, out: &mut Vec<Action>) {
         self.heard.push(event);
         out.extend(self.says.pop_front().unwrap_or_default());
@@ -28,7 +28,7 @@
     lapsed: bool,
 }
 
-impl Outside for Seen {
+impl Effects for Seen {
     type Held = ();
     type Reply = &'static str;
 
@@ -53,7 +53,7 @@
     fn fetch_list(&mut self) {}
     fn listed(&mut self, _: Scope, _: bool) {}
 
-    fn odd(&mut self, _: &'static str) {
+    fn report_anomaly(&mut self, _: &'static str) {
         self.odd += 1;
     }
 }
@@ -97,10 +97,10 @@
     ask(&mut core, 1, vec![]);
     assert_eq!(core.next_due(), Some(at(996)));
     core.fire(at(995));
-    assert!(core.outside.answers.is_empty());
+    assert!(core.effects.answers.is_empty());
     core.fire(at(996));
     // It was never sent: that is certain, and a failure would leave its client in doubt.
-    assert_eq!(core.outside.answers, [(RequestId(1), "Refused(None)".to_owned())]);
+    assert_eq!(core.effects.answers, [(RequestId(1), "Refused(None)".to_owned())]);
     assert!(matches!(core.decider.heard.last(), Some(Event::Abandoned(RequestId(1)))));
     assert_eq!((core.held(), core.next_due()), (0, None));
 }
@@ -111,7 +111,7 @@
     ask(&mut core, 1, vec![send(1, "a"), Action::Fail(RequestId(1)), Action::Fail(RequestId(1))]);
     core.ended(at(5), RequestId(1), 0, 5.0, Outcome::Served, Some("late"));
     core.fire(at(2000));
-    assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
+    assert_eq!(core.effects.answers, [(RequestId(1), "Failed".to_owned())]);
     assert_eq!(core.held(), 0);
 }
 
@@ -120,29 +120,29 @@
     let mut core = core();
     let refuse = Action::Refuse { request: RequestId(1), retry_after: None };
     ask(&mut core, 1, vec![send(1, "a"), refuse, send(1, "b")]);
-    assert_eq!(core.outside.odd, 0);
-    assert_eq!(core.outside.attempts.len(), 1);
-    assert!(!core.outside.attempts[0].wanted.get());
-    let moot = |e: &&Event| matches!(e, Event::Ended { attempt: 1, outcome: Outcome::Moot, .. });
+    assert_eq!(core.effects.odd, 0);
+    assert_eq!(core.effects.attempts.len(), 1);
+    assert!(!core.effects.attempts[0].wanted.get());
+    let moot = |e: &&Event| matches!(e, Event::Ended { attempt: 1, outcome: Outcome::NotSent, .. });
     assert_eq!(core.decider.heard.iter().filter(moot).count(), 1);
     core.list(at(1), Scope::Delta, vec![host("b", 2, "draining")]);
     ask(&mut core, 2, vec![send(2, "b")]);
-    assert_eq!(core.outside.attempts.len(), 1);
-    assert_eq!(core.outside.retired, [2]);
+    assert_eq!(core.effects.attempts.len(), 1);
+    assert_eq!(core.effects.retired, [2]);
 }
 
 #[test]
 fn a_new_address_or_process_is_a_new_endpoint_and_the_old_one_is_shut() {
     let mut core = core();
     ask(&mut core, 1, vec![send(1, "a")]);
-    let old = core.outside.attempts[0].endpoint.clone();
+    let old = core.effects.attempts[0].endpoint.clone();
     core.list(at(1), Scope::Delta, vec![host("a", 9, "up")]);
-    assert!(!old.is_open() && core.outside.retired == [old.number]);
+    assert!(!old.is_open() && core.effects.retired == [old.number]);
     ask(&mut core, 2, vec![send(2, "a")]);
-    assert_eq!(core.outside.attempts[1].endpoint.address.port(), 9);
+    assert_eq!(core.effects.attempts[1].endpoint.address.port(), 9);
     // A whole list shuts what it lacks.
     core.list(at(2), Scope::Full, vec![host("b", 2, "up")]);
-    assert!(!core.outside.attempts[1].endpoint.is_open());
+    assert!(!core.effects.attempts[1].endpoint.is_open());
 }
 
 #[test]
@@ -155,14 +155,14 @@
             Action::Send { request: RequestId(1), backend: BackendId(number_of("a")), timeout, before: None };
         core.decider.says.push_back(vec![send]);
         core.message(at(300), 0, Vec::new());
-        assert_eq!(core.outside.attempts.last().expect("sent").until, until);
+        assert_eq!(core.effects.attempts.last().expect("sent").until, until);
     }
 }
 
 /// Says anything at all, by chance.
 struct Chaos(fastrand::Rng);
 
-impl Decide for Chaos {
+impl Policy for Chaos {
     fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         // At most one attempt for each that ends, or it would never come to rest.
         let budget = if matches!(event, Event::Ended { .. }) { 2 } else { 3 };
@@ -198,14 +198,14 @@
                     let name = ["a", "b", "c"][rng.usize(0..3)];
                     core.list(now, Scope::Delta, vec![host(name, rng.u16(1..3), health)]);
                 }
-                2 => core.gone(now, RequestId(rng.u64(0..60))),
+                2 => core.client_disconnected(now, RequestId(rng.u64(0..60))),
                 _ => {}
             }
             core.fire(now);
             // Attempts end in any order.
-            while told < core.outside.attempts.len() && rng.bool() {
+            while told < core.effects.attempts.len() && rng.bool() {
                 let (request, number) = {
-                    let a = &core.outside.attempts[told];
+                    let a = &core.effects.attempts[told];
                     assert!(a.until <= now + at(400));
                     (a.request, a.number)
                 };
@@ -215,12 +215,12 @@
             }
         }
         core.fire(now + at(1000));
-        while told < core.outside.attempts.len() && told < 100_000 {
-            let (request, number) = (core.outside.attempts[told].request, core.outside.attempts[told].number);
+        while told < core.effects.attempts.len() && told < 100_000 {
+            let (request, number) = (core.effects.attempts[told].request, core.effects.attempts[told].number);
             told += 1;
             core.ended(now + at(1000), request, number, 1.0, Outcome::Reset, None);
         }
-        let mut answered: Vec<RequestId> = core.outside.answers.iter().map(|a| a.0).collect();
+        let mut answered: Vec<RequestId> = core.effects.answers.iter().map(|a| a.0).collect();
         let count = answered.len();
         answered.sort_unstable();
         answered.dedup();
@@ -232,13 +232,13 @@
 #[test]
 fn without_a_licence_nothing_goes_out_and_the_client_is_told_at_once() {
     let mut core = core();
-    core.outside.lapsed = true;
+    core.effects.lapsed = true;
     core.decider.says = [vec![send(1, "a")]].into();
     core.request(at(1), arrival(1, at(900)));
-    assert!(core.outside.attempts.is_empty());
-    assert_eq!(core.outside.answers, [(RequestId(1), "Refused(None)".to_owned())]);
+    assert!(core.effects.attempts.is_empty());
+    assert_eq!(core.effects.answers, [(RequestId(1), "Refused(None)".to_owned())]);
     assert_eq!(core.held(), 0);
-    let ended = |e: &Event| matches!(e, Event::Ended { outcome: Outcome::Moot, closed: true, .. });
+    let ended = |e: &Event| matches!(e, Event::Ended { outcome: Outcome::NotSent, closed: true, .. });
     assert!(core.decider.heard.iter().any(ended), "the module hears the end of what it wanted sent");
     assert!(core.decider.heard.iter().any(|e| matches!(e, Event::Abandoned(RequestId(1)))));
 }
@@ -248,11 +248,11 @@
     let mut core = core();
     core.decider.says = [vec![send(1, "a")]].into();
     core.request(at(1), arrival(1, at(900)));
-    core.outside.lapsed = true;
+    core.effects.lapsed = true;
     core.decider.says = [vec![send(1, "b")]].into();
     core.ended(at(9), RequestId(1), 0, 8.0, Outcome::Reset, None);
-    assert_eq!(core.outside.attempts.len(), 1);
-    assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
+    assert_eq!(core.effects.attempts.len(), 1);
+    assert_eq!(core.effects.answers, [(RequestId(1), "Failed".to_owned())]);
 }
 
 #[test]
@@ -265,11 +265,11 @@
     core.end_by(at(500));
     core.request(at(100), arrival(4, at(900)));
     core.fire(at(296));
-    assert_eq!(core.outside.answers, [(RequestId(3), "Refused(None)".to_owned())]);
+    assert_eq!(core.effects.answers, [(RequestId(3), "Refused(None)".to_owned())]);
     core.fire(at(495));
-    assert_eq!(core.outside.answers.len(), 1);
+    assert_eq!(core.effects.answers.len(), 1);
     core.fire(at(496));
-    let mut answers = core.outside.answers.split_off(1);
+    let mut answers = core.effects.answers.split_off(1);
     answers.sort();
     let told = |id, what: &str| (RequestId(id), what.to_owned());
     assert_eq!(answers, [told(1, "Failed"), told(2, "Refused(None)"), told(4, "Refused(None)")]);
@@ -285,7 +285,7 @@
     core.end_by(at(500));
     core.uploaded(at(400), RequestId(1));
     core.fire(at(496));
-    assert_eq!(core.outside.answers, [(RequestId(1), "Failed".to_owned())]);
+    assert_eq!(core.effects.answers, [(RequestId(1), "Failed".to_owned())]);
 }
 
 #[test]
@@ -295,5 +295,5 @@
     let send =
         Action::Send { request: RequestId(1), backend: BackendId(number_of("a")), timeout: None, before };
     ask(&mut core, 1, vec![send]);
-    assert_eq!(core.outside.attempts[0].before, Some(at(700)));
+    assert_eq!(core.effects.attempts[0].before, Some(at(700)));
 }
--- a/crates/sandgap-driver/src/endpoint.rs
+++ b/crates/sandgap-driver/src/endpoint.rs
@@ -96,7 +96,7 @@
         self.open.get()
     }
 
-    /// Opens or closes it; whoever keeps something for it is told apart, see [`crate::Outside::retire`].
+    /// Opens or closes it; whoever keeps something for it is told apart, see [`crate::Effects::retire`].
     pub fn set_open(&self, open: bool) {
         self.open.set(open);
     }
--- a/crates/sandgap-lab/src/fleet/client.rs
+++ b/crates/sandgap-lab/src/fleet/client.rs
@@ -164,7 +164,7 @@
         if proxy.paused > now {
             return self.cal.push(proxy.paused, Event::Gone(p, process, number));
         }
-        proxy.core.gone(time(now), RequestId(u64::from(number)));
+        proxy.core.client_disconnected(time(now), RequestId(u64::from(number)));
         self.after(now, p);
     }
 
--- a/crates/sandgap-lab/src/fleet/sends.rs
+++ b/crates/sandgap-lab/src/fleet/sends.rs
@@ -18,8 +18,8 @@
     /// Does what a proxy's core has noted, and sees to its next timer.
     pub(super) fn after(&mut self, now: Nanos, p: u16) {
         let i = usize::from(p);
-        while !self.proxies[i].core.outside.commands.is_empty() {
-            let mut commands = std::mem::take(&mut self.proxies[i].core.outside.commands);
+        while !self.proxies[i].core.effects.commands.is_empty() {
+            let mut commands = std::mem::take(&mut self.proxies[i].core.effects.commands);
             for command in commands.drain(..) {
                 match command {
                     Command::Attempt(attempt) => self.begin(now, p, attempt),
@@ -38,8 +38,8 @@
                 }
             }
             // What was noted meanwhile comes next; the vessel goes back for its room.
-            let later = std::mem::replace(&mut self.proxies[i].core.outside.commands, commands);
-            self.proxies[i].core.outside.commands.extend(later);
+            let later = std::mem::replace(&mut self.proxies[i].core.effects.commands, commands);
+            self.proxies[i].core.effects.commands.extend(later);
         }
         let proxy = &mut self.proxies[i];
         if let Some(at) = proxy.core.next_due() {
@@ -67,7 +67,7 @@
     }
 
     fn begin(&mut self, now: Nanos, p: u16, attempt: Attempt) {
-        let Attempt { request, number, endpoint, wanted, until, before } = attempt;
+        let Attempt { request, number, endpoint, wanted, until, answer_by: _, before } = attempt;
         let mut server = proxy::server(endpoint.address);
         if self.e.fleet.defect == Some(Defect::PushesCold)
             && let Some(newest) = self.newest(p)
@@ -118,7 +118,7 @@
         };
         if a.gate.take().is_some_and(shut) {
             a.over = true;
-            return self.end_with(now, n, Ends::Moot, 0);
+            return self.end_with(now, n, Ends::NotSent, 0);
         }
         let (s, p, crosses) = (a.server, a.proxy, self.crosses(n));
         let delay = self.e.network.to_server(crosses, &mut self.net);
@@ -265,7 +265,7 @@
         let Some(a) = self.attempts.get(n).filter(|a| !a.told) else { return };
         let outcome = a.outcome;
         if self.e.fleet.defect == Some(Defect::Resends)
-            && !matches!(outcome, Ends::Served | Ends::Moot)
+            && !matches!(outcome, Ends::Served | Ends::NotSent)
             && self.resend_in_place(now, n)
         {
             return;
--- a/crates/sandgap-lab/src/fleet/setup.rs
+++ b/crates/sandgap-lab/src/fleet/setup.rs
@@ -15,7 +15,7 @@
 };
 use crate::measure::Measures;
 use crate::proxy::{Notes, Proxy};
-use crate::rivals::{Policy, PolicyKind, Rival, Timed};
+use crate::rivals::{AnyPolicy, PolicyKind, Rival, Timed};
 
 /// A proxy that comes back is seen by the front after this long.
 const SEEN_AGAIN: Nanos = 100 * MS;
@@ -134,8 +134,8 @@
         let settings = self.e.settings(u32::from(p));
         let mut rng = stream(self.plan.seed, "proxy", u64::from(process));
         let inner = match self.plan.policy {
-            PolicyKind::Sandgap => Policy::Sandgap(Box::new(Balancer::new(settings, rng.next_u64()))),
-            kind => Policy::Rival(Box::new(Rival::new(kind, &settings, rng, self.truth.clone()))),
+            PolicyKind::Sandgap => AnyPolicy::Sandgap(Box::new(Balancer::new(settings, rng.next_u64()))),
+            kind => AnyPolicy::Rival(Box::new(Rival::new(kind, &settings, rng, self.truth.clone()))),
         };
         let names = Names { zones: self.e.fleet.zones.clone(), ..Names::default() };
         let decider = Timed { inner, spent: self.timing.clone() };
--- a/crates/sandgap-lab/src/proxy.rs
+++ b/crates/sandgap-lab/src/proxy.rs
@@ -1,7 +1,7 @@
 //! The virtual driver's outside: where the daemon has sockets, this notes what is to be done, and the fleet does
 //! it in virtual time. The core above it is the daemon's own.
 
-use sandgap_driver::{Answer, Attempt, Core, Endpoint, Outside};
+use sandgap_driver::{Answer, Attempt, Core, Effects, Endpoint};
 use std::net::{Ipv4Addr, SocketAddr};
 use wharfhitch::{RequestId, Scope};
 
@@ -31,7 +31,7 @@
     pub commands: Vec<Command>,
 }
 
-impl Outside for Notes {
+impl Effects for Notes {
     type Held = ();
     type Reply = u32;
 
@@ -59,7 +59,7 @@
 
     fn listed(&mut self, _: Scope, _: bool) {}
 
-    fn odd(&mut self, what: &'static str) {
+    fn report_anomaly(&mut self, what: &'static str) {
         self.commands.push(Command::Odd(what));
     }
 }
--- a/crates/sandgap-lab/src/rivals.rs
+++ b/crates/sandgap-lab/src/rivals.rs
@@ -18,7 +18,7 @@
 
 use rand::RngExt;
 use rustc_hash::FxHashMap;
-use sandgap_driver::Decide;
+use sandgap_driver::Policy;
 use serde::{Deserialize, Serialize};
 use wharfhitch::{
     Action, BackendId, Balancer, CellId, Class, Effect, Event, Millis, Outcome, RequestId, Scope, Settings,
@@ -279,7 +279,7 @@
     r.tried.iter().any(|t| t.0 == k)
 }
 
-impl Decide for Rival {
+impl Policy for Rival {
     fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::List { scope: Scope::Failed, .. }
@@ -319,18 +319,18 @@
 }
 
 /// Whoever decides at one proxy.
-pub enum Policy {
+pub enum AnyPolicy {
     /// The module.
     Sandgap(Box<Balancer>),
     /// A rival.
     Rival(Box<Rival>),
 }
 
-impl Decide for Policy {
+impl Policy for AnyPolicy {
     fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         match self {
-            Policy::Sandgap(b) => b.handle(now, event, out),
-            Policy::Rival(r) => r.handle(now, event, out),
+            AnyPolicy::Sandgap(b) => b.handle(now, event, out),
+            AnyPolicy::Rival(r) => r.handle(now, event, out),
         }
     }
 }
@@ -341,12 +341,12 @@
 /// Whoever decides, timed where that is asked for: the one place in the laboratory that looks at a clock.
 pub struct Timed {
     /// Whoever decides.
-    pub inner: Policy,
+    pub inner: AnyPolicy,
     /// Where the time is added up.
     pub spent: Option<Spent>,
 }
 
-impl Decide for Timed {
+impl Policy for Timed {
     fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         let Some(spent) = &self.spent else { return self.inner.handle(now, event, out) };
         let start = Instant::now();
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustc_hash::FxHashMap;
-use sandgap_driver::{self as core, Core, Outside, Time};
+use sandgap_driver::{self as core, Core, Effects, Time};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::settings::{Names, number_of};
@@ -17,8 +17,8 @@
 use crate::discovery;
 use crate::drains::Drains;
 use crate::event::{
-    Answer, AnswerBy, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Licence, Look, Looked, Reply,
-    Report,
+    Answer, AnswerBy, Arrival, Attempt, Back, Endpoint, Exchange, Inbox, Input, Lease, Reply, Report,
+    StatusQuery, StatusReply,
 };
 use crate::note;
 use crate::peers::Peers;
@@ -47,9 +47,9 @@
 }
 
 /// What is kept with a request: the form in which it goes on, and whoever waits for its answer.
-struct Held {
+struct RequestContext {
     exchange: Rc<dyn Exchange>,
-    licence: Option<Rc<dyn Licence>>,
+    lease: Option<Rc<dyn Lease>>,
     answer: Option<oneshot::Sender<Answer>>,
 }
 
@@ -59,32 +59,32 @@
     start: Instant,
 }
 
-impl Outside for Sockets {
-    type Held = Held;
+impl Effects for Sockets {
+    type Held = RequestContext;
     type Reply = Reply;
 
-    fn attempt(&mut self, held: &Held, attempt: core::Attempt) {
+    fn attempt(&mut self, held: &RequestContext, attempt: core::Attempt) {
         let core::Attempt { request, number, endpoint, wanted, until, answer_by, before } = attempt;
         let report = Report::new(self.parts.inbox.clone(), request, number, endpoint.hold());
         let until = self.start + until;
         let answer_by = AnswerBy { start: self.start, after: answer_by };
         let before = before.map(|at| self.start + at);
-        let licence = held.licence.clone();
-        let attempt = Attempt { endpoint, wanted, licence, until, answer_by, before, report };
+        let lease = held.lease.clone();
+        let attempt = Attempt { endpoint, wanted, lease, until, answer_by, before, report };
         held.exchange.clone().attempt(attempt);
     }
 
-    fn may_send(&self, held: &Held) -> bool {
-        held.licence.as_ref().is_none_or(|l| l.holds())
+    fn may_send(&self, held: &RequestContext) -> bool {
+        held.lease.as_ref().is_none_or(|l| l.holds())
     }
 
-    fn answer(&mut self, held: &mut Held, _: RequestId, answer: Answer) {
+    fn answer(&mut self, held: &mut RequestContext, _: RequestId, answer: Answer) {
         if let Some(sender) = held.answer.take() {
             let _ = sender.send(answer); // a client that has just left needs none
         }
     }
 
-    fn is_spent(&self, held: &Held) -> bool {
+    fn is_spent(&self, held: &RequestContext) -> bool {
         held.exchange.is_spent()
     }
 
@@ -117,7 +117,7 @@
         }
     }
 
-    fn odd(&mut self, what: &'static str) {
+    fn report_anomaly(&mut self, what: &'static str) {
         note!(error: "{what}");
     }
 }
@@ -168,7 +168,7 @@
             self.core.fire(self.now());
             let now = Instant::now();
             if now >= sweep {
-                self.core.outside.parts.backs.iter().for_each(|b| b.sweep());
+                self.core.effects.parts.backs.iter().for_each(|b| b.sweep());
                 let believed = self.core.decider().beliefs();
                 self.beliefs.look(now.into_std(), believed, |b| self.core.address(b));
                 sweep = now + SWEEP;
@@ -177,8 +177,8 @@
     }
 
     /// What is under way, after all that was put in before this was asked.
-    fn look(&self, look: Look) {
-        let Look { at, measured, cohort, answer } = look;
+    fn look(&self, look: StatusQuery) {
+        let StatusQuery { at, measured, cohort, answer } = look;
         let id = |name: &str| BackendId(number_of(name));
         let sights = at.iter().map(|name| (name.clone(), self.core.held_at(id(name)))).collect();
         let believed: FxHashMap<BackendId, f64> = match measured.is_empty() {
@@ -194,7 +194,7 @@
         let of = |(a, f): (u64, u64), (all, failed): (u64, u64)| (a + all, f + failed);
         let new = cohort.iter().map(|name| self.core.ended_at(id(name))).fold((0, 0), of);
         let ended = [new, self.core.ended_at_all()];
-        let _ = answer.send(Looked { sights, held, holds, ended }); // whoever asked may have ended
+        let _ = answer.send(StatusReply { sights, held, holds, ended }); // whoever asked may have ended
     }
 
     fn now(&self) -> Time {
@@ -205,17 +205,17 @@
         let now = self.now();
         match input {
             Input::Request(arrival) => {
-                let Arrival { id, class, tenant, key, hint, deadline, upload, exchange, licence, answer } =
+                let Arrival { id, class, tenant, key, hint, deadline, upload, exchange, lease, answer } =
                     *arrival;
                 let deadline = deadline.saturating_duration_since(self.start);
-                let held = Held { exchange, licence, answer: Some(answer) };
+                let held = RequestContext { exchange, lease, answer: Some(answer) };
                 let arrival = core::Arrival { id, class, tenant, key, hint, deadline, upload, held };
                 self.core.request(now, arrival);
             }
             Input::Uploaded(id) => self.core.uploaded(now, id),
             Input::End(at) => self.core.end_by(at.saturating_duration_since(self.start)),
             Input::Started { request, attempt, reply } => self.core.started(now, request, attempt, reply),
-            Input::Gone(id) => self.core.gone(now, id),
+            Input::Gone(id) => self.core.client_disconnected(now, id),
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.core.ended(now, request, attempt, latency, outcome, reply);
             }
@@ -230,7 +230,7 @@
                 let lines = self.drains.get_or_insert_default().change(names);
                 self.core.list(now, Scope::Delta, lines);
             }
-            Input::Look(look) => self.look(*look),
+            Input::StatusQuery(look) => self.look(*look),
             Input::Datagram { from, bytes } => self.core.message(now, from, bytes),
         }
     }
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -52,7 +52,7 @@
     /// Backends that are drained by hand, whatever the list says of them.
     Drains(BTreeSet<String>),
     /// Somebody asks what is under way.
-    Look(Box<Look>),
+    StatusQuery(Box<StatusQuery>),
     /// Another proxy's message.
     Datagram {
         /// Its number.
@@ -63,7 +63,7 @@
 }
 
 /// A question about what is under way. Its answer is of a moment after all that was put in before it.
-pub struct Look {
+pub struct StatusQuery {
     /// Backends of which the attempts are told.
     pub at: Vec<String>,
     /// Backends of which it is told what they are believed to hold.
@@ -71,11 +71,11 @@
     /// Backends of which the attempts that have ended are told together.
     pub cohort: Vec<String>,
     /// Who asks.
-    pub answer: oneshot::Sender<Looked>,
+    pub answer: oneshot::Sender<StatusReply>,
 }
 
 /// Its answer.
-pub struct Looked {
+pub struct StatusReply {
     /// Attempts at backends that have not come to their end.
     pub sights: Vec<(String, u32)>,
     /// The same at all backends.
@@ -105,13 +105,13 @@
     /// What goes to backends.
     pub exchange: Rc<dyn Exchange>,
     /// Asked before each attempt and at its first byte, where rules are agreed and the class wants it.
-    pub licence: Option<Rc<dyn Licence>>,
+    pub lease: Option<Rc<dyn Lease>>,
     /// Takes the one final answer.
     pub answer: oneshot::Sender<Answer>,
 }
 
 /// A right that may end at any moment by the clock alone.
-pub trait Licence {
+pub trait Lease {
     /// Whether something may go out under it now.
     fn holds(&self) -> bool;
 }
@@ -135,8 +135,8 @@
     pub endpoint: Rc<Endpoint>,
     /// Cleared once the request has its answer.
     pub wanted: Rc<Cell<bool>>,
-    /// See [`Arrival::licence`].
-    pub licence: Option<Rc<dyn Licence>>,
+    /// See [`Arrival::lease`].
+    pub lease: Option<Rc<dyn Lease>>,
     /// When it is given up.
     pub until: Instant,
     /// When the client's answer has to be on its way whole, unless it is a long one.
@@ -231,7 +231,7 @@
                 self.holding.ended(false);
             }
             // Nothing that a backend did well or badly.
-            Outcome::Full | Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Full | Outcome::Cancelled | Outcome::NotSent => {}
         }
         let latency = self.latency.unwrap_or_else(|| self.elapsed());
         let (request, attempt) = (self.request, self.attempt);
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -68,12 +68,12 @@
         let uploading = upload.as_ref().map(|_| Counted::new(self, |f| &f.uploading));
         let mut headers = head.headers;
         strip(&mut headers);
-        let licence = taken.and_then(|taken| {
+        let lease = taken.and_then(|taken| {
             // Whatever a client says of the version: the proxy tells it, or nobody does.
             if let Some((name, version)) = taken.header {
                 headers.insert(name, version);
             }
-            taken.licence
+            taken.lease
         });
         let id = RequestId(self.number());
         let (answer, answered) = oneshot::channel();
@@ -92,7 +92,7 @@
                 upstreams: self.upstreams.clone(),
                 hold: (open, generation, uploading),
             }),
-            licence,
+            lease,
             answer,
         })));
         // Hyper drops this future when the client leaves.
--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -24,7 +24,7 @@
 use sandgap_fleet::Time;
 use sandgap_rollout::Rollout;
 
-use crate::event::Licence;
+use crate::event::Lease;
 
 /// What a client that is refused for the want of a lease is told to wait, as a part of T.
 const RETRY: u32 = 2;
@@ -39,7 +39,7 @@
 /// What a request that may be taken brings along.
 pub struct Taken {
     /// For classes that are refused without a lease.
-    pub licence: Option<Rc<dyn Licence>>,
+    pub lease: Option<Rc<dyn Lease>>,
     /// The header that tells backends the version, if the settings want one.
     pub header: Option<(HeaderName, HeaderValue)>,
 }
@@ -98,8 +98,8 @@
             }
         };
         let header = self.header.clone().map(|name| (name, HeaderValue::from(version)));
-        let licence = (!serves).then(|| self.clone() as Rc<dyn Licence>);
-        Ok(Taken { licence, header })
+        let lease = (!serves).then(|| self.clone() as Rc<dyn Lease>);
+        Ok(Taken { lease, header })
     }
 
     /// The version that this proxy acted on last.
@@ -117,7 +117,7 @@
     }
 }
 
-impl Licence for Rules {
+impl Lease for Rules {
     fn holds(&self) -> bool {
         self.agent.borrow().borrow().take(now()).is_some()
     }
--- a/crates/sandgap/src/rules/watch.rs
+++ b/crates/sandgap/src/rules/watch.rs
@@ -17,7 +17,7 @@
 
 use super::Shared;
 use super::shell::Parts;
-use crate::event::{Input, Look};
+use crate::event::{Input, StatusQuery};
 
 /// Between two looks at what is under way.
 const EACH: Duration = Duration::from_millis(100);
@@ -98,7 +98,12 @@
         let (answer, looked) = oneshot::channel();
         let (number, cohort) = orders.cohort.unzip();
         let cohort = cohort.unwrap_or_default();
-        self.parts.inbox.put(Input::Look(Box::new(Look { at: orders.watch, measured, cohort, answer })));
+        self.parts.inbox.put(Input::StatusQuery(Box::new(StatusQuery {
+            at: orders.watch,
+            measured,
+            cohort,
+            answer,
+        })));
         let looked = looked.await.ok()?;
         let missed = self.missed();
         let front = &self.parts.front;
--- a/src/bin/wharfhitch-wirehost/wire.rs
+++ b/src/bin/wharfhitch-wirehost/wire.rs
@@ -112,7 +112,7 @@
         "refused_conn" => Outcome::ConnectFailed,
         "severed" => Outcome::Reset,
         "recalled" => Outcome::Cancelled,
-        "superseded" => Outcome::Moot,
+        "superseded" => Outcome::NotSent,
         _ => Outcome::Error, // an error, or unknown: it may have run
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -404,7 +404,7 @@
         } else {
             self.servers[k].own -= u32::from(!silent); // a silent one gave it back before
         }
-        if !matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
+        if !matches!(outcome, Outcome::NotSent | Outcome::Cancelled) {
             self.success += (f64::from(u8::from(outcome == Outcome::Served)) - self.success) / CLASS_SAMPLES;
         }
         // One sent shortly before its client gave up had no fair chance: that it timed out proves nothing.
@@ -417,7 +417,7 @@
                 self.learn(k, class, latency / size, home == Some(k), lone);
                 self.judge(k, class, true, false, now);
             }
-            Outcome::Moot | Outcome::Cancelled => {}
+            Outcome::NotSent | Outcome::Cancelled => {}
             Outcome::TimedOut if silent || latency < fair => {} // blamed already, or not to blame
             Outcome::Full if self.turned_away(now, k, sent, held) => {}
             _ => self.judge(k, class, false, outcome == Outcome::Full, now),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -225,13 +225,13 @@
     /// Cancelled.
     Cancelled,
     /// Never sent.
-    Moot,
+    NotSent,
 }
 
 impl Outcome {
     /// Whether the attempt may have had its effect.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+        !matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent)
     }
 }
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -85,7 +85,7 @@
             x if x < 0.82 => (1.0, Outcome::Full),
             x if x < 0.86 => (50.0, Outcome::ConnectFailed),
             x if x < 0.90 => (self.rng.f64() * 500.0, Outcome::Reset),
-            x if x < 0.92 => (0.0, Outcome::Moot),
+            x if x < 0.92 => (0.0, Outcome::NotSent),
             _ => (1e9, Outcome::TimedOut),
         };
         let (latency, outcome) =
