Make a proxy that knows nobody known to its voters again, as its first word may be lost

Cause: `join` announced a proxy once; a voter takes 64 connections that have not proved the key at a time (`UNPROVED`) and closes the others, so that the announcement was lost, and nobody ever spoke to that proxy.

Change: while it knows nobody it is announced again after 1 to 2 s, drawn. Test: those_whose_first_word_was_lost_are_known_all_the_same fails without it.

--- a/crates/sandgap-fleet/src/limits.rs
+++ b/crates/sandgap-fleet/src/limits.rs
@@ -33,3 +33,7 @@
 pub const MEMBERS: usize = 2048;
 /// Bytes of a membership message: a few dozen members told in one.
 pub const GOSSIP: usize = 1400;
+/// Members that a proxy is made known to by its settings: the voters.
+pub const SEEDS: usize = 16;
+/// After this span, and up to as much again, a proxy that knows nobody makes itself known once more.
+pub const REJOIN: Duration = Duration::from_secs(1);
--- a/crates/sandgap-fleet/src/link.rs
+++ b/crates/sandgap-fleet/src/link.rs
@@ -151,6 +151,11 @@
         self.counts.get()
     }
 
+    /// Links that are up at present.
+    pub fn up(&self) -> usize {
+        self.links.get()
+    }
+
     /// Takes links from others for as long as the process runs.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         loop {
--- a/crates/sandgap-fleet/src/members.rs
+++ b/crates/sandgap-fleet/src/members.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
-use crate::limits::{GOSSIP, MEMBERS};
+use crate::limits::{GOSSIP, MEMBERS, REJOIN, SEEDS};
 
 /// One process of a proxy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +105,12 @@
     out: AccumulatingRuntime<Identity>,
     due: BinaryHeap<Reverse<Due>>,
     numbered: u64,
+    /// Those that this one was made known to by name and address, see [`Members::join`].
+    seeds: Vec<(String, SocketAddr)>,
+    /// When it is made known to them again, if nobody is known by then.
+    rejoin: Time,
+    /// How long after each time.
+    rejoin_wait: Duration,
 }
 
 impl Members {
@@ -127,11 +133,22 @@
         };
         let engine = Foca::new(me.clone(), config, StdRng::seed_from_u64(seed), PostcardCodec);
         let (out, due) = (AccumulatingRuntime::new(), BinaryHeap::new());
-        Members { engine, me, out, due, numbered: 0 }
+        // Drawn apart, so that those whom a crowd kept out don't come back as one.
+        let rejoin_wait = REJOIN + REJOIN * (seed % 256) as u32 / 256;
+        Members { engine, me, out, due, numbered: 0, seeds: Vec::new(), rejoin: Time::MAX, rejoin_wait }
     }
 
-    /// Makes this one known to a member of which only name and address are told.
+    /// Makes this one known to a member of which only name and address are told, and again for as long as it knows
+    /// nobody: the way there may be full of others that join.
     pub fn join(&mut self, now: Time, name: &str, address: SocketAddr) -> Vec<Gossip> {
+        if self.seeds.len() < SEEDS && !self.seeds.iter().any(|(seed, _)| seed == name) {
+            self.seeds.push((name.to_owned(), address));
+        }
+        self.rejoin = now + self.rejoin_wait;
+        self.announce(now, name, address)
+    }
+
+    fn announce(&mut self, now: Time, name: &str, address: SocketAddr) -> Vec<Gossip> {
         let other = Identity { name: name.into(), address, incarnation: 0, zone: None };
         // It fails only where the message does not fit, which an identity of bounded names can't bring about.
         let _ = self.engine.announce(other, &mut self.out);
@@ -148,7 +165,9 @@
 
     /// When something is due next.
     pub fn next_due(&self) -> Option<Time> {
-        self.due.peek().map(|Reverse(due)| due.at)
+        let due = self.due.peek().map(|Reverse(due)| due.at);
+        let rejoin = (self.rejoin < Time::MAX).then_some(self.rejoin);
+        due.into_iter().chain(rejoin).min()
     }
 
     /// Does what is due by now.
@@ -160,6 +179,14 @@
             let _ = self.engine.handle_timer(due.timer, &mut self.out);
             out.extend(self.collect(now));
         }
+        if now >= self.rejoin {
+            self.rejoin = now + self.rejoin_wait;
+            if self.engine.num_members() == 0 {
+                for (name, address) in self.seeds.clone() {
+                    out.extend(self.announce(now, &name, address));
+                }
+            }
+        }
         out
     }
 
--- a/crates/sandgap-fleet/src/members/tests.rs
+++ b/crates/sandgap-fleet/src/members/tests.rs
@@ -145,3 +145,15 @@
     assert!(members.present().len() <= 1 + MEMBERS);
     assert_eq!(members.present().iter().filter(|m| m.name == "p0").count(), 1);
 }
+
+#[test]
+fn those_whose_first_word_was_lost_are_known_all_the_same() {
+    for seed in 0..20 {
+        let mut net = Net::new(12, seed);
+        net.under_way.clear();
+        net.play(Duration::from_secs(10));
+        for members in &net.all {
+            assert_eq!(members.present().len(), 12, "seed {seed}, {}", members.me.name);
+        }
+    }
+}
