--- a/crates/sandgap-rig/src/fleet/mod.rs
+++ b/crates/sandgap-rig/src/fleet/mod.rs
@@ -133,7 +133,7 @@
 }
 
 /// The version that a call said to be in force.
-fn in_force(said: &[u8]) -> Option<u64> {
+pub(crate) fn in_force(said: &[u8]) -> Option<u64> {
     let text = String::from_utf8_lossy(said);
     text.trim().strip_prefix("version ")?.strip_suffix(" is in force")?.parse().ok()
 }
--- a/crates/sandgap-rig/src/fleet/site.rs
+++ b/crates/sandgap-rig/src/fleet/site.rs
@@ -12,6 +12,7 @@
 
 use super::net::Net;
 use super::plan::Size;
+use crate::process::{self, Usage};
 use crate::proxy::cpu_ns;
 
 /// Classes of the fleet: safe, keyed and unsafe.
@@ -140,6 +141,12 @@
         children[n].as_ref().map_or(0.0, cpu_ns) / 1e3
     }
 
+    /// What a proxy's process has used since its start.
+    pub fn usage(&self, n: usize) -> Usage {
+        let children = self.children.borrow();
+        children[n].as_ref().map_or_else(Usage::default, |child| process::usage(child.id()))
+    }
+
     /// Starts a proxy.
     ///
     /// # Errors
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -11,6 +11,8 @@
 use sandgap_rig::proxy::Program;
 use sandgap_rig::relay::{self, Kind};
 use sandgap_rig::run;
+use sandgap_rig::scale;
+use sandgap_rig::scale::hollow::Defect;
 use sandgap_rig::schedule::{SCENARIOS, Scenario, Size, scenario};
 use sandgap_rules::Ledger;
 
@@ -195,6 +197,47 @@
         #[arg(long, env = "SANDGAP")]
         proxy: Option<PathBuf>,
     },
+    /// Measures what agreed rules cost as a fleet grows: hollow proxies beside real voters.
+    Scale {
+        /// Hollow proxies, one play for each size; more than 1,000 are foretold from the plays before.
+        #[arg(long, value_delimiter = ',', default_values_t = [100, 300, 1000])]
+        sizes: Vec<usize>,
+        /// How many of them share a process.
+        #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u16).range(1..=400))]
+        per_process: u16,
+        /// Proxies that vote.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=9))]
+        voters: u16,
+        /// The stated time, ms.
+        #[arg(long, default_value_t = 1000)]
+        bound_ms: u64,
+        /// How long nothing is published while messages are counted, s.
+        #[arg(long, default_value_t = 20.0)]
+        idle: f64,
+        /// Versions that are published then.
+        #[arg(long, default_value_t = 5)]
+        changes: u64,
+        /// Then voters are killed in turn, and a process of proxies, a change published each time.
+        #[arg(long)]
+        faults: bool,
+        /// What is wrong by intent.
+        #[arg(long)]
+        defect: Option<Defect>,
+        /// One JSON object a play.
+        #[arg(long)]
+        json: bool,
+        /// The voters' program; where none is given, `sandgap` beside this one.
+        #[arg(long, env = "SANDGAP")]
+        proxy: Option<PathBuf>,
+    },
+    /// Tells what rulebooks take on the wire, by the numbers of what they name.
+    Books,
+    /// Holds hollow proxies for `scale`, until its standard input ends.
+    #[command(hide = true)]
+    ScaleBlock {
+        /// What they are, as JSON.
+        setup: String,
+    },
     /// Is a relay; its configuration is named by NODE_CONFIG.
     #[command(hide = true)]
     Relay {
@@ -353,6 +396,43 @@
             show_cost(&fleet::cost::measure(&load)?);
             Ok(true)
         }
+        Command::Scale {
+            sizes,
+            per_process,
+            voters,
+            bound_ms,
+            idle,
+            changes,
+            faults,
+            defect,
+            json,
+            proxy: path,
+        } => {
+            let setup = scale::Setup {
+                hollows: 0,
+                per_process: Some(per_process.into()),
+                rig: std::env::current_exe()?,
+                voters: voters.into(),
+                bound: Duration::from_millis(bound_ms),
+                idle: Duration::from_secs_f64(idle.clamp(0.1, 600.0)),
+                changes,
+                faults,
+                defect,
+            };
+            play_sizes(&proxy(path)?.path, &setup, &sizes, json)?;
+            Ok(true)
+        }
+        Command::Books => {
+            for (backends, tenants, classes) in BOOKS {
+                let bytes = scale::books::bytes(scale::books::Numbers { backends, tenants, classes })?;
+                println!("{backends} backends, {tenants} tenants, {classes} classes: {bytes} bytes");
+            }
+            Ok(true)
+        }
+        Command::ScaleBlock { setup } => {
+            scale::serve_block(&setup)?;
+            Ok(true)
+        }
         Command::Export { scenario: name, folder, seed, requests, rate, proxies, backends } => {
             let plan = named(&name)?.plan(seed, Size { requests, rate, proxies, backends });
             sandgap_rig::export::write(&plan, &folder)?;
@@ -405,6 +485,56 @@
     }
 }
 
+/// Backends, tenants and classes of rulebooks that are told: each by itself, and the targets.
+const BOOKS: [(usize, usize, usize); 9] = [
+    (0, 0, 0),
+    (200, 0, 0),
+    (1000, 0, 0),
+    (36_000, 0, 0),
+    (0, 1000, 0),
+    (0, 230_000, 0),
+    (0, 0, 1800),
+    (200, 100, 10),
+    (36_000, 230_000, 1800),
+];
+
+/// Plays one fleet after another, and holds each figure of a size against what the sizes before foretold of it.
+fn play_sizes(
+    program: &std::path::Path, setup: &scale::Setup, sizes: &[usize], json: bool,
+) -> Result<(), Box<dyn std::error::Error>> {
+    type Figure = (&'static str, fn(&scale::Report) -> f64);
+    const FIGURES: [Figure; 6] = [
+        ("bytes/s a proxy", |r| r.bytes_a_second),
+        ("links a proxy", |r| r.links),
+        ("cores of all voters", scale::Report::voters_core),
+        ("peak KiB of a voter", |r| r.voters.iter().map(|v| v.peak_kib as f64).fold(0.0, f64::max)),
+        ("ms until in force everywhere", |r| r.in_force_ms(1.0)),
+        ("core a proxy", |r| r.core),
+    ];
+    let mut played: Vec<scale::Report> = Vec::new();
+    for hollows in sizes {
+        let report = scale::run(program, &scale::Setup { hollows: *hollows, ..setup.clone() })?;
+        if json {
+            println!("{}", serde_json::to_string(&report)?);
+        } else {
+            println!("{report}");
+        }
+        for (name, of) in FIGURES.iter().filter(|_| played.len() > 1 && !json) {
+            let points: Vec<(f64, f64)> = played.iter().map(|r| (r.proxies as f64, of(r))).collect();
+            let (line, seen) = (scale::fit::Line::fit(&points), of(&report));
+            println!(
+                "  {name}: {:.4} + {:.6} x size foretold {:.3}, seen {seen:.3}: {:+.0}%",
+                line.intercept,
+                line.slope,
+                line.at(*hollows as f64),
+                (line.at(*hollows as f64) / seen - 1.0) * 100.0
+            );
+        }
+        played.push(report);
+    }
+    Ok(())
+}
+
 fn named(name: &str) -> Result<&'static Scenario, String> {
     scenario(name).ok_or_else(|| {
         let names: Vec<_> = SCENARIOS.iter().map(|s| s.name).collect();
--- a/crates/sandgap-rig/src/proxy.rs
+++ b/crates/sandgap-rig/src/proxy.rs
@@ -229,10 +229,7 @@
     /// Peak of its resident memory, KiB.
     pub fn peak_kib(&self) -> u64 {
         let child = self.child.borrow();
-        let Some(child) = child.as_ref() else { return 0 };
-        let text = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-        line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+        child.as_ref().map_or(0, |child| crate::process::usage(child.id()).peak_kib)
     }
 }
 
