--- a/crates/sandgap/src/upstream/mod.rs
+++ b/crates/sandgap/src/upstream/mod.rs
@@ -35,7 +35,7 @@
 
 /// A request's body.
 pub enum Payload {
-    /// At most [`body::WHOLE`] bytes.
+    /// At most [`crate::body::WHOLE`] bytes.
     Short(Bytes),
     /// More, as they come.
     Long(Rc<Upload>),
