Drop a time that nobody read from the scale's tally, and a sentinel from the members

Found on a second reading: the tally kept when the last proxy began to act on each version, which is told by the list of all such times beside it; the membership's next announcement was a time beyond all times in place of none. No change of behaviour.

--- a/crates/sandgap-fleet/src/members.rs
+++ b/crates/sandgap-fleet/src/members.rs
@@ -108,7 +108,7 @@
     /// Those that this one was made known to by name and address, see [`Members::join`].
     seeds: Vec<(String, SocketAddr)>,
     /// When it is made known to them again, if nobody is known by then.
-    rejoin: Time,
+    rejoin: Option<Time>,
     /// How long after each time.
     rejoin_wait: Duration,
 }
@@ -135,7 +135,7 @@
         let (out, due) = (AccumulatingRuntime::new(), BinaryHeap::new());
         // Drawn apart, so that those whom a crowd kept out don't come back as one.
         let rejoin_wait = REJOIN + REJOIN * (seed % 256) as u32 / 256;
-        Members { engine, me, out, due, numbered: 0, seeds: Vec::new(), rejoin: Time::MAX, rejoin_wait }
+        Members { engine, me, out, due, numbered: 0, seeds: Vec::new(), rejoin: None, rejoin_wait }
     }
 
     /// Makes this one known to a member of which only name and address are told, and again for as long as it knows
@@ -144,7 +144,7 @@
         if self.seeds.len() < SEEDS && !self.seeds.iter().any(|(seed, _)| seed == name) {
             self.seeds.push((name.to_owned(), address));
         }
-        self.rejoin = now + self.rejoin_wait;
+        self.rejoin = Some(now + self.rejoin_wait);
         self.announce(now, name, address)
     }
 
@@ -166,8 +166,7 @@
     /// When something is due next.
     pub fn next_due(&self) -> Option<Time> {
         let due = self.due.peek().map(|Reverse(due)| due.at);
-        let rejoin = (self.rejoin < Time::MAX).then_some(self.rejoin);
-        due.into_iter().chain(rejoin).min()
+        due.into_iter().chain(self.rejoin).min()
     }
 
     /// Does what is due by now.
@@ -179,8 +178,8 @@
             let _ = self.engine.handle_timer(due.timer, &mut self.out);
             out.extend(self.collect(now));
         }
-        if now >= self.rejoin {
-            self.rejoin = now + self.rejoin_wait;
+        if self.rejoin.is_some_and(|at| at <= now) {
+            self.rejoin = Some(now + self.rejoin_wait);
             if self.engine.num_members() == 0 {
                 for (name, address) in self.seeds.clone() {
                     out.extend(self.announce(now, &name, address));
--- a/crates/sandgap-rig/src/scale/hollow.rs
+++ b/crates/sandgap-rig/src/scale/hollow.rs
@@ -103,8 +103,8 @@
     pub fewest_members: usize,
     /// Times that a proxy which had a lease was without one.
     pub leases_lost: u64,
-    /// Proxies that act on each version, and when the last of them began to, µs of Unix time.
-    pub acting: BTreeMap<Version, (usize, u64)>,
+    /// Proxies that began to act on each version.
+    pub acting: BTreeMap<Version, usize>,
     /// When each of them began to act on the latest version, µs of Unix time.
     pub latest: Vec<u64>,
     /// How far the log had been applied, by the answer that was furthest on.
@@ -141,9 +141,8 @@
             fewest => fewest.min(other.fewest_members),
         };
         self.leases_lost += other.leases_lost;
-        for (version, (count, last)) in other.acting {
-            let mine = self.acting.entry(version).or_default();
-            *mine = (mine.0 + count, mine.1.max(last));
+        for (version, count) in other.acting {
+            *self.acting.entry(version).or_default() += count;
         }
         self.latest.extend(other.latest);
         self.cpu_us += other.cpu_us;
@@ -317,10 +316,8 @@
 
     fn act(&self, version: Version) {
         let mut tally = self.tally.borrow_mut();
-        let at = unix_us();
-        let acting = tally.acting.entry(version).or_default();
-        *acting = (acting.0 + 1, at);
-        tally.latest.push(at);
+        *tally.acting.entry(version).or_default() += 1;
+        tally.latest.push(unix_us());
     }
 }
 
--- a/crates/sandgap-rig/src/scale/mod.rs
+++ b/crates/sandgap-rig/src/scale/mod.rs
@@ -11,7 +11,6 @@
 pub mod hollow;
 mod report;
 
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -183,8 +182,8 @@
             loop {
                 let tally = self.blocks.tally().await?;
                 latest.extend(tally.latest);
-                let acting: BTreeMap<_, _> = tally.acting.range(version..).collect();
-                if acting.values().map(|(count, _)| count).sum::<usize>() >= self.blocks.proxies() {
+                let acting: usize = tally.acting.range(version..).map(|(_, count)| count).sum();
+                if acting >= self.blocks.proxies() {
                     return Ok::<(), RunError>(());
                 }
                 sleep(LOOK).await;
