--- /dev/null
+++ b/crates/sandgap-rig/shim/system_faults.c
@@ -0,0 +1,166 @@
+/* System calls that fail or fall short now and then, in all the ways that Linux documents. Loaded with LD_PRELOAD into
+ * one process. SANDGAP_FAULTS names the faults: "seed=7,short_read=20,short_write=20,eintr=20,socket=300,connect=100,
+ * accept=100,step_ms=3600000". The figures are parts of a thousand of the calls; step_ms is the largest step of the wall
+ * clock, which is set anew every two seconds. Nothing else is touched. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+#include <time.h>
+
+/* A call that is cut short moves one to this many bytes. */
+#define LONGEST_CUT 8
+#define CLOCK_STEP_SECONDS 2
+
+static pthread_once_t once = PTHREAD_ONCE_INIT;
+static uint64_t state = 1;
+static long short_read, short_write, eintr, fail_socket, fail_connect, fail_accept, step_ms;
+
+static long figure(const char *text, const char *name) {
+    size_t length = strlen(name);
+    for (const char *at = strstr(text, name); at != NULL; at = strstr(at + 1, name))
+        if ((at == text || at[-1] == ',') && at[length] == '=')
+            return strtol(at + length + 1, NULL, 10);
+    return 0;
+}
+
+static void read_settings(void) {
+    const char *text = getenv("SANDGAP_FAULTS");
+    if (text == NULL)
+        return;
+    state = 0x9E3779B97F4A7C15ull ^ (uint64_t)figure(text, "seed") * 0xBF58476D1CE4E5B9ull;
+    short_read = figure(text, "short_read");
+    short_write = figure(text, "short_write");
+    eintr = figure(text, "eintr");
+    fail_socket = figure(text, "socket");
+    fail_connect = figure(text, "connect");
+    fail_accept = figure(text, "accept");
+    step_ms = figure(text, "step_ms");
+}
+
+static uint64_t draw(void) {
+    pthread_once(&once, read_settings);
+    uint64_t x = __atomic_add_fetch(&state, 0x9E3779B97F4A7C15ull, __ATOMIC_RELAXED);
+    x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ull;
+    x = (x ^ (x >> 27)) * 0x94D049BB133111EBull;
+    return x ^ (x >> 31);
+}
+
+static int happens(long *per_mille) {
+    uint64_t drawn = draw(); /* reads the settings first */
+    return *per_mille > 0 && (long)(drawn % 1000) < *per_mille;
+}
+
+static int fails(long *per_mille, const int *errors, size_t count) {
+    if (!happens(per_mille))
+        return 0;
+    errno = errors[draw() % count];
+    return 1;
+}
+
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+#define FAILS(per_mille, ...) \
+    fails(per_mille, (const int[]){__VA_ARGS__}, sizeof((const int[]){__VA_ARGS__}) / sizeof(int))
+
+static size_t cut(size_t length) {
+    size_t most = 1 + draw() % LONGEST_CUT;
+    return length < most ? length : most;
+}
+
+ssize_t recv(int fd, void *buffer, size_t length, int flags) {
+    static __typeof__(&recv) real;
+    if (real == NULL)
+        real = REAL(recv);
+    if (!(flags & MSG_PEEK)) {
+        if (FAILS(&eintr, EINTR))
+            return -1;
+        if (happens(&short_read))
+            length = cut(length);
+    }
+    return real(fd, buffer, length, flags);
+}
+
+ssize_t send(int fd, const void *buffer, size_t length, int flags) {
+    static __typeof__(&send) real;
+    if (real == NULL)
+        real = REAL(send);
+    if (FAILS(&eintr, EINTR))
+        return -1;
+    if (happens(&short_write))
+        length = cut(length);
+    return real(fd, buffer, length, flags);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+    static __typeof__(&writev) real;
+    if (real == NULL)
+        real = REAL(writev);
+    int type = 0;
+    socklen_t size = sizeof type;
+    if (count > 0 && getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &size) == 0) {
+        if (FAILS(&eintr, EINTR))
+            return -1;
+        if (happens(&short_write) && parts[0].iov_len > 0) {
+            struct iovec first = {parts[0].iov_base, cut(parts[0].iov_len)};
+            return real(fd, &first, 1);
+        }
+    }
+    return real(fd, parts, count);
+}
+
+int socket(int domain, int type, int protocol) {
+    static __typeof__(&socket) real;
+    if (real == NULL)
+        real = REAL(socket);
+    if (domain != AF_UNIX && FAILS(&fail_socket, ENFILE, ENOBUFS, ENOMEM))
+        return -1;
+    return real(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    static __typeof__(&connect) real;
+    if (real == NULL)
+        real = REAL(connect);
+    if (FAILS(&fail_connect, EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT))
+        return -1;
+    return real(fd, address, length);
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+    static __typeof__(&accept4) real;
+    if (real == NULL)
+        real = REAL(accept4);
+    if (FAILS(&fail_accept, ECONNABORTED, ENFILE, ENOBUFS, EMFILE, EINTR))
+        return -1;
+    return real(fd, address, length, flags);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
+    static __typeof__(&epoll_wait) real;
+    if (real == NULL)
+        real = REAL(epoll_wait);
+    if (FAILS(&eintr, EINTR))
+        return -1;
+    return real(fd, events, most, timeout);
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    static __typeof__(&clock_gettime) real;
+    if (real == NULL)
+        real = REAL(clock_gettime);
+    int outcome = real(clock, now);
+    pthread_once(&once, read_settings);
+    if (outcome == 0 && clock == CLOCK_REALTIME && step_ms > 0) {
+        uint64_t x = (uint64_t)(now->tv_sec / CLOCK_STEP_SECONDS) * 0x9E3779B97F4A7C15ull;
+        x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ull;
+        now->tv_sec += (long)((x >> 32) % (uint64_t)(2 * step_ms / 1000 + 1)) - step_ms / 1000;
+    }
+    return outcome;
+}
--- a/crates/sandgap-rig/src/lib.rs
+++ b/crates/sandgap-rig/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod run;
 pub mod scale;
 pub mod schedule;
+pub mod system_faults;
 pub mod world;
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -284,13 +284,13 @@
         Some(path) => path,
         None => std::env::current_exe()?.with_file_name("sandgap"),
     };
-    Ok(Program { path, args: Vec::new(), cpu: None })
+    Ok(Program::new(path, Vec::new()))
 }
 
 fn relay_program(kind: Kind) -> std::io::Result<Program> {
     let name =
         clap::ValueEnum::to_possible_value(&kind).map_or_else(String::new, |v| v.get_name().to_owned());
-    Ok(Program { path: std::env::current_exe()?, args: vec!["relay".into(), name], cpu: None })
+    Ok(Program::new(std::env::current_exe()?, vec!["relay".into(), name]))
 }
 
 fn main() -> ExitCode {
--- a/crates/sandgap-rig/src/proxy.rs
+++ b/crates/sandgap-rig/src/proxy.rs
@@ -16,6 +16,7 @@
 use crate::http::Conn;
 use crate::limits::PATIENCE;
 use crate::schedule::{GRACE_MS, Plan, TENANTS};
+use crate::system_faults::FaultLibrary;
 use crate::world::World;
 use sandgap_rules::Effect;
 
@@ -28,6 +29,15 @@
     pub args: Vec<String>,
     /// The processor that it is bound to.
     pub cpu: Option<usize>,
+    /// What fails under it.
+    pub faults: Option<FaultLibrary>,
+}
+
+impl Program {
+    /// A program that runs on any processor, with no system call failing.
+    pub fn new(path: PathBuf, args: Vec<String>) -> Self {
+        Program { path, args, cpu: None, faults: None }
+    }
 }
 
 /// A proxy that could not be run as the scenario wants.
@@ -142,6 +152,9 @@
             let mut command = Command::new(&self.program.path);
             command.args(&self.program.args).env("NODE_CONFIG", &path).stdin(Stdio::null());
             command.stdout(log.try_clone()?).stderr(log);
+            if let Some(faults) = &self.program.faults {
+                faults.load_into(&mut command, seed);
+            }
             let child = command.spawn()?;
             if let (Some(cpu), Some(pid)) = (self.program.cpu, Pid::from_raw(child.id() as i32)) {
                 let mut set = rustix::thread::CpuSet::new();
--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -17,6 +17,7 @@
 use crate::peers::{Network, Weather};
 use crate::proxy::{Place, Program, Proxy, ProxyError};
 use crate::schedule::{Fault, GRACE_MS, Plan};
+use crate::system_faults::{FaultLibrary, SystemFaults};
 use crate::world::{Addresses, World};
 use sandgap_rules::{Effect, Ledger, Record, Terms, Verdict, Writer};
 
@@ -366,9 +367,13 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let tag = format!("{}-{}-{:x}", plan.scenario, std::process::id(), plan.seed);
     let mut logs = Folder::new(&tag)?;
+    let mut program = program.clone();
+    if plan.system_faults != SystemFaults::default() {
+        program.faults = Some(FaultLibrary::build(&logs.path, plan.system_faults)?);
+    }
     let local = LocalSet::new();
     let played = local.block_on(&runtime, async {
-        let stage = Stage::set(plan, ledger, program, &logs, true).await?;
+        let stage = Stage::set(plan, ledger, &program, &logs, true).await?;
         stage.start().await?;
         let begin = stage.world.now();
         stage.play().await?;
--- a/crates/sandgap-rig/src/schedule.rs
+++ b/crates/sandgap-rig/src/schedule.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Micros;
 use crate::machine::{Build, ColdRule};
+use crate::system_faults::SystemFaults;
 use sandgap_rules::Effect;
 
 /// A class of requests.
@@ -146,6 +147,8 @@
     pub requests: Vec<Request>,
     /// Faults, in order.
     pub steps: Vec<Step>,
+    /// System calls that fail under the proxies.
+    pub system_faults: SystemFaults,
 }
 
 /// Requests that one backend process belongs with: cells of three.
@@ -265,6 +268,7 @@
             asked: false,
             requests,
             steps: Vec::new(),
+            system_faults: SystemFaults::default(),
         };
         let mut draw = Draw { rng, plan };
         (self.draw)(&mut draw);
--- /dev/null
+++ b/crates/sandgap-rig/src/system_faults.rs
@@ -0,0 +1,71 @@
+//! System calls of a proxy that fail or fall short: a small library of C calls that is loaded into the process alone
+//! (`shim/system_faults.c`, built with the C compiler that the linker needs anyway).
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+const SOURCE: &str = include_str!("../shim/system_faults.c");
+
+/// Which calls fail or fall short, in parts of a thousand.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SystemFaults {
+    /// Reads that give a few bytes while more is there.
+    pub short_read: u32,
+    /// Writes that take a few bytes while there is room.
+    pub short_write: u32,
+    /// Reads, writes and waits that are interrupted.
+    pub interrupted: u32,
+    /// Sockets that can't be had for want of descriptors, buffers or memory.
+    pub socket: u32,
+    /// Connections for which there is no port or no route.
+    pub connect: u32,
+    /// Connections that can't be accepted.
+    pub accept: u32,
+    /// The largest step of the wall clock, ms, which changes every two seconds; 0 for none.
+    pub clock_step_ms: u64,
+}
+
+/// The library, built.
+#[derive(Clone, Debug)]
+pub struct FaultLibrary {
+    path: PathBuf,
+    faults: SystemFaults,
+}
+
+impl FaultLibrary {
+    /// Builds the library in a folder.
+    ///
+    /// # Errors
+    /// The system's, or what the compiler says.
+    pub fn build(folder: &Path, faults: SystemFaults) -> io::Result<Self> {
+        let (source, path) = (folder.join("system_faults.c"), folder.join("libsystem_faults.so"));
+        std::fs::write(&source, SOURCE)?;
+        let output = Command::new("cc")
+            .args(["-shared", "-fPIC", "-O2", "-Wall", "-Werror", "-o"])
+            .args([&path, &source])
+            .args(["-ldl", "-lpthread"])
+            .output()?;
+        if !output.status.success() {
+            return Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned()));
+        }
+        Ok(FaultLibrary { path, faults })
+    }
+
+    /// Has a command's process load it; the seed decides which calls are hit.
+    pub fn load_into(&self, command: &mut Command, seed: u64) {
+        let f = &self.faults;
+        let text = format!(
+            "seed={},short_read={},short_write={},eintr={},socket={},connect={},accept={},step_ms={}",
+            seed % (1 << 31),
+            f.short_read,
+            f.short_write,
+            f.interrupted,
+            f.socket,
+            f.connect,
+            f.accept,
+            f.clock_step_ms
+        );
+        command.env("LD_PRELOAD", &self.path).env("SANDGAP_FAULTS", text);
+    }
+}
--- a/crates/sandgap-rig/tests/defects.rs
+++ b/crates/sandgap-rig/tests/defects.rs
@@ -15,7 +15,7 @@
     let _turn = TURN.lock().unwrap_or_else(|e| e.into_inner());
     let kind = clap::ValueEnum::to_possible_value(&kind).expect("named").get_name().to_owned();
     let path = PathBuf::from(env!("CARGO_BIN_EXE_sandgap-rig"));
-    let program = Program { path, args: vec!["relay".into(), kind.clone()], cpu: None };
+    let program = Program::new(path, vec!["relay".into(), kind.clone()]);
     let plan = scenario(name).expect("named").plan(11, Size { requests, ..Size::default() });
     let outcome = run(plan, &program, ledger).expect("a verdict");
     println!("{name} seed 11, {kind}: {}", outcome.verdict);
--- a/crates/sandgap/src/main.rs
+++ b/crates/sandgap/src/main.rs
@@ -165,7 +165,7 @@
             return ExitCode::from(WRONG);
         }
     };
-    let program = Program { path, args: vec!["serve".into()], cpu: None };
+    let program = Program::new(path, vec!["serve".into()]);
     match sandgap_rig::demo::play(&program, rate, seconds, seed) {
         Ok(verdict) => {
             println!("{verdict}");
--- a/crates/sandgap/tests/rig.rs
+++ b/crates/sandgap/tests/rig.rs
@@ -13,7 +13,7 @@
 
 fn held(name: &str, seed: u64, requests: usize) {
     let _turn = TURN.lock().unwrap_or_else(|e| e.into_inner());
-    let program = Program { path: PathBuf::from(env!("CARGO_BIN_EXE_sandgap")), args: Vec::new(), cpu: None };
+    let program = Program::new(PathBuf::from(env!("CARGO_BIN_EXE_sandgap")), Vec::new());
     let plan = scenario(name).expect("named").plan(seed, Size { requests, ..Size::default() });
     let mut outcome = run(plan, &program, Ledger::default()).expect("a verdict");
     println!("{name} seed {seed}: {}", outcome.verdict);
--- /dev/null
+++ b/crates/sandgap/tests/upload_deadlines.rs
@@ -0,0 +1,85 @@
+//! Long requests and their clients' time: it runs from the last byte that the client has sent, wherever that byte stands.
+mod sockets;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use sockets::full::Full;
+use sockets::*;
+
+/// What may lie between reading a clock and writing what it says.
+const SLACK: f64 = 0.15;
+/// How long the request stands behind another at least.
+const WAIT: Duration = Duration::from_millis(700);
+
+fn upload(id: &str, timeout: &str, size: usize, chunked: bool) -> Vec<u8> {
+    let (told, body) = match chunked {
+        false => (format!("Content-Length: {size}"), "x".repeat(size)),
+        true => {
+            let parts = (0..size / 1000).map(|_| format!("3e8\r\n{}\r\n", "x".repeat(1000)));
+            ("Transfer-Encoding: chunked".to_owned(), parts.collect::<String>() + "0\r\n\r\n")
+        }
+    };
+    (submit(id, timeout, "").replace("Content-Length: 0", &told) + &body).into_bytes()
+}
+
+fn send(proxy: SocketAddr, request: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(proxy).expect("the proxy accepts");
+    stream.write_all(request).expect("the proxy reads");
+    stream
+}
+
+#[test]
+fn a_long_request_that_waited_tells_its_backend_what_is_left() {
+    for (size, chunked) in [(70_000, false), (150_000, false), (3_000_000, false)] {
+        let full = Full::new();
+        let sent = Instant::now();
+        let _client = send(full.proxy.address, &upload("r-waits", "20", size, chunked));
+        let written = sent.elapsed();
+        thread::sleep(WAIT);
+        // The client's last byte went out after `sent`, and `written` later at the latest.
+        let waited = sent.elapsed().saturating_sub(written).as_secs_f64();
+        full.gate.open();
+        let told = || {
+            let seen = full.backend.seen();
+            let request = seen.iter().find(|m| m.id() == "r-waits")?;
+            request.header("x-timeout").map(|t| t.parse::<f64>().expect("a number"))
+        };
+        wait_for("the long request", || told().is_some());
+        let told = told().expect("just seen");
+        assert!(told <= 20.0 - waited + SLACK, "{size} {chunked}: {told} s told, {waited:.3} s waited");
+    }
+}
+
+#[test]
+fn an_upload_that_waited_is_answered_by_its_clients_time() {
+    // It has come whole while it waited; then its backend says nothing. Its client's time has run all the while.
+    let [first, silent] = [Gate::default(), Gate::default()];
+    let (opened, held) = (first.clone(), silent.clone());
+    let backend = Backend::with(move |message| match message.id() {
+        "r-long" | "r-short" => Deed::Hold(held.clone(), ok("")),
+        _ => Deed::Hold(opened.clone(), ok("")),
+    });
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup { deadline: 4000, ..Setup::default() });
+    let mut others: Vec<Client> = (0..12).map(|_| Client::new(&proxy)).collect();
+    for (n, client) in others.iter_mut().enumerate() {
+        client.send(&page(&format!("r-{n}")));
+    }
+    wait_for("the first", || !backend.seen().is_empty());
+    let long = send(proxy.address, &upload("r-long", "3", 150_000, false));
+    let mut short = send(proxy.address, submit("r-short", "4", "x").as_bytes());
+    thread::sleep(Duration::from_millis(2000));
+    first.open();
+    // The short one's time is over 1 s after the long one's; counted from when it went out, the long one's came last.
+    short.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    let mut answer = [0; 12];
+    short.read_exact(&mut answer).expect("an answer");
+    long.set_nonblocking(true).expect("a socket");
+    let before = long.peek(&mut answer);
+    silent.open();
+    assert!(matches!(before, Ok(1..)), "the long one is not answered before: {before:?}");
+}
