Read and write on until the system says that there is no more, in a crate of its own

Cause: Socket::poll_read and poll_write (crates/sandgap/src/socket.rs, forget_readiness) took a call that moved less than was asked for as news that the system's buffer is drained or full, and then waited for an edge of epoll that need not come. tokio's own streams do the same, so discovery's watches, the admin address, links between proxies and the hand-over had the fault too. Checked: `accept`, `connect` and waits need no such news (tokio clears theirs on EAGAIN alone).

Change: sandgap-socket, one stream for all five: only EAGAIN counts, EINTR is tried again.

--- a/crates/sandgap-fleet/src/link.rs
+++ b/crates/sandgap-fleet/src/link.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use sandgap_socket::SharedStream;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
@@ -30,6 +30,9 @@
 /// The channel of the first frame, which proves the key.
 const PROVE: u8 = 0;
 
+/// The socket under a link.
+type Link = SharedStream<TcpStream>;
+
 /// What has come from another proxy.
 #[derive(Debug)]
 pub struct Incoming {
@@ -244,7 +247,7 @@
         self: &Rc<Self>, name: &str, address: SocketAddr, peer: &Rc<Peer>,
     ) -> Result<(), LinkError> {
         let begin = async {
-            let mut stream = TcpStream::connect(address).await?;
+            let mut stream = Link::from(TcpStream::connect(address).await?);
             let _ = stream.set_nodelay(true);
             let own = self.hello()?;
             stream.write_all(&own.encode()).await?;
@@ -264,8 +267,9 @@
         Ok(())
     }
 
-    async fn accepted(self: &Rc<Self>, mut stream: TcpStream) -> Result<(), LinkError> {
+    async fn accepted(self: &Rc<Self>, stream: TcpStream) -> Result<(), LinkError> {
         let _ = stream.set_nodelay(true);
+        let mut stream = Link::from(stream);
         let waits = Held::new(&self.unproved);
         let begin = async {
             let own = self.hello()?;
@@ -300,20 +304,19 @@
     }
 
     /// Carries frames both ways until the link ends.
-    async fn run(&self, name: &str, peer: &Rc<Peer>, stream: TcpStream, sealer: Sealer, opener: Opener) {
+    async fn run(&self, name: &str, peer: &Rc<Peer>, stream: Link, sealer: Sealer, opener: Opener) {
         let _link = Held::new(&self.links);
         let _up = Held::new(&peer.links);
-        let (read, write) = stream.into_split();
         let heard = Cell::new(Instant::now());
         tokio::select! {
-            _ = self.reads(name, read, opener, &heard) => {}
-            _ = self.writes(peer, write, sealer, &heard) => {}
+            _ = self.reads(name, stream.clone(), opener, &heard) => {}
+            _ = self.writes(peer, stream, sealer, &heard) => {}
         }
         peer.more.notify_one(); // another link may take what is left
     }
 
     async fn reads(
-        &self, name: &str, mut read: OwnedReadHalf, mut opener: Opener, heard: &Cell<Instant>,
+        &self, name: &str, mut read: Link, mut opener: Opener, heard: &Cell<Instant>,
     ) -> Result<(), LinkError> {
         let mut buffer = vec![0; READ];
         loop {
@@ -338,7 +341,7 @@
     /// Writes what waits. The link ends where nothing was sent for long, or where much was sent and nothing heard: what
     /// is said between proxies is answered.
     async fn writes(
-        &self, peer: &Peer, mut write: OwnedWriteHalf, mut sealer: Sealer, heard: &Cell<Instant>,
+        &self, peer: &Peer, mut write: Link, mut sealer: Sealer, heard: &Cell<Instant>,
     ) -> Result<(), LinkError> {
         let mut out = Vec::new();
         let mut first_unanswered: Option<Instant> = None;
@@ -381,7 +384,7 @@
 }
 
 /// Reads the other side's hello, and what came along with it.
-async fn hear_hello(stream: &mut TcpStream) -> Result<(Hello, Vec<u8>), LinkError> {
+async fn hear_hello(stream: &mut Link) -> Result<(Hello, Vec<u8>), LinkError> {
     let mut bytes = Vec::new();
     loop {
         if let Some((hello, used)) = Hello::decode(&bytes)? {
@@ -394,7 +397,7 @@
 }
 
 /// Sends the first frame and waits for the other side's.
-async fn prove(stream: &mut TcpStream, sealer: &mut Sealer, opener: &mut Opener) -> Result<(), LinkError> {
+async fn prove(stream: &mut Link, sealer: &mut Sealer, opener: &mut Opener) -> Result<(), LinkError> {
     let mut out = Vec::new();
     sealer.seal(PROVE, &[], &mut out)?;
     stream.write_all(&out).await?;
--- a/crates/sandgap-rig/shim/system_faults.c
+++ b/crates/sandgap-rig/shim/system_faults.c
@@ -69,6 +69,14 @@
 #define FAILS(per_mille, ...) \
     fails(per_mille, (const int[]){__VA_ARGS__}, sizeof((const int[]){__VA_ARGS__}) / sizeof(int))
 
+/* Of the sockets only TCP's are hit. A call that does not block is never interrupted (signal(7)), and in the pipe by which
+ * a runtime hears of signals an interrupted write would lose the signal: a fault that Linux does not have. */
+static int is_tcp(int fd) {
+    int domain = 0;
+    socklen_t size = sizeof domain;
+    return getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 && domain != AF_UNIX;
+}
+
 static size_t cut(size_t length) {
     size_t most = 1 + draw() % LONGEST_CUT;
     return length < most ? length : most;
@@ -78,7 +86,7 @@
     static __typeof__(&recv) real;
     if (real == NULL)
         real = REAL(recv);
-    if (!(flags & MSG_PEEK)) {
+    if (!(flags & MSG_PEEK) && is_tcp(fd)) {
         if (FAILS(&eintr, EINTR))
             return -1;
         if (happens(&short_read))
@@ -91,10 +99,12 @@
     static __typeof__(&send) real;
     if (real == NULL)
         real = REAL(send);
-    if (FAILS(&eintr, EINTR))
-        return -1;
-    if (happens(&short_write))
-        length = cut(length);
+    if (is_tcp(fd)) {
+        if (FAILS(&eintr, EINTR))
+            return -1;
+        if (happens(&short_write))
+            length = cut(length);
+    }
     return real(fd, buffer, length, flags);
 }
 
@@ -102,9 +112,7 @@
     static __typeof__(&writev) real;
     if (real == NULL)
         real = REAL(writev);
-    int type = 0;
-    socklen_t size = sizeof type;
-    if (count > 0 && getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &size) == 0) {
+    if (count > 0 && is_tcp(fd)) {
         if (FAILS(&eintr, EINTR))
             return -1;
         if (happens(&short_write) && parts[0].iov_len > 0) {
--- a/crates/sandgap/src/admin.rs
+++ b/crates/sandgap/src/admin.rs
@@ -2,10 +2,12 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
+use sandgap_socket::SharedStream;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{AbortHandle, spawn_local};
@@ -66,7 +68,7 @@
     }
 }
 
-async fn hear(stream: &mut TcpStream) -> io::Result<Result<String, &'static str>> {
+async fn hear(stream: &mut SharedStream<TcpStream>) -> io::Result<Result<String, &'static str>> {
     let mut bytes = [0; LINE];
     let mut have = 0;
     loop {
@@ -78,12 +80,13 @@
     }
 }
 
-async fn serve_one(mut stream: TcpStream, heard: impl FnOnce(), serving: Rc<Serving>) -> io::Result<()> {
+async fn serve_one(stream: TcpStream, heard: impl FnOnce(), serving: Rc<Serving>) -> io::Result<()> {
+    let mut stream = SharedStream::from(stream);
     let call = timeout(PATIENCE, hear(&mut stream)).await.unwrap_or(Ok(Err("no whole line in time")))?;
     heard();
     let text = answer(call.as_deref().map_err(|e| *e), &serving) + "\n";
     stream.write_all(text.as_bytes()).await?;
-    stream.shutdown().await?;
+    SockRef::from(&*stream).shutdown(Shutdown::Write)?;
     let mut rest = [0; LINE];
     let _ = timeout(LINGER, async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} }).await;
     Ok(())
--- a/crates/sandgap/src/discovery/lines.rs
+++ b/crates/sandgap/src/discovery/lines.rs
@@ -7,6 +7,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use sandgap_socket::SharedStream;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -78,7 +79,8 @@
 }
 
 async fn get_on(stream: TcpStream, address: SocketAddr, query: &str) -> Result<Lines, String> {
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(SharedStream::from(stream))).await.map_err(|e| e.to_string())?;
     let mut task = JoinSet::new();
     task.spawn_local(async move {
         let _ = connection.await; // its end shows in the body
--- a/crates/sandgap/src/handover.rs
+++ b/crates/sandgap/src/handover.rs
@@ -20,8 +20,8 @@
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
 };
+use sandgap_socket::SharedStream;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
-use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -50,6 +50,9 @@
     directory.join(format!("sandgap-{}-{}.sock", listen.ip(), listen.port()))
 }
 
+/// The connection between two processes.
+type HandoverStream = SharedStream<UnixStream>;
+
 /// What a new process has got from the one before.
 pub struct Taken {
     /// The listening socket, shared with the old process.
@@ -57,7 +60,7 @@
     /// The socket of datagrams, if there is one.
     pub datagrams: Option<StdUdp>,
     /// Frames go both ways on it until one of the two processes ends.
-    pub stream: UnixStream,
+    pub stream: HandoverStream,
 }
 
 /// Asks the process that serves `listen`, if there is one, for its sockets.
@@ -82,7 +85,7 @@
 }
 
 async fn ask(path: &Path) -> io::Result<Taken> {
-    let mut stream = UnixStream::connect(path).await?;
+    let mut stream = HandoverStream::from(UnixStream::connect(path).await?);
     stream.write_all(HELLO).await?;
     let descriptors = stream.async_io(Interest::READABLE, || receive(&stream)).await?;
     let mut all = descriptors.into_iter();
@@ -135,7 +138,7 @@
 
 impl Upgrade {
     /// Takes the place of the process before, if `taken` is the way to one, and waits to be replaced itself.
-    pub async fn run(self, taken: Option<UnixStream>) {
+    pub async fn run(self, taken: Option<HandoverStream>) {
         match taken {
             Some(stream) => drop(tokio::join!(self.replace(stream), self.wait())),
             None => self.wait().await,
@@ -143,15 +146,15 @@
     }
 
     /// Tells the older process once this one serves, and follows it to its end.
-    async fn replace(&self, stream: UnixStream) {
+    async fn replace(&self, mut stream: HandoverStream) {
         self.front.set_budget(self.budget / 2);
-        let (read, mut write) = stream.into_split();
+        let read = stream.clone();
         let relay = self.peers.as_ref().map(|p| p.relay());
         let tells = async {
             self.serving.ready().await;
             self.reads(true);
-            write.write_all(&[SERVES]).await?;
-            datagrams(&mut write, relay).await
+            stream.write_all(&[SERVES]).await?;
+            datagrams(&mut stream, relay).await
         };
         self.follow(read, tells, || {}).await;
         note!("upgrade: the process before has ended");
@@ -172,7 +175,7 @@
             while !self.serving.is_handed_over() {
                 match published.listener.accept().await {
                     Ok((stream, _)) => {
-                        if let Err(e) = self.give_way(stream).await {
+                        if let Err(e) = self.give_way(stream.into()).await {
                             note!(warn: "upgrade: {e}");
                         }
                     }
@@ -184,7 +187,7 @@
     }
 
     /// Hands the sockets to a newer process and follows it for as long as it runs.
-    async fn give_way(&self, mut stream: UnixStream) -> io::Result<()> {
+    async fn give_way(&self, mut stream: HandoverStream) -> io::Result<()> {
         let mut hello = [0; HELLO.len()];
         timeout(PATIENCE, stream.read_exact(&mut hello)).await??;
         if hello != *HELLO || !self.serving.is_ready() {
@@ -195,14 +198,14 @@
         stream.async_io(Interest::WRITABLE, || give(&stream, &descriptors)).await?;
         note!("upgrade: a newer process has come");
         self.front.set_budget(self.budget / 2);
-        let (read, mut write) = stream.into_split();
+        let read = stream.clone();
         let relay = self.peers.as_ref().map(|p| p.relay());
         let serves = || {
             note!("upgrade: the newer process serves");
             self.reads(false);
             self.serving.hand_over(true);
         };
-        self.follow(read, datagrams(&mut write, relay), serves).await;
+        self.follow(read, datagrams(&mut stream, relay), serves).await;
         note!(warn: "upgrade: the newer process has gone; this one goes on");
         self.alone();
         Ok(())
@@ -210,7 +213,7 @@
 
     /// Exchanges frames with the other process until it ends.
     async fn follow(
-        &self, read: OwnedReadHalf, tells: impl Future<Output = io::Result<()>>, serves: impl Fn(),
+        &self, read: HandoverStream, tells: impl Future<Output = io::Result<()>>, serves: impl Fn(),
     ) {
         let tells = async {
             if tells.await.is_err() {
@@ -239,7 +242,7 @@
     }
 }
 
-async fn datagrams(write: &mut OwnedWriteHalf, relay: Option<mpsc::Receiver<Datagram>>) -> io::Result<()> {
+async fn datagrams(write: &mut HandoverStream, relay: Option<mpsc::Receiver<Datagram>>) -> io::Result<()> {
     let Some(mut relay) = relay else { return std::future::pending().await };
     let mut frame = Vec::with_capacity(7 + MAX_MESSAGE_BYTES);
     while let Some((from, bytes)) = relay.recv().await {
@@ -254,7 +257,7 @@
 }
 
 /// Reads frames until the other process ends or says what can't be right.
-async fn frames(mut read: OwnedReadHalf, inbox: &Inbox, serves: impl Fn()) {
+async fn frames(mut read: HandoverStream, inbox: &Inbox, serves: impl Fn()) {
     loop {
         match read.read_u8().await {
             Ok(SERVES) => serves(),
--- a/crates/sandgap/src/socket.rs
+++ b/crates/sandgap/src/socket.rs
@@ -5,66 +5,33 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
+use sandgap_socket::SharedStream;
 use socket2::SockRef;
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A socket; clones are the same one.
-///
-/// Reads and writes share it, so they can't go through [`TcpStream`]'s own `poll_read` and `poll_write`, but do what
-/// these do: they neither clear the buffer first nor ask the system again after a call that did not fill it.
+/// A socket; clones are the same one. Reads and writes go on until the system says that there is no more, see
+/// [`sandgap_socket`].
 #[derive(Clone)]
-pub struct Socket(Rc<TcpStream>);
+pub struct Socket(SharedStream<TcpStream>);
 
 impl Socket {
     /// Takes over a connection; small writes go out at once.
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true); // slower without, no worse
-        Socket(Rc::new(stream))
+        Socket(stream.into())
     }
 
     /// Reads what there is.
     pub fn poll_read(&self, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            let room = buf.remaining();
-            match self.0.try_read_buf(buf) {
-                Ok(n) => {
-                    if 0 < n && n < room {
-                        self.forget_readiness(Interest::READABLE);
-                    }
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        self.0.poll_read_some(cx, buf)
     }
 
     /// Writes what there is room for.
     pub fn poll_write(&self, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write(bytes) {
-                Ok(n) => {
-                    if 0 < n && n < bytes.len() {
-                        self.forget_readiness(Interest::WRITABLE);
-                    }
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
-    }
-
-    /// A call that moved less than was asked for has drained or filled the system's buffer: the next one waits to be
-    /// told of more. Nothing can be told in between, as the runtime looks for news on this thread.
-    fn forget_readiness(&self, interest: Interest) {
-        let _: io::Result<()> = self.0.try_io(interest, || Err(io::ErrorKind::WouldBlock.into()));
+        self.0.poll_write_some(cx, bytes)
     }
 
     /// Waits until the other side has ended its sending or the connection, also where that stands behind bytes which
@@ -100,9 +67,12 @@
     /// runtime may not have seen it yet, so the system is asked.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0).peek(&mut byte) {
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
+        loop {
+            match SockRef::from(&*self.0).peek(&mut byte) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
+                Ok(_) => return false,
+            }
         }
     }
 
