Show a backend that stops reading a long request holding up its answer for good

A backend that takes connections and reads nothing: of 20 MB the system takes a part, then the attempt waits without end. The client, whose time is 1.5 s, had no answer after 30 s. Lines: attempt.rs, `sleep_until(until), if !uploads`, and core.rs, on_deadline, which returns while a request goes out.

--- a/crates/sandgap/tests/upload_deadlines.rs
+++ b/crates/sandgap/tests/upload_deadlines.rs
@@ -2,7 +2,8 @@
 mod sockets;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -83,3 +84,44 @@
     silent.open();
     assert!(matches!(before, Ok(1..)), "the long one is not answered before: {before:?}");
 }
+/// A backend that takes connections and reads nothing of what comes on them, until the receiver's sender is dropped.
+fn deaf_backend() -> (SocketAddr, mpsc::Sender<()>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a small buffer");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("a port");
+    socket.listen(16).expect("a queue");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("an address");
+    let (hold, held) = mpsc::channel::<()>();
+    thread::spawn(move || {
+        listener.set_nonblocking(true).expect("a socket");
+        let mut connections = Vec::new();
+        while let Err(mpsc::TryRecvError::Empty) = held.try_recv() {
+            connections.extend(listener.accept());
+            thread::sleep(Duration::from_millis(5));
+        }
+    });
+    (address, hold)
+}
+
+#[test]
+fn a_backend_that_takes_nothing_of_a_long_request_holds_up_no_answer() {
+    let (deaf, _hold) = deaf_backend();
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[host("s-0", deaf, "up", 0)]));
+    let proxy = Proxy::up(&discovery, &Setup { deadline: 1500, ..Setup::default() });
+    let mut stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+    let mut writer = stream.try_clone().expect("a socket");
+    let writing = thread::spawn(move || {
+        let _ = writer.write_all(&upload("r-deaf", "1.5", 20_000_000, false)); // it may be answered before its end
+    });
+    // What the system buffers is far less than that: the backend stops in the middle.
+    stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("an answer, though the backend never takes the request");
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 5"), "{answer}");
+    drop(stream);
+    let _ = writing.join();
+}
