Count a long request's deadline from its last byte, and give up backends that take none

Cause, three places that held three deadlines: Outgoing::request told the whole patience anew with each attempt; attempt.rs set `until` anew when the request had gone out; Core::end_upload began the client's time there, too, and after each failed attempt. So what had stood read ahead told its backend up to its wait too much, and was answered that much late (lost, over half a second). While a request went out nothing bounded it at all: a backend that stopped reading in its middle held the answer for good, though the client's time was over.

Change: Upload notes when its last byte came (for want of room to read ahead: since when it may stand unread), the front tells the core (Input::Received), and module, last resort, attempt and X-Timeout all count from there.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -20,6 +20,9 @@
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
+/// Deadline of a long request whose client has not sent its last byte yet: none, in effect. Whoever carries the request
+/// looks after a client or a backend that stops in the middle.
+const OPEN_ENDED: Duration = Duration::from_secs(1 << 32);
 /// Zones and kinds that are told apart: a bound, whatever discovery comes up with over the years.
 const NAMES: usize = 250;
 
@@ -93,7 +96,8 @@
     pub hint: Option<Millis>,
     /// When the client gives up.
     pub deadline: Time,
-    /// Of one that goes out as it comes in: how long the client waits once it has gone out.
+    /// Of one that may go out while it still comes in: how long the client waits from its last byte, see
+    /// [`Core::received`].
     pub upload: Option<Time>,
     /// What is kept with it.
     pub held: H,
@@ -130,7 +134,9 @@
     answer_by: Rc<Cell<Time>>,
     /// See [`Arrival::upload`].
     upload: Option<Time>,
-    /// It goes out as it comes in, and no deadline counts.
+    /// When the last byte of a long one came from its client, if it has.
+    received: Option<Time>,
+    /// A long one is on its way to a backend.
     uploading: bool,
     attempts: u32,
     out: u32,
@@ -268,7 +274,7 @@
         let budget = ms(last.saturating_sub(now));
         let wanted = Rc::new(Cell::new(true));
         let answer_by = Rc::new(Cell::new(last));
-        let (uploading, attempts, out) = (false, 0, 0);
+        let (received, uploading, attempts, out) = (None, false, 0, 0);
         let live = PendingRequest {
             open: true,
             wanted,
@@ -276,6 +282,7 @@
             deadline,
             answer_by,
             upload,
+            received,
             uploading,
             attempts,
             out,
@@ -291,7 +298,7 @@
         self.end = Some(end);
         let last = end.saturating_sub(LAST_RESORT);
         // Those with an answer that has begun keep an attempt, and a short one of these has to end in time, too.
-        for (id, live) in self.pending.iter_mut().filter(|(_, l)| l.uploading || l.deadline > end) {
+        for (id, live) in self.pending.iter_mut().filter(|(_, l)| l.deadline > end) {
             live.set_deadline(live.deadline.min(end));
             if live.open {
                 self.due.push(Reverse((last, Due::LastResort(*id))));
@@ -311,7 +318,26 @@
         }
     }
 
-    /// A request has gone out whole: from now on its client waits.
+    /// The last byte of a long request came from its client at `at`: its client's time runs from there, wherever the
+    /// request stands.
+    pub fn received(&mut self, id: RequestId, at: Time) {
+        let Some(live) = self.pending.get_mut(&id) else { return };
+        live.received = Some(at);
+        if live.open && live.uploading {
+            self.renew_deadline(at, id);
+        }
+    }
+
+    /// Sets a long request's deadline by what is known of its last byte, and returns when the last resort answers.
+    fn renew_deadline(&mut self, now: Time, id: RequestId) -> Option<Time> {
+        let live = self.pending.get(&id)?;
+        let deadline = self.within_end(live.received.unwrap_or(now) + live.upload?);
+        let last = self.pending.get_mut(&id)?.set_deadline(deadline);
+        self.due.push(Reverse((last, Due::LastResort(id))));
+        Some(last)
+    }
+
+    /// A request has gone out whole.
     pub fn uploaded(&mut self, now: Time, id: RequestId) {
         if self.pending.get(&id).is_some_and(|l| l.uploading) {
             self.end_upload(now, id, false);
@@ -320,12 +346,10 @@
 
     /// No more of a request goes out; `spent` where it can't go out again.
     fn end_upload(&mut self, now: Time, id: RequestId, spent: bool) {
-        let Some(patience) = self.pending.get(&id).and_then(|l| l.upload) else { return };
-        let deadline = self.within_end(now + patience);
-        let Some(live) = self.pending.get_mut(&id) else { return };
-        live.uploading = false;
-        let last = live.set_deadline(deadline);
-        self.due.push(Reverse((last, Due::LastResort(id))));
+        let Some(last) = self.renew_deadline(now, id) else { return };
+        if let Some(live) = self.pending.get_mut(&id) {
+            live.uploading = false;
+        }
         let budget = if spent { 0.0 } else { ms(last.saturating_sub(now)) };
         self.handle(now, Event::Uploaded { request: id, budget });
     }
@@ -398,8 +422,8 @@
     fn on_deadline(&mut self, now: Time, id: RequestId) {
         let Some(live) = self.pending.get(&id) else { return };
         let ends = self.end.is_some_and(|end| end <= now + LAST_RESORT);
-        if !ends && (live.uploading || live.deadline > now + LAST_RESORT) {
-            return; // another is set once it has gone out
+        if !ends && live.deadline > now + LAST_RESORT {
+            return; // it has moved since, and another is set
         }
         let answer = if live.attempts == 0 { Answer::Refused(None) } else { Answer::Failed };
         if self.close(id, |effects, held| effects.answer(held, id, answer)) {
@@ -511,6 +535,21 @@
         }
     }
 
+    /// A long request begins to go out. Its client's time runs only from its last byte: until that has come, no deadline
+    /// counts but the end of this process.
+    fn begin_upload(&mut self, request: RequestId) {
+        let open_ended = self.within_end(OPEN_ENDED);
+        let Some(live) = self.pending.get_mut(&request) else { return };
+        if live.received.is_some() {
+            self.renew_deadline(self.now, request);
+            return;
+        }
+        let last = live.set_deadline(open_ended);
+        if self.end.is_some() {
+            self.due.push(Reverse((last, Due::LastResort(request))));
+        }
+    }
+
     fn send(
         &mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>, before: Option<Millis>,
     ) {
@@ -524,15 +563,18 @@
             self.unsent.push(request);
             return self.moot.push_back((request, number));
         }
-        let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.open && e.is_open()) else {
+        let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.open && e.is_open()).cloned()
+        else {
             return self.moot.push_back((request, number));
         };
-        let until = timeout.map_or(live.deadline, |t| live.deadline.min(self.now + time(t)));
         if live.upload.is_some() {
             live.uploading = true;
             self.begun.push(request);
+            self.begin_upload(request);
         }
-        let (endpoint, wanted, answer_by) = (endpoint.clone(), live.wanted.clone(), live.answer_by.clone());
+        let Some(live) = self.pending.get(&request) else { return };
+        let until = timeout.map_or(live.deadline, |t| live.deadline.min(self.now + time(t)));
+        let (wanted, answer_by) = (live.wanted.clone(), live.answer_by.clone());
         let before = before.map(time);
         let attempt = Attempt { request, number, endpoint, wanted, until, answer_by, before };
         self.effects.attempt(&live.held, attempt);
--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -297,3 +297,41 @@
     ask(&mut core, 1, vec![send]);
     assert_eq!(core.effects.attempts[0].before, Some(at(700)));
 }
+
+#[test]
+fn a_long_requests_time_runs_from_its_last_byte_wherever_it_stands() {
+    for repeated in [false, true] {
+        let mut core = core();
+        core.request(at(0), Arrival { upload: Some(at(900)), ..arrival(1, at(900)) });
+        core.received(RequestId(1), at(100)); // it has come whole while it waits
+        core.decider.says.push_back(vec![send(1, "a")]);
+        core.list(at(500), Scope::Delta, Vec::new());
+        let attempt = core.effects.attempts.last().expect("sent");
+        assert_eq!((attempt.until, attempt.answer_by.get()), (at(1000), at(996)));
+        if repeated {
+            core.decider.says.push_back(vec![send(1, "b")]);
+            core.ended(at(600), RequestId(1), 0, 100.0, Outcome::ConnectFailed, None);
+            let attempt = core.effects.attempts.last().expect("sent again");
+            assert_eq!((attempt.until, attempt.answer_by.get()), (at(1000), at(996)));
+        }
+        core.uploaded(at(700), RequestId(1));
+        core.fire(at(995));
+        assert!(core.effects.answers.is_empty());
+        core.fire(at(996));
+        assert_eq!(core.effects.answers, [(RequestId(1), "Failed".to_owned())]);
+    }
+}
+
+#[test]
+fn no_deadline_counts_while_a_long_request_still_comes_in() {
+    let mut core = core();
+    core.decider.says.push_back(vec![send(1, "a")]);
+    core.request(at(0), Arrival { upload: Some(at(900)), ..arrival(1, at(900)) });
+    core.fire(at(5000));
+    assert!(core.effects.answers.is_empty());
+    core.received(RequestId(1), at(5000));
+    core.fire(at(5895));
+    assert!(core.effects.answers.is_empty());
+    core.fire(at(5896));
+    assert_eq!(core.effects.answers, [(RequestId(1), "Failed".to_owned())]);
+}
--- a/crates/sandgap/src/body/upload.rs
+++ b/crates/sandgap/src/body/upload.rs
@@ -25,6 +25,9 @@
 
 /// Bytes that are read ahead into one piece of memory.
 const PIECE: usize = 64 << 10;
+/// What the systems of both sides hold of a connection at most, by their usual settings (tcp(7), tcp_wmem and tcp_rmem): with
+/// more than that still to come, a client can't have written its last byte.
+const MOST_UNREAD: u64 = 10 << 20;
 /// Largest part of a body that comes at once: what the parser's buffer holds.
 const LARGEST_PART: usize = 16 << 10;
 
@@ -108,6 +111,12 @@
     drawn: Cell<bool>,
     /// Its end has been read.
     read: Cell<bool>,
+    /// When its last byte came from the client, at the latest.
+    received: Cell<Option<Instant>>,
+    /// Since when its last byte may stand unread for want of room.
+    unread_since: Cell<Option<Instant>>,
+    /// Told once when its last byte has come.
+    on_received: RefCell<Option<Box<dyn FnOnce(Instant)>>>,
     spent: Cell<bool>,
     ended: Cell<bool>,
     trouble: Cell<Option<Trouble>>,
@@ -126,6 +135,9 @@
             length,
             drawn: Cell::new(false),
             read: Cell::new(false),
+            received: Cell::default(),
+            unread_since: Cell::default(),
+            on_received: RefCell::default(),
             spent: Cell::new(false),
             ended: Cell::new(false),
             trouble: Cell::default(),
@@ -147,6 +159,37 @@
         self.read.get() || self.length.is_some_and(|length| self.pace.get().passed() >= length)
     }
 
+    /// When its last byte came from the client, if it has.
+    pub fn received_at(&self) -> Option<Instant> {
+        self.received.get()
+    }
+
+    /// Its last byte came at `at`.
+    pub fn set_received(&self, at: Instant) {
+        if self.received.get().is_none() {
+            self.received.set(Some(at));
+            if let Some(tell) = self.on_received.take() {
+                tell(at);
+            }
+        }
+    }
+
+    /// Has `tell` told when its last byte has come, at once if it has.
+    pub fn on_received(&self, tell: impl FnOnce(Instant) + 'static) {
+        match self.received.get() {
+            Some(at) => tell(at),
+            None => drop(self.on_received.replace(Some(Box::new(tell)))),
+        }
+    }
+
+    /// The rest is not read for want of room: the last byte may have come from now on.
+    fn pause(&self) {
+        let left = self.length.map_or(0, |length| length.saturating_sub(self.pace.get().passed()));
+        if left <= MOST_UNREAD && self.unread_since.get().is_none() {
+            self.unread_since.set(Some(Instant::now()));
+        }
+    }
+
     /// Its whole length, where that is told.
     pub fn length(&self) -> Option<u64> {
         self.length
@@ -166,9 +209,13 @@
     /// The next part from the connection; `None` at the end.
     fn poll_part(&self, cx: &mut Context) -> Poll<Result<Option<Bytes>, Trouble>> {
         loop {
-            let frame = ready!(Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx));
+            let Poll::Ready(frame) = Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx) else {
+                self.unread_since.set(None); // all that has come is read
+                return Poll::Pending;
+            };
             let Some(frame) = frame else {
                 self.read.set(true);
+                self.set_received(self.unread_since.get().unwrap_or_else(Instant::now));
                 return Poll::Ready(Ok(None));
             };
             let Ok(frame) = frame else { return Poll::Ready(Err(Trouble::Malformed)) };
@@ -176,6 +223,9 @@
             let mut pace = self.pace.get();
             pace.moved(Instant::now(), data.len());
             self.pace.set(pace);
+            if self.is_read() {
+                self.set_received(self.unread_since.get().unwrap_or_else(Instant::now));
+            }
             let fits = pace.passed() <= LONGEST;
             return Poll::Ready(if fits { Ok(Some(data)) } else { Err(Trouble::TooLong) });
         }
@@ -187,7 +237,7 @@
         let mut ahead = self.ahead.borrow_mut();
         while !self.is_read() && !self.drawn.get() && self.trouble.get().is_none() {
             if ahead.poll_room(cx).is_pending() {
-                return;
+                return self.pause();
             }
             match self.poll_part(cx) {
                 Poll::Ready(Ok(Some(data))) => ahead.push(&data),
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -212,6 +212,7 @@
                 let arrival = core::Arrival { id, class, tenant, key, hint, deadline, upload, held };
                 self.core.request(now, arrival);
             }
+            Input::Received(id, at) => self.core.received(id, at.saturating_duration_since(self.start)),
             Input::Uploaded(id) => self.core.uploaded(now, id),
             Input::End(at) => self.core.end_by(at.saturating_duration_since(self.start)),
             Input::Started { request, attempt, reply } => self.core.started(now, request, attempt, reply),
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -21,6 +21,8 @@
     Gone(RequestId),
     /// This process ends: all that it has taken has its answer by then.
     End(Instant),
+    /// The last byte of a long request came from its client.
+    Received(RequestId, Instant),
     /// A long request has gone out whole.
     Uploaded(RequestId),
     /// A long answer has begun.
@@ -100,7 +102,7 @@
     pub hint: Option<Millis>,
     /// When the client gives up.
     pub deadline: Instant,
-    /// Of one that goes out as it comes in: how long the client waits once it has gone out.
+    /// Of one that may go out while it still comes in: how long the client waits from its last byte.
     pub upload: Option<Duration>,
     /// What goes to backends.
     pub exchange: Rc<dyn Exchange>,
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -62,6 +62,9 @@
             Payload::Long(upload) => Some(upload.clone()),
             Payload::Short(_) => None,
         };
+        if let Some(upload) = upload.as_ref().filter(|u| u.is_read()) {
+            upload.set_received(came);
+        }
         if upload.is_some() && self.uploading.get() >= self.uploads {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "too many long requests");
         }
@@ -95,6 +98,10 @@
             lease,
             answer,
         })));
+        if let Some(upload) = &upload {
+            let inbox = self.inbox.clone();
+            upload.on_received(move |at| inbox.put(Input::Received(id, at)));
+        }
         // Hyper drops this future when the client leaves.
         let mut leaves = Leaves { inbox: &self.inbox, id, waits: true };
         let awaited = Awaited::new(client, upload.as_ref());
--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -25,7 +25,8 @@
         let Attempt { endpoint, wanted, lease, mut until, answer_by, before, mut report } = attempt;
         let mut uploads = match &message.body {
             Payload::Long(upload) if upload.is_spent() => return report.tell(Outcome::NotSent, None),
-            body => matches!(body, Payload::Long(_)),
+            Payload::Long(upload) => Some(upload),
+            Payload::Short(_) => None,
         };
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
         let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
@@ -51,21 +52,21 @@
                 () = write_progress.stalled() => Err("the answer has no end".into()),
             }
         };
-        // A long request may take its time; the backend's begins with its last byte.
+        // A long request may take its time; the backend's begins with its last byte, the client's has by then.
         let answer = {
             tokio::pin!(answer);
             loop {
                 tokio::select! {
                     biased;
                     answer = &mut answer => break Some(answer),
-                    () = write_progress.finished(), if uploads => {
-                        uploads = false;
+                    () = write_progress.finished(), if uploads.is_some() => {
                         report.uploaded();
-                        until = Instant::now() + message.patience;
+                        until = uploads.take().map_or(until, |upload| message.patience_ends(upload));
                     }
-                    () = sleep_until(until), if !uploads => break None,
+                    () = sleep_until(until), if uploads.is_none() => break None,
+                    () = write_progress.held_up(&answer_by, message.patience), if uploads.is_some() => break None,
                     // Its last byte would come when its repeat is no longer dropped.
-                    () = sleep_until(before.unwrap_or(until)), if uploads && before.is_some() => break None,
+                    () = sleep_until(before.unwrap_or(until)), if uploads.is_some() && before.is_some() => break None,
                 }
             }
         };
--- a/crates/sandgap/src/upstream/mod.rs
+++ b/crates/sandgap/src/upstream/mod.rs
@@ -99,11 +99,16 @@
 }
 
 impl Outgoing {
+    /// When the client of a long request gives up, if its last byte came now at the latest.
+    pub(super) fn patience_ends(&self, upload: &Upload) -> Instant {
+        upload.received_at().unwrap_or_else(Instant::now) + self.patience
+    }
+
     /// The request for one attempt; `X-Timeout` tells how long this proxy will wait.
     fn request(&self, until: Instant) -> Option<Request<Sending>> {
         let (body, until) = match &self.body {
             Payload::Short(bytes) => (Sending::Whole(Some(bytes.clone()).filter(|b| !b.is_empty())), until),
-            Payload::Long(upload) => (Sending::long(upload), Instant::now() + self.patience),
+            Payload::Long(upload) => (Sending::long(upload), self.patience_ends(upload).min(until)),
         };
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
--- a/crates/sandgap/src/upstream/progress.rs
+++ b/crates/sandgap/src/upstream/progress.rs
@@ -10,16 +10,18 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{Notify, OwnedSemaphorePermit};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::Payload;
 use crate::body::Upload;
-use crate::event::{Endpoint, Lease};
+use crate::event::{AnswerBy, Endpoint, Lease};
 use crate::socket::Socket;
 
 /// Once an answer has begun, a part of it must come at least every so often. An answer that is told longer than it
 /// is would else keep its request until the client gives up.
 const STALL: Duration = Duration::from_millis(500);
+/// Span between looks for a long request that is held up: its deadline moves when its last byte has come.
+const LOOK_HELD_UP: Duration = Duration::from_millis(50);
 
 /// Follows the bytes of a request onto the socket, and holds the first one back where it may not go.
 #[derive(Default)]
@@ -35,6 +37,8 @@
     /// A body whose length is not told ends with its last chunk.
     chunked: RefCell<Option<Rc<Upload>>>,
     tail: Cell<[u8; LAST_CHUNK.len()]>,
+    /// Since when the backend has taken nothing of what is to be written.
+    blocked: Cell<Option<Instant>>,
     /// Told when a request's last byte is written.
     finished: Notify,
     /// When the last part of an answer came that has not come to its end.
@@ -71,6 +75,7 @@
         self.left.set(left);
         self.chunked.replace(chunked.cloned());
         self.tail.take();
+        self.blocked.set(None);
         self.partial.set(None);
         self.in_body.set(false);
     }
@@ -96,6 +101,14 @@
         }
     }
 
+    /// Waits until a long request's client has waited for long enough, or its backend has taken nothing for `most`.
+    pub(super) async fn held_up(&self, answer_by: &AnswerBy, most: Duration) {
+        let is_deaf = || self.blocked.get().is_some_and(|since| since.elapsed() >= most);
+        while Instant::now() < answer_by.instant() && !is_deaf() {
+            sleep(LOOK_HELD_UP).await;
+        }
+    }
+
     /// Waits until an answer has begun and not come to its end for too long.
     pub(super) async fn stalled(&self) {
         loop {
@@ -171,7 +184,13 @@
         if !self.write_progress.may_write() {
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
-        let n = std::task::ready!(self.stream.poll_write(cx, bytes))?;
+        let Poll::Ready(wrote) = self.stream.poll_write(cx, bytes) else {
+            let blocked = &self.write_progress.blocked;
+            blocked.set(blocked.get().or_else(|| Some(Instant::now())));
+            return Poll::Pending;
+        };
+        let n = wrote?;
+        self.write_progress.blocked.set(None);
         self.write_progress.wrote(&bytes[..n]);
         Poll::Ready(Ok(n))
     }
--- a/crates/sandgap/src/upstream/response.rs
+++ b/crates/sandgap/src/upstream/response.rs
@@ -24,6 +24,8 @@
 /// part of the time left, so that one that stops short can be made good elsewhere, and the first bytes of one that turns
 /// out long are still in time.
 const GATHER_PART: u32 = 2;
+/// And for no longer than this, where its request still comes in and no deadline counts yet.
+const LONGEST_GATHER: Duration = Duration::from_secs(10);
 
 /// Whether an answer says, once and plainly, that its request was not processed.
 fn is_unseen(headers: &HeaderMap) -> bool {
@@ -107,7 +109,10 @@
         }
         Some(length) if length > body::LONGEST_ANSWER => return Err("the answer is too long".into()),
         Some(_) => GATHER_LONG,
-        None => answer_by.instant().saturating_duration_since(Instant::now()) / GATHER_PART,
+        None => {
+            let left = answer_by.instant().saturating_duration_since(Instant::now());
+            (left / GATHER_PART).min(LONGEST_GATHER)
+        }
     };
     let mut have: Vec<Bytes> = Vec::new();
     let mut size = 0;
