--- a/crates/sandgap/src/body/upload.rs
+++ b/crates/sandgap/src/body/upload.rs
@@ -100,6 +100,9 @@
     }
 }
 
+/// Told when a request's last byte came.
+type OnReceived = Box<dyn FnOnce(Instant)>;
+
 /// A long request's body: its first part, kept until more has gone out, and the rest as it comes.
 pub struct Upload {
     first: RefCell<Bytes>,
@@ -116,7 +119,7 @@
     /// Since when its last byte may stand unread for want of room.
     unread_since: Cell<Option<Instant>>,
     /// Told once when its last byte has come.
-    on_received: RefCell<Option<Box<dyn FnOnce(Instant)>>>,
+    on_received: RefCell<Option<OnReceived>>,
     spent: Cell<bool>,
     ended: Cell<bool>,
     trouble: Cell<Option<Trouble>>,
--- a/crates/sandgap/tests/system_faults.rs
+++ b/crates/sandgap/tests/system_faults.rs
@@ -33,3 +33,9 @@
     let all = SystemFaults { short_read: 10, short_write: 10, interrupted: 10, ..SystemFaults::default() };
     held("mixed", 5, all);
 }
+
+#[test]
+fn a_socket_that_cannot_be_had_for_a_moment_ends_no_start() {
+    let faults = SystemFaults { socket: 300, accept: 100, ..SystemFaults::default() };
+    [5, 25, 45].into_iter().for_each(|seed| held("restarts", seed, faults));
+}
