Ask again for sockets that can't be had for a moment, and blame no backend for them

Cause: front::listen, peers::bind, the admin address, the fleet's listener, the upgrade's path and the runtime itself were each asked for once, at the start, and ended it (or left it without calls by hand or upgrades for good) on ENFILE, ENOBUFS or ENOMEM. And a connection that this machine had no port, route or descriptor for was told to the module as its backend's fault (attempt.rs: only QuotaExceeded, our own budget, was told as not sent).

--- a/crates/sandgap/src/admin.rs
+++ b/crates/sandgap/src/admin.rs
@@ -14,7 +14,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::note;
+use crate::retry;
 use crate::serving::{Serving, State};
+use crate::socket;
 
 /// Connections at once, each a descriptor of the reserve: the oldest without a whole call gives way.
 pub const CALLERS: usize = 8;
@@ -126,7 +128,8 @@
 
 /// Listens for callers. An address that can't be used is logged: the proxy serves without it.
 pub async fn listen(address: SocketAddr) -> Option<TcpListener> {
-    match TcpListener::bind(address).await {
+    let on = format!("admin on {address}");
+    match retry::until_had(&on, || socket::listen(address)).await {
         Ok(listener) => {
             let at = listener.local_addr().unwrap_or(address);
             note!("admin calls at {at}");
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::rules::{self, Rules};
 use crate::serving::Serving;
 use crate::upstream::Upstreams;
-use crate::{admin, body, change, discovery, front, load, note, peers};
+use crate::{admin, body, change, discovery, front, load, note, peers, retry};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch, and
 /// those who call by hand.
@@ -144,7 +144,8 @@
         }
         None => {
             let on = format!("listen on {}", config.listen);
-            (front::listen(config.listen).map_err(at(&on))?, None, None)
+            let listener = retry::until_had(&on, || front::listen(config.listen)).await;
+            (listener.map_err(at(&on))?, None, None)
         }
     };
     let shared = listener.try_clone().map_err(at("the listener"))?;
@@ -164,7 +165,12 @@
     let peers = match config.peers {
         Some(addresses) => {
             let on = format!("peers on {}", addresses.listen);
-            let peers = peers::Peers::new(addresses, config.settings.me, datagrams).map_err(at(&on))?;
+            let reads = datagrams.is_none(); // else the process before reads until this one serves
+            let socket = match datagrams {
+                Some(handed) => handed,
+                None => retry::until_had(&on, || peers::bind(addresses.listen)).await.map_err(at(&on))?,
+            };
+            let peers = peers::Peers::new(addresses, config.settings.me, socket, reads).map_err(at(&on))?;
             spawn_local(peers.clone().listen(inbox.clone()));
             Some(peers)
         }
@@ -268,7 +274,8 @@
 pub fn serve(path: PathBuf) -> Result<(), String> {
     let config = load::read(&path)?;
     let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+        retry::until_had_blocking(|| tokio::runtime::Builder::new_current_thread().enable_all().build());
+    let runtime = runtime.map_err(|e| format!("the runtime: {e}"))?;
     let outcome = LocalSet::new().block_on(&runtime, run(path, config));
     runtime.shutdown_background();
     outcome
--- a/crates/sandgap/src/handover.rs
+++ b/crates/sandgap/src/handover.rs
@@ -30,6 +30,7 @@
 use crate::front::Frontend;
 use crate::note;
 use crate::peers::{Datagram, MAX_MESSAGE_BYTES, Peers};
+use crate::retry;
 use crate::serving::Serving;
 
 /// What the new process says first: the format and its version.
@@ -165,7 +166,8 @@
     async fn wait(&self) {
         self.serving.ready().await;
         loop {
-            let published = match Published::new(&self.path) {
+            let published = retry::until_had("upgrade", || Published::new(&self.path)).await;
+            let published = match published {
                 Ok(published) => published,
                 Err(e) => {
                     let path = self.path.display();
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod log;
 pub mod peers;
 pub mod platform;
+pub mod retry;
 pub mod rules;
 pub mod serving;
 pub mod settings;
--- a/crates/sandgap/src/peers.rs
+++ b/crates/sandgap/src/peers.rs
@@ -39,17 +39,13 @@
 }
 
 impl Peers {
-    /// Takes over a socket that the process before has handed on, or binds one. Two processes may bind the same
-    /// address while an upgrade lasts.
+    /// Takes over a socket from [`bind`], or one that the process before has handed on; that process `reads` it until
+    /// this one serves.
     ///
     /// # Errors
-    /// The system's, where the address can't be used.
-    pub fn new(addresses: PeerAddresses, me: u32, handed: Option<StdSocket>) -> io::Result<Rc<Self>> {
-        let reads = Cell::new(handed.is_none());
-        let socket = match handed {
-            Some(socket) => socket,
-            None => bind(addresses.listen)?,
-        };
+    /// The system's, where the socket can't be used.
+    pub fn new(addresses: PeerAddresses, me: u32, socket: StdSocket, reads: bool) -> io::Result<Rc<Self>> {
+        let reads = Cell::new(reads);
         socket.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(socket)?;
         let (changed, relay) = (Notify::new(), RefCell::default());
@@ -123,7 +119,11 @@
     }
 }
 
-fn bind(address: SocketAddr) -> io::Result<StdSocket> {
+/// Binds a socket for datagrams. Two processes may bind the same address while an upgrade lasts.
+///
+/// # Errors
+/// The system's, where the address can't be used.
+pub fn bind(address: SocketAddr) -> io::Result<StdSocket> {
     let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
     socket.set_reuse_port(true)?;
     socket.bind(&address.into())?;
--- a/crates/sandgap/src/rules/shell.rs
+++ b/crates/sandgap/src/rules/shell.rs
@@ -15,7 +15,6 @@
 use sandgap_fleet::link::{Incoming, Links};
 use sandgap_fleet::members::{Gossip, Pace};
 use sandgap_fleet::{Identity, Members};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
@@ -27,6 +26,8 @@
 use crate::event::{Inbox, Input};
 use crate::front::Frontend;
 use crate::note;
+use crate::retry;
+use crate::socket;
 
 /// The channel of membership on the links.
 pub const MEMBERS: u8 = 1;
@@ -96,7 +97,9 @@
     /// Where the address or the disk can't be used.
     async fn member(parts: Parts, fleet: Fleet) -> Result<Self, String> {
         let on = fleet.listen;
-        let listener = TcpListener::bind(on).await.map_err(|e| format!("fleet on {on}: {e}"))?;
+        let what = format!("fleet on {on}");
+        let listener = retry::until_had(&what, || socket::listen(on)).await;
+        let listener = listener.map_err(|e| format!("{what}: {e}"))?;
         let agent = Rc::new(RefCell::new(agent(&fleet)));
         let mut shell = Self::new(parts, fleet, agent);
         if let Some(path) = shell.fleet.store.clone().filter(|_| shell.fleet.votes()) {
--- a/crates/sandgap/src/socket.rs
+++ b/crates/sandgap/src/socket.rs
@@ -4,13 +4,23 @@
 use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::task::{Context, Poll};
 
 use sandgap_socket::SharedStream;
 use socket2::SockRef;
 use tokio::io::{Interest, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Listens on an address that no other process listens on.
+///
+/// # Errors
+/// The system's, where the address can't be used.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
 
 /// A socket; clones are the same one. Reads and writes go on until the system says that there is no more, see
 /// [`sandgap_socket`].
--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -11,6 +11,7 @@
 use super::{Outgoing, Payload, Upstreams};
 use crate::body::{End, Progress};
 use crate::event::{self, AnswerBy, Attempt};
+use crate::retry;
 
 /// A backend that says nothing for this long within a long answer has gone.
 const SILENCE: Duration = Duration::from_secs(10);
@@ -31,8 +32,8 @@
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
         let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
             Ok(Ok(connection)) => connection,
-            // No descriptor of this process is left, which is no fault of the backend's.
-            Ok(Err(e)) if e.kind() == io::ErrorKind::QuotaExceeded => {
+            // No descriptor, port or route is left, which is no fault of the backend's.
+            Ok(Err(e)) if e.kind() == io::ErrorKind::QuotaExceeded || retry::is_local(&e) => {
                 return report.tell(Outcome::NotSent, None);
             }
             Ok(Err(_)) | Err(_) => return report.tell(Outcome::ConnectFailed, None),
