Show a wrong wall clock making backends older than they were seen to be

Seen, in the core alone: with a clock an hour ahead one that was first told 0.2 s after its start is taken for an hour old, and no longer for cold; with one an hour behind it stays cold for the hour.

--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -59,7 +59,7 @@
 }
 
 fn core() -> Core<Script, Seen> {
-    let mut core = Core::new(Script::default(), Seen::default(), Names::default(), 1e12);
+    let mut core = Core::new(Script::default(), Seen::default(), Names::default(), UNIX_ZERO);
     core.list(at(0), Scope::Full, vec![host("a", 1, "up"), host("b", 2, "up")]);
     core
 }
@@ -335,3 +335,40 @@
     core.fire(at(5896));
     assert_eq!(core.effects.answers, [(RequestId(1), "Failed".to_owned())]);
 }
+
+/// Unix time of the core's zero, as its wall clock has it; the true one is told in `born`.
+const UNIX_ZERO: f64 = 1e12;
+
+/// What the module was told last of when a backend started.
+fn since(core: &Core<Script, Seen>, name: &str) -> Option<Millis> {
+    let id = BackendId(number_of(name));
+    let entries = core.decider.heard.iter().rev().filter_map(|event| match event {
+        Event::List { entries, .. } => entries.iter().find(|e| e.id == id),
+        _ => None,
+    });
+    entries.map(|e| e.since).next().flatten()
+}
+
+#[test]
+fn a_wrong_wall_clock_makes_no_backend_older_or_younger_than_it_was_seen_to_be() {
+    const HOUR: f64 = 3.6e6;
+    for ahead in [-HOUR, -2000.0, 0.0, 2000.0, HOUR] {
+        let mut core = core();
+        core.list(at(60_000), Scope::Delta, vec![host("a", 1, "draining")]);
+        // It starts at 60,500 of the true time and is told at 60,700.
+        let born_ms = UNIX_ZERO - ahead + 60_500.0;
+        let started = Host { born_ms, ..host("c", 3, "up") };
+        core.list(at(60_700), Scope::Delta, vec![started.clone()]);
+        let first = since(&core, "c").expect("told");
+        assert!(
+            (60_000.0..=60_700.0).contains(&first),
+            "{ahead} ms ahead: believed to have started at {first}"
+        );
+        if ahead == 0.0 {
+            assert_eq!(first, 60_500.0, "a right clock is believed");
+        }
+        core.list(at(90_000), Scope::Delta, vec![Host { health: "draining".into(), ..started.clone() }]);
+        core.list(at(91_000), Scope::Full, vec![started]);
+        assert_eq!(since(&core, "c"), Some(first), "one start gives one time");
+    }
+}
--- a/crates/sandgap-rig/shim/system_faults.c
+++ b/crates/sandgap-rig/shim/system_faults.c
@@ -1,7 +1,8 @@
 /* System calls that fail or fall short now and then, in all the ways that Linux documents. Loaded with LD_PRELOAD into
  * one process. SANDGAP_FAULTS names the faults: "seed=7,short_read=20,short_write=20,eintr=20,socket=300,connect=100,
- * accept=100,step_ms=3600000". The figures are parts of a thousand of the calls; step_ms is the largest step of the wall
- * clock, which is set anew every two seconds. Nothing else is touched. */
+ * accept=100,step_ms=3600000,ahead_ms=3600000". The figures are parts of a thousand of the calls; step_ms is the largest
+ * step of the wall clock, which is set anew every two seconds, and ahead_ms what it is ahead by (behind, if negative) for
+ * good. Nothing else is touched. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -21,7 +22,7 @@
 
 static pthread_once_t once = PTHREAD_ONCE_INIT;
 static uint64_t state = 1;
-static long short_read, short_write, eintr, fail_socket, fail_connect, fail_accept, step_ms;
+static long short_read, short_write, eintr, fail_socket, fail_connect, fail_accept, step_ms, ahead_ms;
 
 static long figure(const char *text, const char *name) {
     size_t length = strlen(name);
@@ -43,6 +44,7 @@
     fail_connect = figure(text, "connect");
     fail_accept = figure(text, "accept");
     step_ms = figure(text, "step_ms");
+    ahead_ms = figure(text, "ahead_ms");
 }
 
 static uint64_t draw(void) {
@@ -165,6 +167,8 @@
         real = REAL(clock_gettime);
     int outcome = real(clock, now);
     pthread_once(&once, read_settings);
+    if (outcome == 0 && clock == CLOCK_REALTIME)
+        now->tv_sec += ahead_ms / 1000;
     if (outcome == 0 && clock == CLOCK_REALTIME && step_ms > 0) {
         uint64_t x = (uint64_t)(now->tv_sec / CLOCK_STEP_SECONDS) * 0x9E3779B97F4A7C15ull;
         x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ull;
--- a/crates/sandgap-rig/src/system_faults.rs
+++ b/crates/sandgap-rig/src/system_faults.rs
@@ -24,6 +24,8 @@
     pub accept: u32,
     /// The largest step of the wall clock, ms, which changes every two seconds; 0 for none.
     pub clock_step_ms: u64,
+    /// What the wall clock is ahead by for good, ms; negative where it is behind.
+    pub clock_ahead_ms: i64,
 }
 
 /// The library, built.
@@ -56,7 +58,7 @@
     pub fn load_into(&self, command: &mut Command, seed: u64) {
         let f = &self.faults;
         let text = format!(
-            "seed={},short_read={},short_write={},eintr={},socket={},connect={},accept={},step_ms={}",
+            "seed={},short_read={},short_write={},eintr={},socket={},connect={},accept={},step_ms={},ahead_ms={}",
             seed % (1 << 31),
             f.short_read,
             f.short_write,
@@ -64,7 +66,8 @@
             f.socket,
             f.connect,
             f.accept,
-            f.clock_step_ms
+            f.clock_step_ms,
+            f.clock_ahead_ms
         );
         command.env("LD_PRELOAD", &self.path).env("SANDGAP_FAULTS", text);
     }
--- a/crates/sandgap/tests/system_faults.rs
+++ b/crates/sandgap/tests/system_faults.rs
@@ -3,20 +3,30 @@
 use std::path::PathBuf;
 use std::sync::Mutex;
 
+use sandgap_rig::machine::ColdRule;
 use sandgap_rig::proxy::Program;
 use sandgap_rig::run::run;
-use sandgap_rig::schedule::{Size, scenario};
+use sandgap_rig::schedule::{Plan, Size, scenario};
 use sandgap_rig::system_faults::SystemFaults;
 use sandgap_rules::Ledger;
 
 /// One run at a time: a loaded machine would only make them slower.
 static TURN: Mutex<()> = Mutex::new(());
 
-fn held(name: &str, seed: u64, faults: SystemFaults) {
+fn size(requests: usize, rate: f64) -> Size {
+    Size { requests, rate, ..Size::default() }
+}
+
+fn held_under(faults: SystemFaults, name: &str, seed: u64) {
+    let mut plan = scenario(name).expect("named").plan(seed, size(1600, 400.0));
+    plan.system_faults = faults;
+    held(plan);
+}
+
+fn held(plan: Plan) {
+    let (name, seed, faults) = (plan.scenario, plan.seed, plan.system_faults);
     let _turn = TURN.lock().unwrap_or_else(|e| e.into_inner());
     let program = Program::new(PathBuf::from(env!("CARGO_BIN_EXE_sandgap")), Vec::new());
-    let mut plan = scenario(name).expect("named").plan(seed, Size { requests: 1600, ..Size::default() });
-    plan.system_faults = faults;
     let mut outcome = run(plan, &program, Ledger::default()).expect("a verdict");
     println!("{name} seed {seed}, {faults:?}: {}", outcome.verdict);
     if !outcome.verdict.passes() {
@@ -27,15 +37,27 @@
 
 #[test]
 fn short_and_interrupted_calls_lose_nothing() {
-    held("calm", 5, SystemFaults { short_read: 20, ..SystemFaults::default() });
-    held("calm", 25, SystemFaults { short_write: 20, ..SystemFaults::default() });
-    held("discovery", 5, SystemFaults { short_read: 200, interrupted: 20, ..SystemFaults::default() });
+    held_under(SystemFaults { short_read: 20, ..SystemFaults::default() }, "calm", 5);
+    held_under(SystemFaults { short_write: 20, ..SystemFaults::default() }, "calm", 25);
+    held_under(SystemFaults { short_read: 200, interrupted: 20, ..SystemFaults::default() }, "discovery", 5);
     let all = SystemFaults { short_read: 10, short_write: 10, interrupted: 10, ..SystemFaults::default() };
-    held("mixed", 5, all);
+    held_under(all, "mixed", 5);
 }
 
 #[test]
 fn a_socket_that_cannot_be_had_for_a_moment_ends_no_start() {
     let faults = SystemFaults { socket: 300, accept: 100, ..SystemFaults::default() };
-    [5, 25, 45].into_iter().for_each(|seed| held("restarts", seed, faults));
+    [5, 25, 45].into_iter().for_each(|seed| held_under(faults, "restarts", seed));
+}
+
+#[test]
+fn a_wall_clock_that_is_wrong_by_an_hour_pushes_no_cold_backend_over() {
+    // The colder a start, the more a wrong belief of its age does.
+    let cold = ColdRule { start: 0.1, warm_ms: 8000.0, multiple: 1.5, span_ms: 1500.0 };
+    for (seed, clock_ahead_ms) in [(5, 3_600_000), (25, -3_600_000)] {
+        let mut plan = scenario("cold-starts").expect("named").plan(seed, size(3000, 600.0));
+        plan.cold = cold;
+        plan.system_faults = SystemFaults { clock_ahead_ms, ..SystemFaults::default() };
+        held(plan);
+    }
 }
