Settle a backend's start by what was told when, and by the wall clock only in between

Cause: Core::backend counted `born_ms` from the wall clock as it stood when the process started (core.rs, unix_zero).

Change: starts.rs. A backend has started by the time its start is told, and one that is news to a proxy which is told all there is had not started when all was told before, which blank lines of a watch show, too. The wall clock decides only between the two, and one start gives one time. Open: what is on the first list of a process is still dated by its clock.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::endpoint::{Endpoint, Host};
+use crate::starts::Starts;
 
 /// Time since this process began, on a clock that never runs backwards.
 pub type Time = Duration;
@@ -164,8 +165,7 @@
     /// Does what is to be done.
     pub effects: O,
     names: Names,
-    /// Unix time of the clock's zero: an offset taken once, so that one start always gives one time.
-    unix_zero: Millis,
+    starts: Starts,
     endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
     /// Endpoints numbered so far.
     numbered: u64,
@@ -191,7 +191,7 @@
             decider,
             effects,
             names,
-            unix_zero,
+            starts: Starts::new(unix_zero),
             endpoints: FxHashMap::default(),
             numbered: 0,
             pending: FxHashMap::default(),
@@ -397,10 +397,15 @@
         self.handle(now, Event::Message { from, bytes });
     }
 
+    /// Discovery has shown that it has nothing new to tell.
+    pub fn discovery_alive(&mut self, now: Time) {
+        self.starts.told_all(now);
+    }
+
     /// News of the list.
     pub fn list(&mut self, now: Time, scope: Scope, hosts: Vec<Host>) {
         let whole = matches!(scope, Scope::Full | Scope::Cached);
-        let entries: Vec<Backend> = hosts.into_iter().map(|host| self.backend(host)).collect();
+        let entries: Vec<Backend> = hosts.into_iter().map(|host| self.backend(now, host)).collect();
         if whole {
             let listed: FxHashSet<BackendId> = entries.iter().map(|e| e.id).collect();
             let effects = &mut self.effects;
@@ -413,6 +418,12 @@
                 stays
             });
         }
+        if matches!(scope, Scope::Full | Scope::Delta) {
+            self.starts.told_all(now);
+        }
+        if whole {
+            self.starts.forget(|id| self.endpoints.contains_key(id));
+        }
         let some = !entries.is_empty();
         self.handle(now, Event::List { scope, entries });
         self.effects.listed(scope, some);
@@ -457,7 +468,7 @@
     }
 
     /// Notes where a backend is, and whether something new may go there.
-    fn backend(&mut self, host: Host) -> Backend {
+    fn backend(&mut self, now: Time, host: Host) -> Backend {
         let id = BackendId(number_of(&host.host));
         let state = match host.health.as_str() {
             "up" if host.dial.is_some() => State::Up,
@@ -484,7 +495,6 @@
         if state == State::Gone {
             self.endpoints.remove(&id);
         }
-        let born = (host.born_ms.is_finite() && host.born_ms > 0.0).then_some(host.born_ms - self.unix_zero);
         Backend {
             id,
             zone: host.site.and_then(|z| Some(ZoneId(known(&mut self.names.zones, &z)?))),
@@ -492,7 +502,7 @@
             cell: host.block.map(CellId),
             state,
             rating: host.share.unwrap_or(1.0),
-            since: born,
+            since: self.starts.since(now, id, host.born_ms),
         }
     }
 
--- a/crates/sandgap-driver/src/lib.rs
+++ b/crates/sandgap-driver/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod core;
 mod endpoint;
+mod starts;
 
 pub use crate::core::{Answer, Arrival, Attempt, Core, Effects, Policy, Time};
 pub use crate::endpoint::{Endpoint, Holding, Host};
--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -239,7 +239,11 @@
             patience = SILENCE;
             self.heard += 1;
             let torn = match assembly.push(&line) {
-                Item::Blank | Item::Part => continue,
+                Item::Blank => {
+                    self.inbox.put(Input::DiscoveryAlive);
+                    continue;
+                }
+                Item::Part => continue,
                 Item::Whole(list) => match self.take(list, false) {
                     Ok(()) => continue,
                     Err(trouble) => return trouble,
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -221,6 +221,7 @@
                 self.core.ended(now, request, attempt, latency, outcome, reply);
             }
             Input::Change(change) => self.core.change(now, *change),
+            Input::DiscoveryAlive => self.core.discovery_alive(now),
             Input::List(scope, mut hosts) => {
                 if let Some(drains) = &mut self.drains {
                     drains.overlay(scope, &mut hosts);
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -49,6 +49,8 @@
     },
     /// The settings have changed.
     Change(Box<wharfhitch::Change>),
+    /// Discovery has shown that it has nothing new to tell.
+    DiscoveryAlive,
     /// News of the list.
     List(Scope, Vec<Host>),
     /// Backends that are drained by hand, whatever the list says of them.
