Count the time of a request behind another from when its bytes came

Cause: a request that had been read behind another counted from its turn (front/connection.rs), and so told its backend up to the other's whole time too much and was served, or answered, after its client's time was over.

Change: the front notes when the bytes came that the parser has, also those kept ahead of it, and no request found in them is younger.

--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -56,7 +56,11 @@
     upload: RefCell<Option<Rc<Upload>>>,
     /// What it has sent behind that request, not yet read by the parser.
     pub(super) ahead: RefCell<Vec<u8>>,
-    /// More of that has come than is kept.
+    /// When the last of that came.
+    pub(super) ahead_came: Cell<Instant>,
+    /// When the last bytes came that the parser has: no request that it finds in them is younger.
+    pub(super) heard: Cell<Instant>,
+    /// More was sent ahead than is kept.
     pub(super) flooded: Cell<bool>,
     pub(super) close: Notify,
     /// What has come of a head, until it has been read.
@@ -80,6 +84,8 @@
             waits: Cell::new(false),
             upload: RefCell::default(),
             ahead: RefCell::default(),
+            ahead_came: Cell::new(now),
+            heard: Cell::new(now),
             flooded: Cell::new(false),
             close: Notify::new(),
             head: RefCell::default(),
@@ -115,6 +121,7 @@
             let mut ahead = self.ahead.borrow_mut();
             let kept = buf.filled().len().min(AHEAD - ahead.len());
             ahead.extend_from_slice(&buf.filled()[..kept]);
+            self.ahead_came.set(Instant::now());
             self.flooded.set(self.flooded.get() || kept < buf.filled().len());
         }
         Poll::Pending
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -34,7 +34,7 @@
                 let old = request.version() == Version::HTTP_10;
                 // A request that came while its connection was waiting to be accepted is as old as that.
                 let queued = client.queued.take().filter(|_| client.accepted.elapsed() < GRACE);
-                let came = queued.unwrap_or_else(Instant::now);
+                let came = queued.unwrap_or_else(|| client.heard.get());
                 front.turn(&client, Stage::Busy);
                 let over = front.busy.get() > front.budget.get() / BUSY.1 * BUSY.0;
                 let mut response = if over {
@@ -133,10 +133,12 @@
         let mut ahead = self.client.ahead.borrow_mut();
         if ahead.is_empty() {
             std::task::ready!(self.stream.poll_read(cx, buf))?;
+            self.client.heard.set(Instant::now());
         } else {
             let now = ahead.len().min(buf.remaining());
             buf.put_slice(&ahead[..now]);
             ahead.drain(..now);
+            self.client.heard.set(self.client.ahead_came.get());
         }
         drop(ahead);
         if buf.filled().len() == before {
