--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -9,11 +9,12 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use wharfhitch::settings::{Names, index_of, number_of};
 use wharfhitch::{
-    Action, Backend, BackendId, Balancer, CellId, Change, ClassId, Event, Key, KindId, Millis, Outcome,
-    RequestId, Scope, State, TenantId, ZoneId,
+    Action, Backend, BackendId, Balancer, CellId, Change, ClassId, Effect, Event, Key, KindId, Millis,
+    Outcome, RequestId, Scope, State, TenantId, ZoneId,
 };
 
 use crate::endpoint::{Endpoint, Host};
+use crate::permit::{Attempts, Denial, LATEST_ANSWER, Place, SendFacts, Violation};
 use crate::starts::Starts;
 
 /// Time since this process began, on a clock that never runs backwards.
@@ -49,7 +50,9 @@
     /// Begins an attempt. Its end must be told exactly once with [`Core::ended`], whatever happens.
     fn attempt(&mut self, held: &Self::Held, attempt: Attempt);
     /// Gives a request its one final answer.
-    fn answer(&mut self, held: &mut Self::Held, request: RequestId, answer: Answer<Self::Reply>);
+    fn answer(
+        &mut self, held: &mut Self::Held, request: RequestId, answer: Answer<Self::Reply>, cause: Cause,
+    );
     /// Whether an attempt may begin now; asked at each. A request for which it may not is given up at once.
     fn may_send(&self, _held: &Self::Held) -> bool {
         true
@@ -68,8 +71,13 @@
     fn fetch_list(&mut self);
     /// A list of this scope is in force; `some` if it names any backend.
     fn listed(&mut self, scope: Scope, some: bool);
-    /// Something that should not happen has been passed over.
-    fn report_anomaly(&mut self, what: &'static str);
+    /// The module wanted what may not be, and it was not done.
+    fn violation(&mut self, violation: Violation, request: RequestId);
+    /// An answer comes more than [`LATEST_ANSWER`] after its client's time: this process or its machine stood still, or
+    /// something held the answer up.
+    fn late_answer(&mut self, _request: RequestId) {}
+    /// An attempt that the module wanted was not begun.
+    fn denied(&mut self, _request: RequestId, _attempt: u32, _denial: Denial) {}
 }
 
 /// The one final answer.
@@ -83,12 +91,39 @@
     Failed,
 }
 
+/// Why a request has got its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// A backend gave it.
+    Backend,
+    /// The module decided so.
+    Policy,
+    /// Its client's time, or the process's, was over.
+    Deadline,
+    /// No attempt may begin for it any more.
+    Denied,
+}
+
+impl Cause {
+    /// A word for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Cause::Backend => "backend",
+            Cause::Policy => "policy",
+            Cause::Deadline => "deadline",
+            Cause::Denied => "denied",
+        }
+    }
+}
+
 /// A request as it comes in.
 pub struct Arrival<H> {
     /// Its number, never used twice.
     pub id: RequestId,
     /// Its class.
     pub class: ClassId,
+    /// Whether it may run again.
+    pub effect: Effect,
     /// Its tenant, where requests have one.
     pub tenant: Option<TenantId>,
     /// What it concerns.
@@ -130,6 +165,7 @@
     /// The same, for attempts on their way.
     wanted: Rc<Cell<bool>>,
     held: H,
+    effect: Effect,
     deadline: Time,
     /// The deadline less [`LAST_RESORT`], for attempts on their way.
     answer_by: Rc<Cell<Time>>,
@@ -139,7 +175,7 @@
     received: Option<Time>,
     /// A long one is on its way to a backend.
     uploading: bool,
-    attempts: u32,
+    attempts: Attempts,
     out: u32,
 }
 
@@ -210,6 +246,11 @@
         self.pending.len()
     }
 
+    /// What is kept with a request, if it is held.
+    pub fn context(&self, request: RequestId) -> Option<&O::Held> {
+        self.pending.get(&request).map(|live| &live.held)
+    }
+
     /// Who decides.
     pub fn decider(&self) -> &D {
         &self.decider
@@ -268,17 +309,18 @@
 
     /// A whole request has come in.
     pub fn request(&mut self, now: Time, arrival: Arrival<O::Held>) {
-        let Arrival { id, class, tenant, key, hint, deadline, upload, held } = arrival;
+        let Arrival { id, class, effect, tenant, key, hint, deadline, upload, held } = arrival;
         let deadline = self.within_end(deadline);
         let last = deadline.saturating_sub(LAST_RESORT);
         let budget = ms(last.saturating_sub(now));
         let wanted = Rc::new(Cell::new(true));
         let answer_by = Rc::new(Cell::new(last));
-        let (received, uploading, attempts, out) = (None, false, 0, 0);
+        let (received, uploading, attempts, out) = (None, false, Attempts::default(), 0);
         let live = PendingRequest {
             open: true,
             wanted,
             held,
+            effect,
             deadline,
             answer_by,
             upload,
@@ -359,7 +401,7 @@
         if self.pending.get(&request).is_some_and(|l| l.uploading) {
             self.end_upload(now, request, false); // answered before it had gone out whole
         }
-        if self.close(request, |effects, held| effects.answer(held, request, Answer::Served(reply))) {
+        if self.answer(now, request, Answer::Served(reply), Cause::Backend) {
             self.handle(now, Event::Started { request, attempt });
         }
     }
@@ -378,9 +420,10 @@
         }
         let Some(live) = self.pending.get_mut(&request) else { return };
         live.out -= 1;
+        live.attempts.end(attempt, outcome.may_have_run());
         let was_open = live.open;
         if let (Outcome::Served, Some(reply)) = (outcome, reply) {
-            self.close(request, |effects, held| effects.answer(held, request, Answer::Served(reply)));
+            self.answer(now, request, Answer::Served(reply), Cause::Backend);
         }
         let closed = !was_open || outcome == Outcome::Served;
         self.forget(request);
@@ -436,8 +479,8 @@
         if !ends && live.deadline > now + LAST_RESORT {
             return; // it has moved since, and another is set
         }
-        let answer = if live.attempts == 0 { Answer::Refused(None) } else { Answer::Failed };
-        if self.close(id, |effects, held| effects.answer(held, id, answer)) {
+        let answer = if live.attempts.count() == 0 { Answer::Refused(None) } else { Answer::Failed };
+        if self.answer(now, id, answer, Cause::Deadline) {
             self.handle(now, Event::Abandoned(id));
         }
     }
@@ -452,11 +495,31 @@
         true
     }
 
+    /// Gives a request its one answer, unless it has it. What may have run is never refused, whoever wants that.
+    fn answer(&mut self, now: Time, id: RequestId, answer: Answer<O::Reply>, cause: Cause) -> bool {
+        let Some(live) = self.pending.get(&id).filter(|l| l.open) else { return false };
+        let refusal = match &answer {
+            Answer::Refused(after) => live.attempts.may_refuse(live.effect, now, *after),
+            Answer::Served(_) | Answer::Failed => Ok(()),
+        };
+        if now > live.deadline.saturating_add(LATEST_ANSWER) {
+            self.effects.late_answer(id);
+        }
+        let answer = match refusal {
+            Ok(()) => answer,
+            Err(_) => {
+                self.effects.violation(Violation::RefusalAfterRun, id);
+                Answer::Failed
+            }
+        };
+        self.close(id, |effects, held| effects.answer(held, id, answer, cause))
+    }
+
     /// Answers a request that may not be sent any more: refused, if nothing was ever sent.
     fn reject_unsent(&mut self, now: Time, id: RequestId) {
-        let first = self.pending.get(&id).is_some_and(|l| l.attempts <= 1);
+        let first = self.pending.get(&id).is_some_and(|l| l.attempts.count() <= 1);
         let answer = if first { Answer::Refused(None) } else { Answer::Failed };
-        if self.close(id, |effects, held| effects.answer(held, id, answer)) {
+        if self.answer(now, id, answer, Cause::Denied) {
             self.handle(now, Event::Abandoned(id));
         }
     }
@@ -475,6 +538,8 @@
             "removed" => State::Gone,
             _ => State::Draining, // draining, unknown or nowhere: nothing new goes there
         };
+        let zone = host.site.and_then(|z| Some(ZoneId(known(&mut self.names.zones, &z)?)));
+        let cell = host.block.map(CellId);
         if let Some(address) = host.dial {
             let same = |e: &Rc<Endpoint>| e.address == address && e.born_ms == host.born_ms;
             if !self.endpoints.get(&id).is_some_and(same) {
@@ -487,6 +552,7 @@
             }
         }
         if let Some(endpoint) = self.endpoints.get(&id) {
+            endpoint.set_place(Place { zone, cell });
             match state {
                 State::Up => endpoint.set_open(true),
                 State::Draining | State::Gone => shut(endpoint, &mut self.effects),
@@ -497,9 +563,9 @@
         }
         Backend {
             id,
-            zone: host.site.and_then(|z| Some(ZoneId(known(&mut self.names.zones, &z)?))),
+            zone,
             kind: host.class.and_then(|k| Some(KindId(known(&mut self.names.kinds, &k)?))),
-            cell: host.block.map(CellId),
+            cell,
             state,
             rating: host.share.unwrap_or(1.0),
             since: self.starts.since(now, id, host.born_ms),
@@ -531,12 +597,10 @@
                 self.send(request, backend, timeout, before);
             }
             Action::Refuse { request, retry_after } => {
-                self.close(request, |effects, held| {
-                    effects.answer(held, request, Answer::Refused(retry_after));
-                });
+                self.answer(self.now, request, Answer::Refused(retry_after), Cause::Policy);
             }
             Action::Fail(request) => {
-                self.close(request, |effects, held| effects.answer(held, request, Answer::Failed));
+                self.answer(self.now, request, Answer::Failed, Cause::Policy);
             }
             Action::Timer { token, at } => self.due.push(Reverse((time(at), Due::Module(token)))),
             Action::Broadcast(bytes) => self.effects.broadcast(bytes),
@@ -560,23 +624,42 @@
         }
     }
 
+    /// Whether an attempt of a request may begin at a backend now.
+    fn may_begin(
+        &self, request: &PendingRequest<O::Held>, backend: BackendId,
+    ) -> Result<Rc<Endpoint>, Denial> {
+        let endpoint = self.endpoints.get(&backend).ok_or(Denial::EndpointClosed)?;
+        let open_ended = request.upload.is_some() && request.received.is_none();
+        let deadline = if open_ended { OPEN_ENDED } else { request.deadline };
+        let facts = SendFacts {
+            wanted: request.open,
+            endpoint_open: endpoint.is_open(),
+            lease_holds: self.effects.may_send(&request.held),
+            time_left: deadline.saturating_sub(self.now),
+            repeat_dropped: true, // asked next
+        };
+        facts.may_send()?;
+        request.attempts.may_repeat(request.effect, self.now, endpoint.place())?;
+        Ok(endpoint.clone())
+    }
+
     fn send(
         &mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>, before: Option<Millis>,
     ) {
-        let Some(live) = self.pending.get_mut(&request) else {
-            return self.effects.report_anomaly("a send for a request that is not held");
+        let Some(live) = self.pending.get(&request) else {
+            return self.effects.violation(Violation::SendOfUnknown, request);
         };
-        let number = live.attempts;
-        live.attempts += 1;
+        let (permitted, number) = (self.may_begin(live, backend), live.attempts.count());
+        let Some(live) = self.pending.get_mut(&request) else { return };
         live.out += 1;
-        if !self.effects.may_send(&live.held) {
-            self.unsent.push(request);
-            return self.moot.push_back((request, number));
-        }
-        let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.open && e.is_open()).cloned()
-        else {
-            return self.moot.push_back((request, number));
+        let endpoint = match permitted {
+            Ok(endpoint) => endpoint,
+            Err(denial) => {
+                live.attempts.skip(self.now);
+                return self.deny(request, number, denial);
+            }
         };
+        live.attempts.begin(self.now, endpoint.place());
         if live.upload.is_some() {
             live.uploading = true;
             self.begun.push(request);
@@ -589,6 +672,18 @@
         let attempt = Attempt { request, number, endpoint, wanted, until, answer_by, before };
         self.effects.attempt(&live.held, attempt);
     }
+
+    /// An attempt that the module wanted does not begin.
+    fn deny(&mut self, request: RequestId, number: u32, denial: Denial) {
+        self.effects.denied(request, number, denial);
+        if let Some(violation) = Violation::of(denial) {
+            self.effects.violation(violation, request);
+        }
+        if matches!(denial, Denial::LeaseLapsed | Denial::DeadlineOver) {
+            self.unsent.push(request); // no other attempt would fare better
+        }
+        self.moot.push_back((request, number));
+    }
 }
 
 fn ms(time: Time) -> Millis {
--- a/crates/sandgap-driver/src/endpoint.rs
+++ b/crates/sandgap-driver/src/endpoint.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::permit::Place;
+
 /// One line of the list of backends.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
@@ -34,6 +36,7 @@
     /// When it started, see [`Host::born_ms`].
     pub born_ms: f64,
     open: Cell<bool>,
+    place: Cell<Place>,
     counts: Rc<Counts>,
 }
 
@@ -72,7 +75,8 @@
     /// One that takes the place of another of the same backend.
     pub fn after(old: Option<&Self>, number: u64, address: SocketAddr, born_ms: f64) -> Rc<Self> {
         let counts = old.map(|o| o.counts.clone()).unwrap_or_default();
-        Rc::new(Endpoint { number, address, born_ms, open: Cell::new(true), counts })
+        let (open, place) = (Cell::new(true), Cell::default());
+        Rc::new(Endpoint { number, address, born_ms, open, place, counts })
     }
 
     /// Counts an attempt that begins.
@@ -91,6 +95,16 @@
         self.counts.ended.get()
     }
 
+    /// Where it stands among those that drop each other's repeats.
+    pub fn place(&self) -> Place {
+        self.place.get()
+    }
+
+    /// Notes where it stands.
+    pub fn set_place(&self, place: Place) {
+        self.place.set(place);
+    }
+
     /// Whether something new may go there: it neither drains, nor is it gone or replaced.
     pub fn is_open(&self) -> bool {
         self.open.get()
--- a/crates/sandgap-driver/src/lib.rs
+++ b/crates/sandgap-driver/src/lib.rs
@@ -5,7 +5,8 @@
 
 mod core;
 mod endpoint;
+pub mod permit;
 mod starts;
 
-pub use crate::core::{Answer, Arrival, Attempt, Core, Effects, Policy, Time};
+pub use crate::core::{Answer, Arrival, Attempt, Cause, Core, Effects, Policy, Time};
 pub use crate::endpoint::{Endpoint, Holding, Host};
--- /dev/null
+++ b/crates/sandgap-driver/src/permit/tests.rs
@@ -0,0 +1,81 @@
+use super::*;
+
+const fn at(ms: u64) -> Time {
+    Duration::from_millis(ms)
+}
+
+fn place(cell: u64) -> Place {
+    Place { zone: Some(ZoneId(1)), cell: Some(CellId(cell)) }
+}
+
+const KEYED: Effect = Effect::Keyed { group: Group::Cell, window: 1000.0 };
+const ANYWHERE: Effect = Effect::Keyed { group: Group::All, window: 1000.0 };
+
+#[test]
+fn what_may_have_run_is_repeated_only_where_and_while_that_is_dropped() {
+    let mut attempts = Attempts::default();
+    for effect in [Effect::Safe, KEYED, Effect::Unsafe] {
+        assert_eq!(attempts.may_repeat(effect, at(0), place(1)), Ok(()), "the first is no repeat");
+    }
+    attempts.begin(at(100), place(1));
+    assert_eq!(attempts.may_repeat(Effect::Safe, at(200), place(2)), Ok(()));
+    assert_eq!(attempts.may_repeat(Effect::Unsafe, at(200), place(1)), Err(Denial::MayHaveRun));
+    assert_eq!(attempts.may_repeat(KEYED, at(1099), place(1)), Ok(()));
+    assert_eq!(attempts.may_repeat(KEYED, at(200), place(2)), Err(Denial::RepeatNotDropped));
+    assert_eq!(attempts.may_repeat(KEYED, at(200), Place::default()), Err(Denial::RepeatNotDropped));
+    assert_eq!(attempts.may_repeat(KEYED, at(1100), place(1)), Err(Denial::RepeatNotDropped));
+    assert_eq!(attempts.may_repeat(ANYWHERE, at(1099), place(2)), Ok(()));
+    attempts.end(0, false);
+    assert_eq!(attempts.may_repeat(Effect::Unsafe, at(1500), place(2)), Ok(()), "it has surely not run");
+}
+
+#[test]
+fn the_window_counts_from_the_first_that_may_have_run() {
+    let mut attempts = Attempts::default();
+    attempts.begin(at(100), place(1));
+    attempts.end(0, false);
+    attempts.skip(at(150));
+    attempts.begin(at(500), place(2));
+    attempts.begin(at(900), place(2));
+    attempts.end(3, false);
+    assert_eq!(attempts.may_repeat(KEYED, at(1499), place(2)), Ok(()));
+    assert_eq!(attempts.may_repeat(KEYED, at(1499), place(1)), Err(Denial::RepeatNotDropped));
+    assert_eq!(attempts.may_repeat(KEYED, at(1500), place(2)), Err(Denial::RepeatNotDropped));
+}
+
+#[test]
+fn a_refusal_promises_that_asking_again_does_no_harm() {
+    let mut attempts = Attempts::default();
+    assert_eq!(attempts.may_refuse(Effect::Unsafe, at(0), None), Ok(()));
+    attempts.begin(at(100), place(1));
+    assert_eq!(attempts.may_refuse(Effect::Safe, at(200), None), Ok(()));
+    assert_eq!(attempts.may_refuse(Effect::Unsafe, at(200), None), Err(Denial::MayHaveRun));
+    assert_eq!(
+        attempts.may_refuse(KEYED, at(200), None),
+        Err(Denial::MayHaveRun),
+        "it may come to another cell"
+    );
+    assert_eq!(attempts.may_refuse(ANYWHERE, at(200), Some(800.0)), Ok(()));
+    assert_eq!(attempts.may_refuse(ANYWHERE, at(200), Some(900.0)), Err(Denial::MayHaveRun));
+}
+
+#[test]
+fn one_fact_that_has_changed_holds_back_the_first_byte() {
+    let good = SendFacts {
+        wanted: true,
+        endpoint_open: true,
+        lease_holds: true,
+        time_left: LEAST_TIME_LEFT,
+        repeat_dropped: true,
+    };
+    assert_eq!(good.may_send(), Ok(()));
+    for (facts, denial) in [
+        (SendFacts { wanted: false, ..good }, Denial::Answered),
+        (SendFacts { endpoint_open: false, ..good }, Denial::EndpointClosed),
+        (SendFacts { lease_holds: false, ..good }, Denial::LeaseLapsed),
+        (SendFacts { repeat_dropped: false, ..good }, Denial::RepeatNotDropped),
+        (SendFacts { time_left: LEAST_TIME_LEFT - at(1), ..good }, Denial::DeadlineOver),
+    ] {
+        assert_eq!(facts.may_send(), Err(denial));
+    }
+}
--- a/crates/sandgap-lab/src/file.rs
+++ b/crates/sandgap-lab/src/file.rs
@@ -729,13 +729,16 @@
             aim_stretch: 0.0,
             worth: self.worth,
             late_worth: 0.0,
-            effect: match self.effect {
-                EffectWord::Safe => module::Effect::Safe,
-                EffectWord::Keyed => {
-                    module::Effect::Keyed { group: module::Group::Cell, window: self.window_ms }
-                }
-                EffectWord::Unsafe => module::Effect::Unsafe,
-            },
+            effect: self.module_effect(),
+        }
+    }
+
+    /// Whether it may run again, in the module's words.
+    pub fn module_effect(&self) -> module::Effect {
+        match self.effect {
+            EffectWord::Safe => module::Effect::Safe,
+            EffectWord::Keyed => module::Effect::Keyed { group: module::Group::Cell, window: self.window_ms },
+            EffectWord::Unsafe => module::Effect::Unsafe,
         }
     }
 
--- a/crates/sandgap-lab/src/fleet/client.rs
+++ b/crates/sandgap-lab/src/fleet/client.rs
@@ -4,7 +4,7 @@
 use rand_distr::{Distribution, Exp1};
 use sandgap_driver::Arrival;
 use sandgap_rules::End;
-use wharfhitch::{ClassId, RequestId, TenantId};
+use wharfhitch::{ClassId, Effect, RequestId, TenantId};
 
 use super::{
     Asked, Event, Fleet, GIVES_UP, IN_FLIGHT, Load, MS, NOBODY, Nanos, RunError, SECOND, SWEEP, Task, nanos,
@@ -13,6 +13,7 @@
 use crate::defects::{Defect, SOME};
 use crate::file::Retry;
 use crate::measure::Ended;
+use crate::rivals::PolicyKind;
 
 /// A client that was told nothing of when to come back waits this long, in the mean.
 const COMEBACK: Nanos = SECOND;
@@ -133,6 +134,10 @@
             upload: None,
             id: RequestId(u64::from(number)),
             class: ClassId(usize::from(task.class)),
+            effect: match self.plan.policy {
+                PolicyKind::Sandgap => self.e.classes[usize::from(task.class)].module_effect(),
+                _ => Effect::Safe, // a rival's mistakes have to show in the laboratory's own checker
+            },
             tenant: (!self.e.tenants.is_empty()).then_some(TenantId(usize::from(task.tenant))),
             key: None,
             hint: None,
--- a/crates/sandgap-lab/src/proxy.rs
+++ b/crates/sandgap-lab/src/proxy.rs
@@ -1,7 +1,8 @@
 //! The virtual driver's outside: where the daemon has sockets, this notes what is to be done, and the fleet does
 //! it in virtual time. The core above it is the daemon's own.
 
-use sandgap_driver::{Answer, Attempt, Core, Effects, Endpoint};
+use sandgap_driver::permit::Violation;
+use sandgap_driver::{Answer, Attempt, Cause, Core, Effects, Endpoint};
 use std::net::{Ipv4Addr, SocketAddr};
 use wharfhitch::{RequestId, Scope};
 
@@ -20,8 +21,8 @@
     Subscribe,
     /// Have the list told once.
     Fetch,
-    /// The module did what it must not.
-    Odd(&'static str),
+    /// The module wanted what may not be.
+    Violation(Violation),
 }
 
 /// Notes what is to be done.
@@ -39,7 +40,7 @@
         self.commands.push(Command::Attempt(attempt));
     }
 
-    fn answer(&mut self, (): &mut (), request: RequestId, answer: Answer<u32>) {
+    fn answer(&mut self, (): &mut (), request: RequestId, answer: Answer<u32>, _: Cause) {
         self.commands.push(Command::Answer(request, answer));
     }
 
@@ -59,8 +60,8 @@
 
     fn listed(&mut self, _: Scope, _: bool) {}
 
-    fn report_anomaly(&mut self, what: &'static str) {
-        self.commands.push(Command::Odd(what));
+    fn violation(&mut self, violation: Violation, _: RequestId) {
+        self.commands.push(Command::Violation(violation));
     }
 }
 
--- a/crates/sandgap-rules/src/judge.rs
+++ b/crates/sandgap-rules/src/judge.rs
@@ -9,6 +9,9 @@
 use crate::latencies::Latencies;
 use crate::record::{Effect, End, Ran, Rule, Verdict};
 
+/// What a backend may be told beyond what its client has left, by the operators' terms.
+const TOLD_SLACK: Micros = 150_000;
+
 /// What the rules need beside the records.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -48,6 +51,8 @@
     pub first: Micros,
     /// When its last byte came.
     pub last: Micros,
+    /// How long it was told that the client waits, if it was.
+    pub told: Option<Micros>,
     /// How it ended there, if it has.
     pub ran: Option<Ran>,
 }
@@ -163,6 +168,7 @@
             }
             debug_assert!(s.first <= s.last);
             self.drained(r, s);
+            self.passed_on(r, h, s);
         }
     }
 
@@ -286,6 +292,22 @@
         }
     }
 
+    /// Whether an attempt told its backend more time than its client had left.
+    fn passed_on(&mut self, r: u32, h: &History, s: &Sent) {
+        let Some(told) = s.told else { return };
+        // A client's time runs from its last byte, which of a long request may come after its first at the backend.
+        let asking = h.askings.iter().rev().find(|a| a.proxy == s.proxy && a.at <= s.last);
+        let Some(asking) = asking else { return };
+        let slack = TOLD_SLACK + self.terms.slack + self.stood(s.proxy, asking.at, s.last);
+        let over = (s.first + told).saturating_sub(asking.deadline + slack);
+        if over > 0 {
+            let by = over as f64 / 1000.0;
+            let text =
+                format!("request {r} told backend {} {by:.0} ms more than its client had left", s.backend);
+            self.verdict.broken(Rule::DeadlinesPassedOn, Some(r), text);
+        }
+    }
+
     /// Whether an attempt went out in spite of a drain.
     fn drained(&mut self, r: u32, s: &Sent) {
         let Some(news) = self.news.in_force(s.proxy, s.backend, s.first) else {
--- a/crates/sandgap-rules/src/ledger.rs
+++ b/crates/sandgap-rules/src/ledger.rs
@@ -92,8 +92,8 @@
                     None => verdict.incomplete(format!("request {request} ended and was never asked")),
                 }
             }
-            Record::Came { attempt, request, backend, cell, proxy, first, last } => {
-                let sent = Sent { number: attempt, backend, cell, proxy, first, last, ran: None };
+            Record::Came { attempt, request, backend, cell, proxy, first, last, told } => {
+                let sent = Sent { number: attempt, backend, cell, proxy, first, last, told, ran: None };
                 match request.and_then(|r| Some((r, self.histories.get_mut(r as usize)?))) {
                     Some((r, history)) => {
                         self.by_number.insert(attempt, (r, history.sent.len()));
--- a/crates/sandgap-rules/src/ledger/tests.rs
+++ b/crates/sandgap-rules/src/ledger/tests.rs
@@ -40,7 +40,8 @@
     fn came(&mut self, attempt: u32, request: u32, backend: u16, at: Micros, ran: Option<Ran>) {
         let cell = backend / 2;
         let request = Some(request);
-        let came = Record::Came { attempt, request, backend, cell, proxy: 0, first: at, last: at + 1 };
+        let came =
+            Record::Came { attempt, request, backend, cell, proxy: 0, first: at, last: at + 1, told: None };
         self.put(Writer::Backends, came);
         if let Some(ran) = ran {
             self.put(Writer::Backends, Record::Over { attempt, ran });
@@ -185,8 +186,16 @@
                 Record::Asked { request: 0, proxy: 1, at: 17 * MS, deadline: 1000 * MS },
             );
             let (request, cell, proxy) = (Some(0), 1, 1);
-            let came =
-                Record::Came { attempt: 1, request, backend: 2, cell, proxy, first: 18 * MS, last: 18 * MS };
+            let came = Record::Came {
+                attempt: 1,
+                request,
+                backend: 2,
+                cell,
+                proxy,
+                first: 18 * MS,
+                last: 18 * MS,
+                told: None,
+            };
             play.put(Writer::Discovery, Record::Told { proxy: 1, backend: 2, up: true, at: 0 });
             play.put(Writer::Backends, came);
             play.put(Writer::Backends, Record::Over { attempt: 1, ran: Ran::Answered });
--- a/crates/sandgap-rules/src/record.rs
+++ b/crates/sandgap-rules/src/record.rs
@@ -88,6 +88,8 @@
         first: Micros,
         /// When its last byte came.
         last: Micros,
+        /// How long it was told that the client waits, if it was.
+        told: Option<Micros>,
     },
     /// An attempt has ended at its backend.
     Over {
@@ -145,7 +147,7 @@
     Runner,
 }
 
-/// The four rules.
+/// The four rules, and what goes with the first of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
@@ -157,6 +159,8 @@
     DrainsKept,
     /// No cold backend is pushed over.
     NoColdPushedOver,
+    /// A backend is told no more time than the client has left.
+    DeadlinesPassedOn,
 }
 
 /// A broken rule.
--- a/crates/sandgap-rules/src/stream.rs
+++ b/crates/sandgap-rules/src/stream.rs
@@ -157,7 +157,7 @@
     }
 
     fn sent(number: u32, backend: u16, at: Micros) -> Sent {
-        Sent { number, backend, cell: backend / 2, proxy: 0, first: at, last: at, ran: None }
+        Sent { number, backend, cell: backend / 2, proxy: 0, first: at, last: at, told: None, ran: None }
     }
 
     #[test]
--- a/crates/sandgap/src/admin.rs
+++ b/crates/sandgap/src/admin.rs
@@ -13,6 +13,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
+use crate::diagnostics::Diagnostics;
 use crate::note;
 use crate::retry;
 use crate::serving::{Serving, State};
@@ -45,8 +46,9 @@
 }
 
 /// Carries out a call; the answer is a line.
-fn answer(call: Result<&str, &'static str>, serving: &Serving) -> String {
+fn answer(call: Result<&str, &'static str>, serving: &Serving, diagnostics: &Diagnostics) -> String {
     match call {
+        Ok("counters") => format!("200 {}", diagnostics.summary()),
         Ok("ready") if serving.is_ready() => match serving.state() {
             State::Drained => "200 ready, and drained".into(),
             _ => "200 ready".into(),
@@ -64,8 +66,8 @@
             note!("resumed by hand: clients are taken");
             "200 taking clients".into()
         }
-        Ok("") => "400 an empty line; calls are ready, drain, resume".into(),
-        Ok(_) => "400 no such call; calls are ready, drain, resume".into(),
+        Ok("") => "400 an empty line; calls are ready, drain, resume, counters".into(),
+        Ok(_) => "400 no such call; calls are ready, drain, resume, counters".into(),
         Err(why) => format!("400 {why}"),
     }
 }
@@ -82,11 +84,13 @@
     }
 }
 
-async fn serve_one(stream: TcpStream, heard: impl FnOnce(), serving: Rc<Serving>) -> io::Result<()> {
+async fn serve_one(
+    stream: TcpStream, heard: impl FnOnce(), serving: Rc<Serving>, diagnostics: Rc<Diagnostics>,
+) -> io::Result<()> {
     let mut stream = SharedStream::from(stream);
     let call = timeout(PATIENCE, hear(&mut stream)).await.unwrap_or(Ok(Err("no whole line in time")))?;
     heard();
-    let text = answer(call.as_deref().map_err(|e| *e), &serving) + "\n";
+    let text = answer(call.as_deref().map_err(|e| *e), &serving, &diagnostics) + "\n";
     stream.write_all(text.as_bytes()).await?;
     SockRef::from(&*stream).shutdown(Shutdown::Write)?;
     let mut rest = [0; LINE];
@@ -95,7 +99,7 @@
 }
 
 /// Answers callers for as long as the process runs. The answer to a call stands before it takes effect anywhere else.
-pub async fn serve(listener: TcpListener, serving: Rc<Serving>) {
+pub async fn serve(listener: TcpListener, serving: Rc<Serving>, diagnostics: Rc<Diagnostics>) {
     let callers: Rc<std::cell::RefCell<VecDeque<(u64, AbortHandle)>>> = Rc::default();
     for number in 0.. {
         let stream = match listener.accept().await {
@@ -118,9 +122,9 @@
             let callers = callers.clone();
             move || callers.borrow_mut().retain(|(n, _)| *n != number)
         };
-        let serving = serving.clone();
+        let (serving, diagnostics) = (serving.clone(), diagnostics.clone());
         let task = spawn_local(async move {
-            let _ = serve_one(stream, forget, serving).await; // a caller that has left needs no answer
+            let _ = serve_one(stream, forget, serving, diagnostics).await; // a caller that has left needs no answer
         });
         all.push_back((number, task.abort_handle()));
     }
@@ -165,8 +169,8 @@
 
     #[test]
     fn calls_are_answered_by_the_state() {
-        let serving = Serving::default();
-        let ask = |call| answer(Ok(call), &serving);
+        let (serving, diagnostics) = (Serving::default(), Diagnostics::new(None));
+        let ask = |call| answer(Ok(call), &serving, &diagnostics);
         assert!(ask("ready").starts_with("400"));
         serving.listed();
         assert!(ask("ready").starts_with("200"));
--- a/crates/sandgap/src/beliefs.rs
+++ b/crates/sandgap/src/beliefs.rs
@@ -14,6 +14,7 @@
 use wharfhitch::limit::Why;
 use wharfhitch::{BackendId, Belief};
 
+use crate::diagnostics::Event;
 use crate::note;
 
 /// Ratio by which a limit must have moved since it was last logged: less is the daily up and down.
@@ -47,7 +48,7 @@
     /// Looks at what is believed now. Bounded by the number of listed backends.
     pub fn look(
         &mut self, now: Instant, beliefs: impl Iterator<Item = Belief>,
-        address: impl Fn(BackendId) -> Option<SocketAddr>,
+        counts: &[(Event, &'static str, u64)], address: impl Fn(BackendId) -> Option<SocketAddr>,
     ) {
         let due = self.file.as_ref().is_some_and(|f| f.written.is_none_or(|at| now - at >= WRITE));
         // Anew for each write: a recorder never forgets a gauge, and backends come and go for years.
@@ -74,6 +75,7 @@
             self.told.clear(); // backends that have left; the rest is told again
         }
         if let (Some(recorder), Some(file)) = (recorder, &mut self.file) {
+            counts.iter().for_each(|(event, reason, count)| counter(&recorder, *event, reason, *count));
             file.write(now, recorder.handle().render());
         }
     }
@@ -95,9 +97,21 @@
         None,
         "requests that its rating says it holds".into(),
     );
+    recorder.describe_counter(
+        "sandgap_events_total".into(),
+        None,
+        "closes, refusals, attempts, retries, denials and violations by their reasons".into(),
+    );
     recorder
 }
 
+fn counter(recorder: &PrometheusRecorder, event: Event, reason: &'static str, count: u64) {
+    with_local_recorder(recorder, || {
+        metrics::counter!("sandgap_events_total", "event" => event.name(), "reason" => reason)
+            .absolute(count);
+    });
+}
+
 fn gauge(recorder: &PrometheusRecorder, belief: &Belief, address: SocketAddr) {
     let backend = address.to_string();
     with_local_recorder(recorder, || {
@@ -146,7 +160,7 @@
         for (i, (backend, gone)) in [(7001, 7002), (7002, 7001)].into_iter().enumerate() {
             let file = beliefs.file.as_ref().expect("a file");
             let busy = file.busy.clone();
-            beliefs.look(start + 2 * WRITE * i as u32, [believed(backend, 12.0)].into_iter(), address);
+            beliefs.look(start + 2 * WRITE * i as u32, [believed(backend, 12.0)].into_iter(), &[], address);
             while busy.load(Ordering::Relaxed) {
                 tokio::time::sleep(Duration::from_millis(1)).await;
             }
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
@@ -15,6 +15,7 @@
 
 use crate::beliefs::Beliefs;
 use crate::config::{Config, Source};
+use crate::diagnostics::{Diagnostics, Event};
 use crate::driver::{Driver, Parts};
 use crate::event::{Inbox, Input};
 use crate::front::{Frontend, UploadLimits};
@@ -35,6 +36,8 @@
 const UPLOAD: usize = body::WHOLE + 2 * (32 << 10);
 /// Part of the memory, as 1 over it, into which they may read ahead besides, while they wait for a backend.
 const READ_AHEAD_PART: usize = 8;
+/// The environment's variable that names a file for the trace of events.
+const TRACE: &str = "SANDGAP_TRACE";
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
@@ -123,6 +126,19 @@
     }
 }
 
+/// Counts and traces what the process is doing.
+async fn note_states(serving: Rc<Serving>, diagnostics: Rc<Diagnostics>) {
+    let mut changes = serving.changes();
+    loop {
+        let state = serving.state().name();
+        diagnostics.count(Event::State, state);
+        diagnostics.trace("state", || json!({"state": state}));
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn run(path: PathBuf, config: Config) -> Result<(), String> {
     let at = |what: &str| {
         let what = what.to_owned();
@@ -132,6 +148,8 @@
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
     let hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     let serving = Rc::new(Serving::default());
+    let diagnostics = Diagnostics::new(std::env::var_os(TRACE).map(PathBuf::from).as_deref());
+    spawn_local(note_states(serving.clone(), diagnostics.clone()));
     let taken = match config.upgrade.as_ref().filter(|_| config.listen.port() != 0) {
         Some(directory) => handover::take(&handover::path(directory, config.listen), config.listen).await,
         None => None,
@@ -154,7 +172,7 @@
         Some(address) => admin::listen(address).await,
         None => None,
     } {
-        spawn_local(admin::serve(listener, serving.clone()));
+        spawn_local(admin::serve(listener, serving.clone(), diagnostics.clone()));
     }
     let (inbox, inputs) = Inbox::new();
     let (discovery, addresses) = match &config.source {
@@ -179,7 +197,7 @@
     let budget = config.sockets - RESERVE;
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs.
-    let upstreams = Rc::new(Upstreams::new(&config.connections, budget / 4));
+    let upstreams = Rc::new(Upstreams::new(&config.connections, budget / 4, diagnostics.clone()));
     let known_only = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
     let parts = Parts {
@@ -190,6 +208,7 @@
         watch: asked.clone(),
         serving: serving.clone(),
         remembered: known_only.clone(),
+        diagnostics: diagnostics.clone(),
     };
     let (fleet, base) = (config.fleet, config.settings.clone());
     let generations = Generations::new(&config.settings, &config.names);
@@ -260,10 +279,12 @@
     // Without its module a proxy could only fail everything: then it is better dead and started anew.
     // A task of its own: what is polled right here is polled whenever any task has run.
     let front = spawn_local(front.serve(listener, stop));
-    tokio::select! {
+    let ended = tokio::select! {
         end = front => end.map_err(|e| format!("the front has ended: {e}")),
         end = driver => Err(format!("the driver has ended: {end:?}")),
-    }
+    };
+    note!("events: {}", diagnostics.summary());
+    ended
 }
 
 /// Runs one proxy by the configuration in `path` until it is told to stop and has finished what it took.
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -7,13 +7,16 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustc_hash::FxHashMap;
-use sandgap_driver::{self as core, Core, Effects, Time};
+use sandgap_driver::permit::{Denial, Violation};
+use sandgap_driver::{self as core, Cause, Core, Effects, Time};
+use serde_json::json;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::settings::{Names, number_of};
-use wharfhitch::{BackendId, Balancer, RequestId, Scope};
+use wharfhitch::{BackendId, Balancer, Outcome, RequestId, Scope};
 
 use crate::beliefs::Beliefs;
+use crate::diagnostics::{Diagnostics, Event};
 use crate::discovery;
 use crate::drains::Drains;
 use crate::event::{
@@ -44,6 +47,8 @@
     pub serving: Rc<Serving>,
     /// Set once there is a remembered list to serve from.
     pub remembered: Rc<Cell<bool>>,
+    /// Counts and traces what happens.
+    pub diagnostics: Rc<Diagnostics>,
 }
 
 /// What is kept with a request: the form in which it goes on, and whoever waits for its answer.
@@ -51,6 +56,8 @@
     exchange: Rc<dyn Exchange>,
     lease: Option<Rc<dyn Lease>>,
     answer: Option<oneshot::Sender<Answer>>,
+    /// How its last attempt ended, if one has.
+    last: Cell<Option<Outcome>>,
 }
 
 /// The world of sockets, as the core sees it.
@@ -65,6 +72,14 @@
 
     fn attempt(&mut self, held: &RequestContext, attempt: core::Attempt) {
         let core::Attempt { request, number, endpoint, wanted, until, answer_by, before } = attempt;
+        let diagnostics = &self.parts.diagnostics;
+        if number > 0 {
+            diagnostics.count(Event::Retry, held.last.get().map_or("none", outcome_name));
+        }
+        diagnostics.trace("attempt", || {
+            let left = (self.start + until).saturating_duration_since(Instant::now()).as_secs_f64();
+            json!({"request": request.0, "attempt": number, "backend": endpoint.address, "left_s": left})
+        });
         let report = Report::new(self.parts.inbox.clone(), request, number, endpoint.hold());
         let until = self.start + until;
         let answer_by = AnswerBy { start: self.start, after: answer_by };
@@ -78,7 +93,15 @@
         held.lease.as_ref().is_none_or(|l| l.holds())
     }
 
-    fn answer(&mut self, held: &mut RequestContext, _: RequestId, answer: Answer) {
+    fn answer(&mut self, held: &mut RequestContext, request: RequestId, answer: Answer, cause: Cause) {
+        let word = match &answer {
+            Answer::Served(_) => "served",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+        };
+        self.parts
+            .diagnostics
+            .trace("answered", || json!({"request": request.0, "answer": word, "cause": cause.name()}));
         if let Some(sender) = held.answer.take() {
             let _ = sender.send(answer); // a client that has just left needs none
         }
@@ -117,8 +140,22 @@
         }
     }
 
-    fn report_anomaly(&mut self, what: &'static str) {
-        note!(error: "{what}");
+    fn violation(&mut self, violation: Violation, request: RequestId) {
+        note!(error: "a rule would have been broken: {} of request {}", violation.name(), request.0);
+        self.parts.diagnostics.count(Event::Violation, violation.name());
+        let fields = || json!({"request": request.0, "reason": violation.name()});
+        self.parts.diagnostics.trace("violation", fields);
+    }
+
+    fn late_answer(&mut self, request: RequestId) {
+        self.parts.diagnostics.count(Event::Late, "answer");
+        self.parts.diagnostics.trace("late_answer", || json!({"request": request.0}));
+    }
+
+    fn denied(&mut self, request: RequestId, attempt: u32, denial: Denial) {
+        self.parts.diagnostics.count(Event::Denial, denial.name());
+        let fields = || json!({"request": request.0, "attempt": attempt, "reason": denial.name()});
+        self.parts.diagnostics.trace("denied", fields);
     }
 }
 
@@ -170,7 +207,8 @@
             if now >= sweep {
                 self.core.effects.parts.backs.iter().for_each(|b| b.sweep());
                 let believed = self.core.decider().beliefs();
-                self.beliefs.look(now.into_std(), believed, |b| self.core.address(b));
+                let counts = self.core.effects.parts.diagnostics.counts();
+                self.beliefs.look(now.into_std(), believed, &counts, |b| self.core.address(b));
                 sweep = now + SWEEP;
             }
         }
@@ -205,19 +243,43 @@
         let now = self.now();
         match input {
             Input::Request(arrival) => {
-                let Arrival { id, class, tenant, key, hint, deadline, upload, exchange, lease, answer } =
-                    *arrival;
+                let Arrival {
+                    id,
+                    class,
+                    effect,
+                    tenant,
+                    key,
+                    hint,
+                    deadline,
+                    upload,
+                    exchange,
+                    lease,
+                    answer,
+                } = *arrival;
                 let deadline = deadline.saturating_duration_since(self.start);
-                let held = RequestContext { exchange, lease, answer: Some(answer) };
-                let arrival = core::Arrival { id, class, tenant, key, hint, deadline, upload, held };
+                let held = RequestContext { exchange, lease, answer: Some(answer), last: Cell::new(None) };
+                let arrival = core::Arrival { id, class, effect, tenant, key, hint, deadline, upload, held };
                 self.core.request(now, arrival);
             }
             Input::Received(id, at) => self.core.received(id, at.saturating_duration_since(self.start)),
             Input::Uploaded(id) => self.core.uploaded(now, id),
             Input::End(at) => self.core.end_by(at.saturating_duration_since(self.start)),
             Input::Started { request, attempt, reply } => self.core.started(now, request, attempt, reply),
-            Input::Gone(id) => self.core.client_disconnected(now, id),
+            Input::Gone(id) => {
+                let diagnostics = &self.core.effects.parts.diagnostics;
+                diagnostics.trace("client_left", || json!({"request": id.0}));
+                self.core.client_disconnected(now, id);
+            }
             Input::Ended { request, attempt, latency, outcome, reply } => {
+                let diagnostics = &self.core.effects.parts.diagnostics;
+                diagnostics.count(Event::Attempt, outcome_name(outcome));
+                diagnostics.trace("ended", || {
+                    let outcome = outcome_name(outcome);
+                    json!({"request": request.0, "attempt": attempt, "outcome": outcome, "took_ms": latency})
+                });
+                if let Some(held) = self.core.context(request) {
+                    held.last.set(Some(outcome));
+                }
                 self.core.ended(now, request, attempt, latency, outcome, reply);
             }
             Input::Change(change) => self.core.change(now, *change),
@@ -237,3 +299,17 @@
         }
     }
 }
+
+/// An outcome's word for logs and counters.
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Served => "served",
+        Outcome::Error => "error",
+        Outcome::Full => "turned_away",
+        Outcome::TimedOut => "timed_out",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::NotSent => "not_sent",
+    }
+}
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -11,7 +11,7 @@
 pub use sandgap_driver::{Endpoint, Holding, Host};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
-use wharfhitch::{ClassId, Key, Millis, Outcome, RequestId, Scope, TenantId};
+use wharfhitch::{ClassId, Effect, Key, Millis, Outcome, RequestId, Scope, TenantId};
 
 /// What happens outside the module.
 pub enum Input {
@@ -96,6 +96,8 @@
     pub id: RequestId,
     /// Its class.
     pub class: ClassId,
+    /// Whether it may run again.
+    pub effect: Effect,
     /// Its tenant, where requests have one.
     pub tenant: Option<TenantId>,
     /// What it concerns.
@@ -200,6 +202,11 @@
         Report { inbox, request, attempt, sent: Instant::now(), latency: None, told: false, holding }
     }
 
+    /// The request's number.
+    pub fn request(&self) -> RequestId {
+        self.request
+    }
+
     /// When the attempt began.
     pub fn sent(&self) -> Instant {
         self.sent
--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::Frontend;
+use super::closing::CloseReason;
 use super::limits::{AHEAD, BACKENDS, IDLE_MOST, NEXT, SPARED, WHOLE};
 use crate::body::Upload;
 use crate::socket::Socket;
@@ -34,6 +35,8 @@
 
 /// What is known of a connection.
 pub(super) struct Client {
+    /// Never used twice in a process.
+    pub(super) number: u64,
     pub(super) stage: Cell<Stage>,
     /// Its place among those of its stage, oldest first.
     pub(super) ticket: Cell<u64>,
@@ -62,6 +65,8 @@
     pub(super) heard: Cell<Instant>,
     /// More was sent ahead than is kept.
     pub(super) flooded: Cell<bool>,
+    /// Why it was asked to close last.
+    pub(super) close_reason: Cell<CloseReason>,
     pub(super) close: Notify,
     /// What has come of a head, until it has been read.
     pub(super) head: RefCell<Vec<u8>>,
@@ -69,9 +74,10 @@
 
 impl Client {
     /// A connection that has just been accepted; it may have come at `queued` already.
-    pub(super) fn new(queued: Instant) -> Rc<Self> {
+    pub(super) fn new(number: u64, queued: Instant) -> Rc<Self> {
         let now = Instant::now();
         Rc::new(Client {
+            number,
             stage: Cell::new(Stage::Busy),
             ticket: Cell::new(0),
             since: Cell::new(now),
@@ -87,11 +93,18 @@
             ahead_came: Cell::new(now),
             heard: Cell::new(now),
             flooded: Cell::new(false),
+            close_reason: Cell::new(CloseReason::TimeUp),
             close: Notify::new(),
             head: RefCell::default(),
         })
     }
 
+    /// Asks it to close; see [`super::closing`].
+    fn ask_to_close(&self, reason: CloseReason) {
+        self.close_reason.set(reason);
+        self.close.notify_one();
+    }
+
     /// Waits until the client has gone while its answer is awaited.
     pub(super) async fn disconnected(&self, stream: &Socket) {
         let mut closing = None;
@@ -222,7 +235,7 @@
             let spared = if late && stage <= Stage::Silent as usize { Duration::ZERO } else { spared };
             let oldest = all.first_entry().filter(|e| e.get().since.get().elapsed() >= spared);
             if let Some(oldest) = oldest {
-                oldest.remove().close.notify_one();
+                oldest.remove().ask_to_close(CloseReason::Evicted);
                 return true;
             }
         }
@@ -230,7 +243,8 @@
     }
 
     pub(super) fn close_all(&self, stage: Stage) {
-        self.standing.borrow()[stage as usize].values().for_each(|c| c.close.notify_one());
+        let standing = self.standing.borrow();
+        standing[stage as usize].values().for_each(|c| c.ask_to_close(CloseReason::SentAway));
     }
 
     /// Closes the connections whose time is up.
@@ -242,11 +256,18 @@
             unheard.iter().flat_map(|s| standing[*s as usize].values()).filter(|c| c.due.get() <= now);
         let idle = standing[Stage::Idle as usize].values();
         let idle = idle.take_while(|c| now - c.since.get() >= IDLE_MOST);
-        unheard.chain(idle).for_each(|c| c.close.notify_one());
+        unheard.for_each(|c| c.ask_to_close(CloseReason::TimeUp));
+        idle.for_each(|c| c.ask_to_close(CloseReason::IdleTooLong));
         drop(standing);
         self.close_idle();
     }
 
+    /// Connections that hold a request, or may: a part of a head, or bytes that nobody has read yet.
+    pub(super) fn unfinished(&self) -> usize {
+        let standing = self.standing.borrow();
+        self.busy.get() + standing[Stage::Silent as usize].len() + standing[Stage::Begun as usize].len()
+    }
+
     /// Where clients are sent away, nobody stays between requests.
     pub(super) fn close_idle(&self) {
         if self.serving.sends_away() {
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header;
 use hyper::{Request, Response, StatusCode};
+use serde_json::json;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use wharfhitch::RequestId;
@@ -80,11 +81,16 @@
         });
         let id = RequestId(self.number());
         let (answer, answered) = oneshot::channel();
-        let Asked { class, tenant, key, hint, generation, patience, .. } = asked;
+        let Asked { class, effect, tenant, key, hint, generation, patience, .. } = asked;
+        self.diagnostics.trace("asked", || {
+            let left = deadline.saturating_duration_since(Instant::now()).as_secs_f64();
+            json!({"request": id.0, "id": &*asked.id, "connection": client.number, "left_s": left})
+        });
         let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body, patience };
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
             class,
+            effect,
             tenant,
             key,
             hint,
@@ -182,8 +188,16 @@
     }
 }
 
+/// Why a client is not given a backend's answer; kept with the answer for the counters.
+#[derive(Clone, Copy)]
+pub(super) struct Reason(pub(super) &'static str);
+
+/// An answer of the proxy's own.
 pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Answering> {
     let mut response = Response::new(Bytes::from_static(text.as_bytes()).into());
     *response.status_mut() = status;
+    if !text.is_empty() {
+        response.extensions_mut().insert(Reason(text));
+    }
     response
 }
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -12,18 +12,29 @@
 use hyper::service::service_fn;
 use hyper::{StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::Frontend;
 use super::admission::{Client, Stage};
-use super::answer::plain;
+use super::answer::{Reason, plain};
+use super::closing::{self, Closing};
 use super::limits::{BUSY, CUT, GRACE, HEAD_SIZE, LINGER, READER, WHOLE};
 use crate::body::Answering;
+use crate::diagnostics::Event;
 use crate::socket::Socket;
 
 impl Frontend {
+    /// Serves a connection to its end.
     pub(super) async fn connection(self: &Rc<Self>, stream: Socket, client: &Rc<Client>) {
+        let reason = self.serve_connection(stream, client).await;
+        self.diagnostics.count(Event::Close, reason);
+        self.diagnostics.trace("closed", || json!({"connection": client.number, "reason": reason}));
+    }
+
+    /// Serves a connection and tells why it has ended.
+    async fn serve_connection(self: &Rc<Self>, stream: Socket, client: &Rc<Client>) -> &'static str {
         let service = service_fn(|request| {
             let (front, client, stream) = (self.clone(), client.clone(), stream.clone());
             async move {
@@ -43,6 +54,9 @@
                     front.respond(request, came, &client).await
                 };
                 client.head.borrow_mut().clear();
+                if let Some(Reason(reason)) = response.extensions().get() {
+                    front.diagnostics.count(Event::Refusal, reason);
+                }
                 let long = matches!(response.body(), Answering::Long(..));
                 let told = response.body().size_hint().exact().is_some();
                 client.unframed.set(old && long && !told);
@@ -74,18 +88,19 @@
             tokio::select! {
                 biased; // what has come in counts before a wish to close
                 outcome = connection.as_mut() => break outcome,
-                () = &mut disconnected => return, // and its request goes with it
+                () = &mut disconnected => return "client_left", // and its request goes with it
                 () = client.close.notified() => {
-                    let stage = client.stage.get();
-                    if matches!(stage, Stage::Silent | Stage::Begun) {
-                        // What the system had before its time was over is read first; a later look closes the rest.
-                        if client.due.get() <= Instant::now() && !stream.is_quiet() {
+                    let (stage, reason) = (client.stage.get(), client.close_reason.get());
+                    match closing::decide(stage, reason, || stream.is_quiet()) {
+                        Closing::Now => return reason.name(),
+                        // A later look closes the rest.
+                        Closing::ReadFirst => {
                             self.turn(client, stage);
                             continue;
                         }
-                        return;
+                        Closing::AfterAnswer => {}
                     }
-                    if client.stage.get() == Stage::Idle {
+                    if stage == Stage::Idle {
                         closed_idle = Some(client.ticket.get());
                     }
                     connection.as_mut().graceful_shutdown();
@@ -94,7 +109,7 @@
                 // An answer that nobody reads would hold its socket for ever.
                 () = sleep_until(wait), if cut.is_some() => {
                     if client.stage.get() != Stage::Busy {
-                        return;
+                        return "nothing_moved";
                     }
                     cut = Some(Instant::now() + CUT);
                 }
@@ -102,12 +117,13 @@
         };
         // Of an answer that only the connection's end delimits, a reset alone tells that it is not whole.
         if outcome.is_err() && client.unframed.get() {
-            return stream.reset_at_close();
+            stream.reset_at_close();
+            return "answer_cut";
         }
         // A request that crosses the close of an idle connection must not be read and dropped: only a reset tells the
         // client that nobody has taken it.
         if closed_idle == Some(client.ticket.get()) {
-            return;
+            return client.close_reason.get().name();
         }
         // Malformed HTTP has been answered by hyper; a client that left needs nothing.
         if !client.ended.get() {
@@ -117,6 +133,7 @@
                 () = client.close.notified() => {}
             }
         }
+        if outcome.is_err() { "broken" } else { "ended" }
     }
 }
 
--- a/crates/sandgap/src/front/head.rs
+++ b/crates/sandgap/src/front/head.rs
@@ -40,6 +40,7 @@
 pub(super) struct Asked {
     pub(super) id: String,
     pub(super) class: ClassId,
+    pub(super) effect: Effect,
     pub(super) tenant: Option<TenantId>,
     pub(super) key: Option<Key>,
     pub(super) hint: Option<f64>,
@@ -81,7 +82,8 @@
         let hint = number(known.cost)?.map(|us| us / 1000.0);
         let key = sid.map(|s| Key(number_of(s)));
         let taken = self.rules.get().map(|rules| rules.take(name));
-        Ok(Asked { id, class, tenant, key, hint, patience, generation: generation.clone(), taken })
+        let effect = rules.effect;
+        Ok(Asked { id, class, effect, tenant, key, hint, patience, generation: generation.clone(), taken })
     }
 }
 
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer;
+mod closing;
 mod connection;
 mod head;
 mod limits;
@@ -21,9 +22,11 @@
 use wharfhitch::{Change, Settings};
 
 use crate::body::ReadAheadBudget;
+use crate::diagnostics::Diagnostics;
 use crate::event::{Inbox, Input};
 use crate::generation::Generations;
 use crate::note;
+use crate::retry;
 use crate::rules::Rules;
 use crate::serving::Serving;
 use crate::socket::Socket;
@@ -56,9 +59,12 @@
     grace: Duration,
     /// When the accept queue was last seen empty.
     empty: Cell<Instant>,
+    /// When a connection could not be accepted last for want of descriptors or buffers.
+    short: Cell<Option<Instant>>,
     standing: RefCell<[BTreeMap<u64, Rc<Client>>; SPARED.len()]>,
     ids: OpenIds,
     left: Notify,
+    diagnostics: Rc<Diagnostics>,
     /// Where rules are agreed: whether a request may be taken.
     rules: OnceCell<Rc<Rules>>,
 }
@@ -80,6 +86,7 @@
         inbox: Inbox, generations: Generations, upstreams: Rc<Upstreams>, budget: usize,
         serving: Rc<Serving>, uploads: UploadLimits, grace: Duration,
     ) -> Rc<Self> {
+        let diagnostics = upstreams.diagnostics().clone();
         Rc::new(Frontend {
             inbox,
             generations: RefCell::new(generations),
@@ -95,9 +102,11 @@
             read_ahead: ReadAheadBudget::new(uploads.read_ahead_bytes),
             grace,
             empty: Cell::new(Instant::now()),
+            short: Cell::default(),
             standing: RefCell::default(),
             ids: OpenIds::default(),
             left: Notify::new(),
+            diagnostics,
             rules: OnceCell::new(),
         })
     }
@@ -164,7 +173,7 @@
         sleep(SILENT).await;
         self.close_all(Stage::Silent);
         let end = Instant::now() + longest + FINISH;
-        while self.busy.get() > 0 {
+        while self.unfinished() > 0 {
             // A long answer that has begun is not cut off for as long as the process may live.
             let end = if self.answering.get() > 0 { end.max(Instant::now() + SWEEP) } else { end };
             if timeout_at(end, self.left.notified()).await.is_err() && self.answering.get() == 0 {
@@ -204,7 +213,7 @@
                 if self.open.get() >= most * 7 / 8 {
                     self.make_room(false);
                 }
-                let client = Client::new(self.empty.get());
+                let client = Client::new(self.number(), self.empty.get());
                 self.set_open(self.open.get() + 1);
                 self.busy.set(self.busy.get() + 1);
                 self.turn(&client, Stage::Silent);
@@ -216,14 +225,24 @@
                     self.left.notify_waiters();
                 });
             }
-            // Out of descriptors or the like: make room, wait a moment, go on.
-            Err(e) => {
-                note!(warn: "accept: {e}");
-                self.upstreams.close_idle();
-                self.make_room(false);
-                sleep(PAUSE).await;
-            }
+            Err(e) => self.accept_failed(&e).await,
+        }
+    }
+
+    /// A connection could not be accepted. One that its own client gave up, or an interrupted call, is nothing that room
+    /// would mend; where descriptors or buffers are short, idle connections go first, and clients give way only to a
+    /// shortage that lasts.
+    async fn accept_failed(&self, error: &io::Error) {
+        note!(warn: "accept: {error}");
+        if !retry::is_transient(error) || error.kind() == io::ErrorKind::Interrupted {
+            return;
+        }
+        let lasts = self.short.replace(Some(Instant::now())).is_some_and(|at| at.elapsed() < 3 * PAUSE);
+        self.upstreams.close_idle();
+        if lasts {
+            self.make_room(false);
         }
+        sleep(PAUSE).await;
     }
 
     /// Puts other settings in force for the requests that come from now on, and returns what the module has to be
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod change;
 pub mod config;
 pub mod daemon;
+pub mod diagnostics;
 pub mod discovery;
 pub mod drains;
 pub mod driver;
--- a/crates/sandgap/src/serving.rs
+++ b/crates/sandgap/src/serving.rs
@@ -20,6 +20,19 @@
     Stopping,
 }
 
+impl State {
+    /// A word for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Starting => "starting",
+            State::Serving => "serving",
+            State::HandedOver => "handed_over",
+            State::Drained => "drained",
+            State::Stopping => "stopping",
+        }
+    }
+}
+
 /// The state and those who wait for its changes.
 pub struct Serving {
     /// The module has a list to serve from.
--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::time::Duration;
 
+use sandgap_driver::permit::Denial;
+use serde_json::json;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use wharfhitch::Outcome;
 
@@ -10,6 +12,7 @@
 use super::response::{ResponsePart, exchange};
 use super::{Outgoing, Payload, Upstreams};
 use crate::body::{End, Progress};
+use crate::diagnostics::Event;
 use crate::event::{self, AnswerBy, Attempt};
 use crate::retry;
 
@@ -24,6 +27,7 @@
     /// Makes one attempt and tells how it ended; the report gets that before the connection is pooled.
     pub(super) async fn attempt(&self, message: &Outgoing, attempt: Attempt) {
         let Attempt { endpoint, wanted, lease, mut until, answer_by, before, mut report } = attempt;
+        let request_number = report.request();
         let mut uploads = match &message.body {
             Payload::Long(upload) if upload.is_spent() => return report.tell(Outcome::NotSent, None),
             Payload::Long(upload) => Some(upload),
@@ -43,8 +47,10 @@
         }
         let Some(request) = message.request(until) else { return report.tell(Outcome::NotSent, None) };
         let write_progress = connection.write_progress.clone();
-        write_progress
-            .start(SendPrecondition { endpoint: endpoint.clone(), wanted, lease, before }, &message.body);
+        write_progress.start(
+            SendPrecondition { endpoint: endpoint.clone(), wanted, lease, before, until },
+            &message.body,
+        );
         let sender = &mut connection.sender;
         let answer = async {
             tokio::select! {
@@ -85,8 +91,12 @@
                 report.tell(outcome, None);
                 self.keep(&endpoint, connection, keep && write_progress.complete(), took).await;
             }
-            Some(Err(_)) if write_progress.denied.get() && !write_progress.begun.get() => {
-                report.tell(Outcome::NotSent, None)
+            Some(Err(_)) if write_progress.denied.get().is_some() && !write_progress.begun.get() => {
+                let reason = write_progress.denied.get().map_or("", Denial::name);
+                self.diagnostics.count(Event::Denial, reason);
+                let fields = || json!({"request": request_number.0, "reason": reason});
+                self.diagnostics.trace("held_back", fields);
+                report.tell(Outcome::NotSent, None);
             }
             Some(Err(_)) | None if !write_progress.complete() => report.tell(Outcome::ConnectFailed, None),
             Some(Err(_)) => report.tell(Outcome::Reset, None),
--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -17,6 +17,7 @@
 
 use super::progress::{TrackedStream, WriteProgress};
 use crate::body::Sending;
+use crate::diagnostics::Diagnostics;
 use crate::event::{Back, Endpoint};
 use crate::socket::Socket;
 
@@ -61,6 +62,7 @@
 }
 /// What all attempts share: time-outs and the budget of sockets.
 pub struct Upstreams {
+    pub(super) diagnostics: Rc<Diagnostics>,
     dial_timeout: Cell<Duration>,
     idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
@@ -74,8 +76,11 @@
 
 impl Upstreams {
     /// Time-outs from the settings, and how many sockets all attempts may hold together.
-    pub fn new(connections: &wharfhitch::settings::Connections, sockets: usize) -> Self {
+    pub fn new(
+        connections: &wharfhitch::settings::Connections, sockets: usize, diagnostics: Rc<Diagnostics>,
+    ) -> Self {
         let new = Upstreams {
+            diagnostics,
             dial_timeout: Cell::default(),
             idle_limit: Cell::default(),
             sockets: Arc::new(Semaphore::new(sockets)),
@@ -87,6 +92,11 @@
         new
     }
 
+    /// Counts and traces what happens.
+    pub fn diagnostics(&self) -> &Rc<Diagnostics> {
+        &self.diagnostics
+    }
+
     /// Takes over other time-outs.
     pub fn change(&self, connections: &wharfhitch::settings::Connections) {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
