--- a/crates/sandgap-rig/shim/system_faults.c
+++ b/crates/sandgap-rig/shim/system_faults.c
@@ -1,6 +1,6 @@
 /* System calls that fail or fall short now and then, in all the ways that Linux documents. Loaded with LD_PRELOAD into
  * one process. SANDGAP_FAULTS names the faults: "seed=7,short_read=20,short_write=20,eintr=20,socket=300,connect=100,
- * accept=100,step_ms=3600000,ahead_ms=3600000". The figures are parts of a thousand of the calls; step_ms is the largest
+ * accept=100,held_up=2,step_ms=3600000,ahead_ms=3600000". The figures are parts of a thousand of the calls; step_ms is the largest
  * step of the wall clock, which is set anew every two seconds, and ahead_ms what it is ahead by (behind, if negative) for
  * good. Nothing else is touched. */
 #define _GNU_SOURCE
@@ -19,10 +19,11 @@
 /* A call that is cut short moves one to this many bytes. */
 #define LONGEST_CUT 8
 #define CLOCK_STEP_SECONDS 2
+#define LONGEST_HOLD_UP_NS 150000000
 
 static pthread_once_t once = PTHREAD_ONCE_INIT;
 static uint64_t state = 1;
-static long short_read, short_write, eintr, fail_socket, fail_connect, fail_accept, step_ms, ahead_ms;
+static long short_read, short_write, eintr, fail_socket, fail_connect, fail_accept, held_up, step_ms, ahead_ms;
 
 static long figure(const char *text, const char *name) {
     size_t length = strlen(name);
@@ -43,6 +44,7 @@
     fail_socket = figure(text, "socket");
     fail_connect = figure(text, "connect");
     fail_accept = figure(text, "accept");
+    held_up = figure(text, "held_up");
     step_ms = figure(text, "step_ms");
     ahead_ms = figure(text, "ahead_ms");
 }
@@ -158,7 +160,12 @@
         real = REAL(epoll_wait);
     if (FAILS(&eintr, EINTR))
         return -1;
-    return real(fd, events, most, timeout);
+    int outcome = real(fd, events, most, timeout);
+    if (happens(&held_up)) {
+        struct timespec span = {0, (long)(draw() % LONGEST_HOLD_UP_NS)};
+        nanosleep(&span, NULL);
+    }
+    return outcome;
 }
 
 int clock_gettime(clockid_t clock, struct timespec *now) {
--- a/crates/sandgap-rig/src/backend.rs
+++ b/crates/sandgap-rig/src/backend.rs
@@ -22,6 +22,10 @@
 /// One of them that is not up by then finds the queue full.
 const FULL: Duration = Duration::from_millis(30);
 const BACKLOG: u32 = 1024;
+/// Where idle connections are closed early, they are after this span.
+const IDLE_CLOSE: Duration = Duration::from_millis(12);
+/// Longer than any run.
+const FOREVER: Duration = Duration::from_secs(86_400);
 
 /// What a backend is doing. It only ever ends once.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -176,9 +180,11 @@
     async fn serve(self: Rc<Self>, world: Rc<World>, proxy: usize, mut conn: Conn) {
         let mut life = self.life.subscribe();
         loop {
+            let idle = sleep(if self.mode() == Mode::ClosesIdle { IDLE_CLOSE } else { FOREVER });
             tokio::select! {
                 begun = conn.begin() => if !begun { return },
                 _ = life.wait_for(|l| *l == Life::Gone) => return,
+                () = idle => return,
             }
             match self.mode() {
                 Mode::BlackHole => {
@@ -212,6 +218,7 @@
             proxy: proxy as u16,
             first: message.first,
             last: message.last,
+            told: message.header("x-timeout").and_then(told),
         };
         world.note(Writer::Backends, came);
         let over = Over { world, attempt, ran: Cell::new(Ran::Perhaps) };
@@ -290,6 +297,12 @@
     }
 }
 
+/// What a header tells in seconds.
+fn told(seconds: &str) -> Option<Micros> {
+    let seconds = seconds.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)?;
+    Some((seconds * 1e6) as Micros)
+}
+
 /// The body names the request and the attempt that made it.
 fn answer(request: u32, attempt: u32) -> String {
     let body = format!("request {request} attempt {attempt} {:=<200}", "");
--- a/crates/sandgap-rig/src/client.rs
+++ b/crates/sandgap-rig/src/client.rs
@@ -18,6 +18,11 @@
 
 /// A connection that is not up by then counts as refused.
 const CONNECT: Duration = Duration::from_millis(500);
+/// Who stops in the middle of a request is owed an end within 3 s, by the operators' terms, and what a process may be
+/// held up by.
+const END_OWED: Duration = Duration::from_millis(3400);
+/// A client whose bytes nobody takes for this long gives up.
+const STUCK: Duration = Duration::from_secs(5);
 /// An answer is waited for this much longer than the client's patience, to tell late from lost.
 const LATER: Micros = 1_000_000;
 
@@ -29,6 +34,8 @@
     idle: Vec<RefCell<Vec<Conn>>>,
     /// Requests that no proxy took.
     pub untaken: Cell<u32>,
+    /// Clients that stopped in the middle of a request and had no end in time: the request, its proxy, bytes sent.
+    pub unended: RefCell<Vec<(usize, usize, usize)>>,
     /// Requests that are under way.
     pub open: Cell<u32>,
     /// Ends of requests: served, refused, failed.
@@ -51,6 +58,7 @@
             idle: addresses.iter().map(|_| RefCell::default()).collect(),
             addresses,
             untaken: Cell::new(0),
+            unended: RefCell::default(),
             open: Cell::new(0),
             ends: Cell::new([0; 3]),
             latencies: RefCell::default(),
@@ -113,6 +121,14 @@
     }
 }
 
+/// A body and its length: of so many bytes, if it is a long one.
+fn body(upload: Option<usize>, short: &str) -> String {
+    match upload {
+        Some(bytes) => format!("Content-Length: {bytes}\r\n\r\n{}", "u".repeat(bytes)),
+        None => format!("Content-Length: {}\r\n\r\n{short}", short.len()),
+    }
+}
+
 /// The text of a request.
 fn text(world: &World, number: usize, left_ms: f64) -> String {
     let r = &world.plan.requests[number];
@@ -127,11 +143,12 @@
     match class.effect {
         Effect::Safe => format!("GET /{name}/x?sid={sid:x} HTTP/1.1\r\n{common}\r\n"),
         Effect::Unsafe => {
-            format!("POST /{name}?sid={sid:x} HTTP/1.1\r\n{common}Content-Length: 6\r\n\r\nanswer")
+            format!("POST /{name}?sid={sid:x} HTTP/1.1\r\n{common}{}", body(r.upload, "answer"))
+        }
+        Effect::Keyed(_) => {
+            let body = body(r.upload, "book");
+            format!("POST /{name}?sid={sid:x} HTTP/1.1\r\n{common}Idempotency-Key: k-{id}\r\n{body}")
         }
-        Effect::Keyed(_) => format!(
-            "POST /{name}?sid={sid:x} HTTP/1.1\r\n{common}Idempotency-Key: k-{id}\r\nContent-Length: 4\r\n\r\nbook"
-        ),
     }
 }
 
@@ -151,8 +168,19 @@
         let conn = if reused_again { front.fresh(proxy).await } else { front.connect(proxy).await };
         let Some((mut conn, used)) = conn else { continue };
         let request = text(&world, number, left);
-        let asked = Record::Asked { request: number as u32, proxy: proxy as u16, at: world.now(), deadline };
-        if conn.write(request.as_bytes()).await.is_err() && !used {
+        if r.stops {
+            stop_in_the_middle(&world, &front, (number, proxy), conn, &request).await;
+            return front.open.set(front.open.get() - 1);
+        }
+        let at = world.now();
+        let wrote = match timeout(STUCK, conn.write(request.as_bytes())).await {
+            Ok(wrote) => wrote,
+            Err(_) => break, // the proxy takes no more of it, and owes nothing yet
+        };
+        // A client's time runs from its last byte.
+        let deadline = if r.upload.is_some() { world.now() + (left * 1000.0) as Micros } else { deadline };
+        let asked = Record::Asked { request: number as u32, proxy: proxy as u16, at, deadline };
+        if wrote.is_err() && !used {
             continue; // reset before a byte of it was taken
         }
         world.note(Writer::Clients, asked);
@@ -175,6 +203,22 @@
     front.open.set(front.open.get() - 1);
 }
 
+/// Writes half of a request and stays: an answer or an end is owed.
+async fn stop_in_the_middle(
+    world: &World, front: &Front, (number, proxy): (usize, usize), mut conn: Conn, request: &str,
+) {
+    let half = &request.as_bytes()[..request.len() / 2];
+    if conn.write(half).await.is_err() {
+        return;
+    }
+    let begun = world.now();
+    let ended = timeout(END_OWED, conn.answer(&world.clock)).await.is_ok();
+    let stood: Micros = world.clock.stalls().iter().filter(|s| s.1 > begun).map(|(a, b)| b - a).sum();
+    if !ended && stood == 0 && front.believed.borrow()[proxy] {
+        front.unended.borrow_mut().push((number, proxy, half.len()));
+    }
+}
+
 /// Waits for the end of what was asked; the flag says whether the connection may be used again.
 async fn wait(world: &World, number: usize, conn: &mut Conn, used: bool, deadline: Micros) -> (End, bool) {
     let r = &world.plan.requests[number];
--- a/crates/sandgap-rig/src/limits.rs
+++ b/crates/sandgap-rig/src/limits.rs
@@ -4,8 +4,8 @@
 
 /// Records that a ledger keeps; a run that writes more is incomplete and can't pass. About 100 bytes each.
 pub const RECORDS: usize = 4_000_000;
-/// Bytes of a message's head and body together that a stand-in reads; the protocol's bodies end at 64 KiB.
-pub const MESSAGE: usize = 96 << 10;
+/// Bytes of a message's head and body together that a stand-in reads: the longest request of a plan, and room to spare.
+pub const MESSAGE: usize = 512 << 10;
 /// Headers of a message.
 pub const HEADERS: usize = 64;
 /// Idle connections that the stand-in clients keep for one proxy.
--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -459,13 +459,13 @@
             let mut held = true;
             for seed in first..first.saturating_add(seeds) {
                 let mut outcome = run::run(scenario.plan(seed, size), &program, Ledger::default())?;
-                let passes = outcome.verdict.passes();
+                let passes = outcome.passes();
                 held &= passes;
                 if json {
                     let line = serde_json::json!({
                         "scenario": name, "seed": seed, "passes": passes, "verdict": outcome.verdict,
                         "untaken": outcome.untaken, "stalls": outcome.stalls.0, "stalled_ms": outcome.stalls.1,
-                        "seconds": outcome.seconds,
+                        "seconds": outcome.seconds, "unended": outcome.unended, "violations": outcome.violations,
                     });
                     println!("{line}");
                 } else {
@@ -474,6 +474,12 @@
                         outcome.seconds, outcome.untaken, outcome.stalls.0, outcome.stalls.1
                     );
                     println!("{}", outcome.verdict);
+                    outcome.violations.iter().for_each(|v| println!("violation: {v}"));
+                    for (request, proxy, bytes) in &outcome.unended {
+                        println!(
+                            "no end for request {request} at proxy {proxy}, which stopped after {bytes} bytes"
+                        );
+                    }
                 }
                 if keep_logs || !passes {
                     outcome.logs.keep();
--- a/crates/sandgap-rig/src/proxy.rs
+++ b/crates/sandgap-rig/src/proxy.rs
@@ -77,6 +77,7 @@
     folder: PathBuf,
     child: RefCell<Option<std::process::Child>>,
     starts: Cell<u64>,
+    reloads: Cell<u64>,
 }
 
 /// The settings object, as the platform's first message has it.
@@ -119,8 +120,8 @@
 impl Proxy {
     /// A proxy that has not started.
     pub fn new(number: usize, place: Place, program: Program, folder: &Path) -> Rc<Self> {
-        let (child, starts) = (RefCell::default(), Cell::new(0));
-        Rc::new(Proxy { number, place, program, folder: folder.to_owned(), child, starts })
+        let (child, starts, reloads) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        Rc::new(Proxy { number, place, program, folder: folder.to_owned(), child, starts, reloads })
     }
 
     /// Starts its process; `known` is the list as it last had it.
@@ -152,6 +153,7 @@
             let mut command = Command::new(&self.program.path);
             command.args(&self.program.args).env("NODE_CONFIG", &path).stdin(Stdio::null());
             command.stdout(log.try_clone()?).stderr(log);
+            command.env("SANDGAP_TRACE", self.folder.join(format!("n{}.trace", self.number)));
             if let Some(faults) = &self.program.faults {
                 faults.load_into(&mut command, seed);
             }
@@ -167,6 +169,24 @@
         run().map_err(|e| ProxyError::Start(self.number, e))
     }
 
+    /// Writes its configuration anew, with other worths and times, and says so.
+    ///
+    /// # Errors
+    /// [`ProxyError::Start`], where the file can't be written.
+    pub fn reload(&self) -> Result<(), ProxyError> {
+        let path = self.folder.join(format!("n{}.json", self.number));
+        let write = || {
+            let mut config: Value = serde_json::from_slice(&std::fs::read(&path)?)?;
+            let reloads = self.reloads.replace(self.reloads.get() + 1);
+            config["settings"]["classes"][0]["worth"] = json!(1.0 + (reloads % 3) as f64);
+            config["settings"]["ceilings"]["idleClose"] = json!(15_000 - reloads % 2 * 5000);
+            std::fs::write(&path, config.to_string())
+        };
+        write().map_err(|e: std::io::Error| ProxyError::Start(self.number, e))?;
+        self.signal(Signal::HUP);
+        Ok(())
+    }
+
     /// Its log.
     pub fn log(&self) -> PathBuf {
         self.folder.join(format!("n{}.log", self.number))
--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -23,6 +23,8 @@
 
 /// What sockets and schedulers may cost, on each of the rules' time limits.
 pub const SLACK: Micros = 50_000;
+/// How long a process is held up at most where the plan says so.
+const HELD_UP: Micros = 150_000;
 /// The front goes on dealing connections to a proxy for this long after its SIGTERM; by the protocol 0.2 to 0.4 s.
 const TERM_NOTICE: Duration = Duration::from_millis(250);
 
@@ -48,6 +50,10 @@
     pub untaken: u32,
     /// Datagrams over the protocol's size.
     pub oversized: u32,
+    /// Clients that stopped in the middle of a request and had no end in time: the request, its proxy, bytes sent.
+    pub unended: Vec<(usize, usize, usize)>,
+    /// Rules that the proxies say they would have broken, by their traces.
+    pub violations: Vec<String>,
     /// Spans in which the machine kept the rig waiting, and their sum, ms.
     pub stalls: (usize, f64),
     /// Wall time of the load, s.
@@ -88,6 +94,27 @@
     }
 }
 
+impl Outcome {
+    /// Whether all rules were seen to hold, whoever saw it.
+    pub fn passes(&self) -> bool {
+        self.verdict.passes() && self.violations.is_empty() && self.unended.is_empty()
+    }
+}
+
+/// What the proxies' traces say of rules that would have been broken.
+fn violations(folder: &std::path::Path) -> std::io::Result<Vec<String>> {
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|e| e == "trace") {
+            let text = std::fs::read_to_string(&path)?;
+            let said = text.lines().filter(|line| line.contains(r#""event":"violation""#));
+            found.extend(said.map(str::to_owned));
+        }
+    }
+    Ok(found)
+}
+
 /// A run in progress.
 pub struct Stage {
     /// What all share.
@@ -204,6 +231,13 @@
             Fault::DiscoveryEnds => self.discovery.end_watches(),
             Fault::Datagrams(lost, late, doubled) => self.network.set(Weather { lost, late, doubled }),
             Fault::FrontNotices(p) => self.front.believe(p, false),
+            Fault::Reload(p) => {
+                if self.is_free(p)
+                    && let Err(e) = self.proxies[p].reload()
+                {
+                    self.fail(e);
+                }
+            }
             Fault::Term(p) => self.term(p),
             Fault::Kill(p) => self.kill(p),
             Fault::Start(p) => self.restart(p),
@@ -354,7 +388,10 @@
     pub fn verdict(&self) -> Verdict {
         let plan = &self.world.plan;
         let effects: Vec<Effect> = plan.requests.iter().map(|r| plan.classes[r.class].effect).collect();
-        let terms = Terms { grace: GRACE_MS * 1000, slack: SLACK, stalls: self.world.clock.stalls() };
+        // A process that is held up may be late by that, and its clients' time with it.
+        let held_up = if plan.system_faults.held_up > 0 { HELD_UP } else { 0 };
+        let terms =
+            Terms { grace: GRACE_MS * 1000, slack: SLACK + held_up, stalls: self.world.clock.stalls() };
         self.world.ledger().check(&effects, &terms, &self.world.written())
     }
 }
@@ -384,13 +421,15 @@
             stage.verdict(),
             stage.front.untaken.get(),
             stage.network.oversized.get(),
+            stage.front.unended.take(),
             (stalls.len(), stalled),
             seconds,
         ))
     });
     match played {
-        Ok((verdict, untaken, oversized, stalls, seconds)) => {
-            Ok(Outcome { verdict, untaken, oversized, stalls, seconds, logs })
+        Ok((verdict, untaken, oversized, unended, stalls, seconds)) => {
+            let violations = violations(&logs.path)?;
+            Ok(Outcome { verdict, untaken, oversized, unended, violations, stalls, seconds, logs })
         }
         Err(e) => {
             logs.keep();
--- a/crates/sandgap-rig/src/schedule.rs
+++ b/crates/sandgap-rig/src/schedule.rs
@@ -45,6 +45,10 @@
     pub deal: u32,
     /// The client leaves after this long.
     pub leaves_ms: Option<f64>,
+    /// Bytes of its body, where it is a long one.
+    pub upload: Option<usize>,
+    /// The client stops in its middle and stays.
+    pub stops: bool,
 }
 
 /// What a backend does.
@@ -71,6 +75,8 @@
     Noise,
     /// Refuses connections.
     Refuse,
+    /// Does its work, and closes connections that stand idle for a moment.
+    ClosesIdle,
     /// Says nothing at all: connections never come up, and those that are up are silent.
     BlackHole,
 }
@@ -101,6 +107,8 @@
     DiscoveryEnds,
     /// Of the datagrams between proxies this part is lost, late (behind the next ones) and doubled.
     Datagrams(f64, f64, f64),
+    /// Its configuration is written anew with other figures, and SIGHUP.
+    Reload(usize),
     /// SIGTERM; the proxy starts anew once it has ended.
     Term(usize),
     /// SIGKILL.
@@ -216,6 +224,11 @@
     },
     Scenario { name: "demo", about: "one backend hangs for a while, one drains and is replaced", draw: demo },
     Scenario { name: "mixed", about: "all of these at once", draw: mixed },
+    Scenario {
+        name: "crossings",
+        about: "two or three troubles at a time of proxies, backends, discovery, clients and system calls",
+        draw: crossings,
+    },
 ];
 
 /// The scenario of a name.
@@ -300,6 +313,8 @@
             work_ms: c.work_ms * (0.7 + 0.6 * rng.f64()),
             deal: rng.u32(..),
             leaves_ms: (rng.u32(0..100) == 0).then(|| c.work_ms * 2.0 * rng.f64()),
+            upload: None,
+            stops: false,
         }
     };
     (0..size.requests).map(draw).collect()
@@ -509,6 +524,123 @@
     d.pause((first + 2) % proxies, n * 7 / 10);
 }
 
+/// Windows of a run in each of which two or three troubles overlap.
+const WINDOWS: usize = 6;
+/// Long requests of the crossings, in parts of a hundred, and their bytes.
+const UPLOADS: (u32, std::ops::Range<usize>) = (6, 66_000..260_000);
+/// Clients that stop in the middle of a request and stay, in parts of a thousand.
+const STOPPERS: u32 = 8;
+
+/// Trouble after trouble on drawn proxies and backends, two or three kinds at a time, under system calls that fail, long
+/// requests, and clients that leave or stop.
+fn crossings(d: &mut Draw) {
+    d.plan.asked = d.rng.bool();
+    d.plan.system_faults = SystemFaults {
+        short_read: d.rng.u32(0..20),
+        short_write: d.rng.u32(0..20),
+        interrupted: d.rng.u32(0..10),
+        socket: d.rng.u32(0..30),
+        connect: d.rng.u32(0..30),
+        accept: d.rng.u32(0..30),
+        held_up: d.rng.u32(0..3),
+        clock_step_ms: [0, 3000, 3_600_000][d.rng.usize(0..3)],
+        clock_ahead_ms: 0,
+    };
+    for request in &mut d.plan.requests {
+        let long = d.plan.classes[request.class].effect != Effect::Safe && d.rng.u32(0..100) < UPLOADS.0;
+        request.upload = long.then(|| d.rng.usize(UPLOADS.1));
+        request.stops = d.rng.u32(0..1000) < STOPPERS;
+    }
+    let n = d.plan.requests.len();
+    let kinds: [fn(&mut Draw, usize, usize); 8] = [
+        stops_at_once,
+        kills_at_once,
+        reloads_in_a_row,
+        backends_misbehave,
+        backends_close_idle,
+        drains_within,
+        outage_within,
+        replacements_within,
+    ];
+    for window in 0..WINDOWS {
+        let from = n / 20 + window * n * 9 / 10 / WINDOWS;
+        let to = from + n * 9 / 10 / WINDOWS;
+        let troubles = d.rng.usize(2..=3);
+        let mut order: Vec<usize> = (0..kinds.len()).collect();
+        d.rng.shuffle(&mut order);
+        order.into_iter().take(troubles).for_each(|k| kinds[k](d, from, to));
+    }
+}
+
+/// A fifth of the proxies are told to stop in quick turn.
+fn stops_at_once(d: &mut Draw, from: usize, to: usize) {
+    for i in 0..(d.plan.proxies / 5).max(1) {
+        let proxy = d.rng.usize(0..d.plan.proxies);
+        d.step(from + i * (to - from) / 40, Fault::Term(proxy));
+    }
+}
+
+fn kills_at_once(d: &mut Draw, from: usize, to: usize) {
+    for _ in 0..(d.plan.proxies / 6).max(1) {
+        let (proxy, at) = (d.rng.usize(0..d.plan.proxies), d.rng.usize(from..to));
+        d.kill(proxy, at);
+    }
+}
+
+fn reloads_in_a_row(d: &mut Draw, from: usize, to: usize) {
+    for _ in 0..d.plan.proxies {
+        let (proxy, at) = (d.rng.usize(0..d.plan.proxies), d.rng.usize(from..to));
+        d.step(at, Fault::Reload(proxy));
+    }
+}
+
+fn backends_misbehave(d: &mut Draw, from: usize, to: usize) {
+    for _ in 0..(d.plan.initial / 6).max(1) {
+        let (backend, modes) = (d.backend(), d.modes());
+        let mode = modes[d.rng.usize(0..modes.len())];
+        let at = d.rng.usize(from..to);
+        d.step(at, Fault::Mode(backend, mode));
+        d.step(to, Fault::Mode(backend, Mode::Normal));
+    }
+}
+
+fn backends_close_idle(d: &mut Draw, from: usize, to: usize) {
+    for _ in 0..d.plan.initial / 3 {
+        let backend = d.backend();
+        d.step(from, Fault::Mode(backend, Mode::ClosesIdle));
+        d.step(to, Fault::Mode(backend, Mode::Normal));
+    }
+}
+
+fn drains_within(d: &mut Draw, from: usize, to: usize) {
+    for _ in 0..(d.plan.initial / 6).max(1) {
+        let (backend, at) = (d.backend(), d.rng.usize(from..to));
+        d.step(at, Fault::Drain(backend));
+        d.step(at + (to - from), Fault::Undrain(backend));
+    }
+}
+
+/// Discovery falls silent or ends its watches; something changes meanwhile and right after.
+fn outage_within(d: &mut Draw, from: usize, to: usize) {
+    let middle = (from + to) / 2;
+    d.step(from, Fault::DiscoverySilent(true));
+    let (first, second) = (d.backend(), d.backend());
+    d.step(middle - 1, Fault::Drain(first));
+    d.step(middle, Fault::DiscoverySilent(false));
+    d.step(middle + 1, Fault::Drain(second));
+    d.step(middle + 2, Fault::DiscoveryEnds);
+    d.step(to, Fault::Undrain(first));
+    d.step(to, Fault::Undrain(second));
+}
+
+fn replacements_within(d: &mut Draw, from: usize, to: usize) {
+    for _ in 0..2 {
+        let (backend, drain) = (d.backend(), d.rng.bool());
+        let at = d.rng.usize(from..to);
+        d.replace(backend, at, drain);
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/sandgap-rig/src/system_faults.rs
+++ b/crates/sandgap-rig/src/system_faults.rs
@@ -22,6 +22,8 @@
     pub connect: u32,
     /// Connections that can't be accepted.
     pub accept: u32,
+    /// Waits after which the process is held up for up to 150 ms.
+    pub held_up: u32,
     /// The largest step of the wall clock, ms, which changes every two seconds; 0 for none.
     pub clock_step_ms: u64,
     /// What the wall clock is ahead by for good, ms; negative where it is behind.
@@ -58,7 +60,7 @@
     pub fn load_into(&self, command: &mut Command, seed: u64) {
         let f = &self.faults;
         let text = format!(
-            "seed={},short_read={},short_write={},eintr={},socket={},connect={},accept={},step_ms={},ahead_ms={}",
+            "seed={},short_read={},short_write={},eintr={},socket={},connect={},accept={},held_up={},step_ms={},ahead_ms={}",
             seed % (1 << 31),
             f.short_read,
             f.short_write,
@@ -66,6 +68,7 @@
             f.socket,
             f.connect,
             f.accept,
+            f.held_up,
             f.clock_step_ms,
             f.clock_ahead_ms
         );
--- a/crates/sandgap/tests/rig.rs
+++ b/crates/sandgap/tests/rig.rs
@@ -17,9 +17,14 @@
     let plan = scenario(name).expect("named").plan(seed, Size { requests, ..Size::default() });
     let mut outcome = run(plan, &program, Ledger::default()).expect("a verdict");
     println!("{name} seed {seed}: {}", outcome.verdict);
-    if !outcome.verdict.passes() {
+    if !outcome.passes() {
         outcome.logs.keep();
-        panic!("{name} seed {seed}, logs in {}: {}", outcome.logs.path.display(), outcome.verdict);
+        panic!(
+            "{name} seed {seed}, logs in {}: {} {:?}",
+            outcome.logs.path.display(),
+            outcome.verdict,
+            outcome.violations
+        );
     }
 }
 
--- a/crates/sandgap/tests/system_faults.rs
+++ b/crates/sandgap/tests/system_faults.rs
@@ -29,9 +29,14 @@
     let program = Program::new(PathBuf::from(env!("CARGO_BIN_EXE_sandgap")), Vec::new());
     let mut outcome = run(plan, &program, Ledger::default()).expect("a verdict");
     println!("{name} seed {seed}, {faults:?}: {}", outcome.verdict);
-    if !outcome.verdict.passes() {
+    if !outcome.passes() {
         outcome.logs.keep();
-        panic!("{name} seed {seed}, logs in {}: {}", outcome.logs.path.display(), outcome.verdict);
+        panic!(
+            "{name} seed {seed}, logs in {}: {} {:?}",
+            outcome.logs.path.display(),
+            outcome.verdict,
+            outcome.violations
+        );
     }
 }
 
