Show a client that stops in a long request being waited for longer than it is owed

The terms owe whoever stops in the middle of a request and stays an error or a close within 3 s; past 96 kB the pace of a long body lets it stand for up to 5 (pace.rs, CREDIT).

--- a/crates/sandgap/src/body/pace.rs
+++ b/crates/sandgap/src/body/pace.rs
@@ -94,4 +94,15 @@
         }
         assert_eq!(pace.blocked(now), now + CREDIT, "one that then falls silent is");
     }
+
+    #[test]
+    fn whoever_stops_for_good_is_waited_for_less_than_its_end_is_owed_in() {
+        let start = Instant::now();
+        for bytes in [1, 64 << 10, 100_000, 150_000, 32 << 20] {
+            let mut pace = Pace::default();
+            pace.moved(start, bytes);
+            let waited = pace.blocked(start) - start;
+            assert!(waited < Duration::from_millis(2800), "{waited:?} after {bytes} bytes");
+        }
+    }
 }
