End whoever stops in a long request within the three seconds that it is owed

Cause: pace.rs, CREDIT of 5 s: each byte past 64 KiB earned waiting time, up to that much at once.

Change: 2.5 s at once, however much has come; a client at twice the least rate is still never cut off.

--- a/crates/sandgap/src/body/pace.rs
+++ b/crates/sandgap/src/body/pace.rs
@@ -11,8 +11,8 @@
 const GRACE: Duration = Duration::from_secs(2);
 /// ... a second more for so many bytes that have come, half of what a slow one sends ...
 const LEAST_RATE: f64 = 32e3;
-/// ... and so long at once, once the body is a long one.
-const CREDIT: Duration = Duration::from_secs(5);
+/// ... and so long at once, however much has come: who stops for good is owed its end within 3 s.
+const CREDIT: Duration = Duration::from_millis(2500);
 
 /// How long a peer may keep us waiting, by what it has sent: a bucket of time that bytes fill.
 #[derive(Clone, Copy, Debug)]
