Pause after a failed accept of an unknown kind, lest it spin

Found on reading the change again: accept_failed returned at once on errors that neither room nor a moment mends, and an error that stays would have been met again without end. Only a connection that its client gave up and an interrupted call go on without a pause.

--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -234,9 +234,12 @@
     /// shortage that lasts.
     async fn accept_failed(&self, error: &io::Error) {
         note!(warn: "accept: {error}");
-        if !retry::is_transient(error) || error.kind() == io::ErrorKind::Interrupted {
+        if matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) {
             return;
         }
+        if !retry::is_transient(error) {
+            return sleep(PAUSE).await; // whatever it is, it may come at once again
+        }
         let lasts = self.short.replace(Some(Instant::now())).is_some_and(|at| at.elapsed() < 3 * PAUSE);
         self.upstreams.close_idle();
         if lasts {
