Start no second process where the kill before it had found its proxy busy

Cause, in the rig alone: a kill passes over a proxy that is being stopped, but its start came all the same (run.rs, Fault::Start): two processes at one address, of which the older was never told to end. The log of proxy 18 shows one end 8 ms before another start.

--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -134,6 +134,8 @@
     /// When a proxy was stopped.
     stopped: RefCell<Vec<Option<Micros>>>,
     busy: RefCell<Vec<bool>>,
+    /// Those that have been killed and not started again.
+    killed: RefCell<Vec<bool>>,
 }
 
 impl Stage {
@@ -166,6 +168,7 @@
             error: RefCell::default(),
             stopped: RefCell::new(vec![None; proxies]),
             busy: RefCell::new(vec![false; proxies]),
+            killed: RefCell::new(vec![false; proxies]),
             world,
         });
         for number in 0..stage.world.plan.initial {
@@ -240,7 +243,12 @@
             }
             Fault::Term(p) => self.term(p),
             Fault::Kill(p) => self.kill(p),
-            Fault::Start(p) => self.restart(p),
+            // Of one that was busy when it should have been killed nothing has to be started.
+            Fault::Start(p) => {
+                if std::mem::take(&mut self.killed.borrow_mut()[p]) {
+                    self.restart(p);
+                }
+            }
             Fault::Stop(p) => self.stop(p),
             Fault::Continue(p) => self.go_on(p),
         }
@@ -279,6 +287,7 @@
             return;
         }
         self.busy.borrow_mut()[p] = true;
+        self.killed.borrow_mut()[p] = true;
         self.world.note(Writer::Runner, Record::Killed { proxy: p as u16, at: self.world.now() });
         self.proxies[p].kill();
         // What reaches its port from here on meets nobody.
