Show a client that stops in a long request standing for as long as the request waits

While all backends are full, who stops in its middle has no end before its own time, 25 s in the test, where 3 are owed.

--- a/crates/sandgap/tests/gone_uploads.rs
+++ b/crates/sandgap/tests/gone_uploads.rs
@@ -201,3 +201,22 @@
     assert_eq!(&head, b"HTTP/1.1 200 OK");
     assert!(full.backend.seen().iter().any(|message| message.id() == "r-slow"));
 }
+
+#[test]
+fn one_that_stops_in_a_long_request_while_it_waits_has_its_end_soon() {
+    // Its own time would be over after 25 s only; whoever stops in the middle is owed an end within 3.
+    let full = Full::new();
+    for framing in FRAMINGS {
+        let mut client = Uploader::new(&full.proxy);
+        let request = request(&format!("r-stops-{framing:?}"), framing, OVER_BUFFER);
+        let half = &request[..request.len() / 2];
+        assert_eq!(client.send(half), half.len());
+        let mut stream = client.0;
+        stream.set_nonblocking(false).expect("a socket");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).expect("an answer");
+        assert_eq!(String::from_utf8_lossy(&answer), "HTTP/1.1 408");
+    }
+    assert!(full.finish().iter().all(|id| !id.contains("stops")));
+}
