Mind the pace of a long request while it waits, and keep half a head that crossed a close

Cause: only an attempt that asked for a long request's rest minded its client's pace; and a resting connection that was asked to close was closed though half a head had come by then (front/connection.rs).

Change: while a long request waits, who has stopped sending is looked for ten times a second and gets its 408 by the same pace; whoever stands unread for want of room is not blamed. What has begun since a connection was asked to close has its whole time.

--- a/crates/sandgap/src/body/upload.rs
+++ b/crates/sandgap/src/body/upload.rs
@@ -5,10 +5,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use super::{Broken, LONGEST, Pace};
 
@@ -28,6 +29,8 @@
 /// What the systems of both sides hold of a connection at most, by their usual settings (tcp(7), tcp_wmem and tcp_rmem): with
 /// more than that still to come, a client can't have written its last byte.
 const MOST_UNREAD: u64 = 10 << 20;
+/// Span between looks for a client that has stopped sending.
+const LOOK: Duration = Duration::from_millis(100);
 /// Largest part of a body that comes at once: what the parser's buffer holds.
 const LARGEST_PART: usize = 16 << 10;
 
@@ -116,6 +119,8 @@
     read: Cell<bool>,
     /// When its last byte came from the client, at the latest.
     received: Cell<Option<Instant>>,
+    /// All that has come is read, and more is awaited.
+    starved: Cell<bool>,
     /// Since when its last byte may stand unread for want of room.
     unread_since: Cell<Option<Instant>>,
     /// Told once when its last byte has come.
@@ -139,6 +144,7 @@
             drawn: Cell::new(false),
             read: Cell::new(false),
             received: Cell::default(),
+            starved: Cell::default(),
             unread_since: Cell::default(),
             on_received: RefCell::default(),
             spent: Cell::new(false),
@@ -187,6 +193,7 @@
 
     /// The rest is not read for want of room: the last byte may have come from now on.
     fn pause(&self) {
+        self.starved.set(false);
         let left = self.length.map_or(0, |length| length.saturating_sub(self.pace.get().passed()));
         if left <= MOST_UNREAD && self.unread_since.get().is_none() {
             self.unread_since.set(Some(Instant::now()));
@@ -214,6 +221,8 @@
         loop {
             let Poll::Ready(frame) = Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx) else {
                 self.unread_since.set(None); // all that has come is read
+                self.starved.set(true);
+                self.waits_until();
                 return Poll::Pending;
             };
             let Some(frame) = frame else {
@@ -226,6 +235,7 @@
             let mut pace = self.pace.get();
             pace.moved(Instant::now(), data.len());
             self.pace.set(pace);
+            self.starved.set(false);
             if self.is_read() {
                 self.set_received(self.unread_since.get().unwrap_or_else(Instant::now));
             }
@@ -250,6 +260,28 @@
         }
     }
 
+    /// The client is waited for; returns until when.
+    fn waits_until(&self) -> Instant {
+        let mut pace = self.pace.get();
+        let until = pace.blocked(Instant::now());
+        self.pace.set(pace);
+        until
+    }
+
+    /// Waits until the client has stopped sending for too long, while no attempt asks for the rest.
+    pub async fn stopped(&self) {
+        loop {
+            sleep(LOOK).await;
+            if self.starved.get()
+                && !self.drawn.get()
+                && !self.is_read()
+                && self.waits_until() <= Instant::now()
+            {
+                return self.trouble.set(Some(Trouble::TooSlow));
+            }
+        }
+    }
+
     /// The next chunk after the first part.
     fn poll_rest(
         &self, cx: &mut Context, timer: &mut Option<Pin<Box<Sleep>>>,
@@ -267,9 +299,7 @@
             return Poll::Ready(None);
         }
         let Poll::Ready(part) = self.poll_part(cx) else {
-            let mut pace = self.pace.get();
-            let until = pace.blocked(Instant::now());
-            self.pace.set(pace);
+            let until = self.waits_until();
             let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(until)));
             timer.as_mut().reset(until);
             ready!(timer.as_mut().poll(cx));
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -16,7 +16,7 @@
 use super::admission::{Awaited, Client};
 use super::head::{Asked, OpenId, target};
 use super::receive::{receive, told};
-use crate::body::{self, Answering};
+use crate::body::{self, Answering, Trouble, Upload};
 use crate::event::{Answer, Arrival, Inbox, Input};
 use crate::upstream::{Forwarded, Outgoing, Payload, Reply, strip};
 
@@ -111,7 +111,14 @@
         // Hyper drops this future when the client leaves.
         let mut leaves = Leaves { inbox: &self.inbox, id, waits: true };
         let awaited = Awaited::new(client, upload.as_ref());
-        let answer = answered.await;
+        let answer = tokio::select! {
+            biased;
+            answer = answered => answer,
+            () = stopped(upload.as_deref()) => {
+                let (status, text) = told(Trouble::TooSlow);
+                return plain(status, text); // the driver hears that nobody waits any more
+            }
+        };
         drop(awaited);
         leaves.waits = false;
         if let (Some(trouble), Ok(Answer::Refused(_) | Answer::Failed)) =
@@ -143,6 +150,14 @@
     }
 }
 
+/// Waits until the client of a long request has stopped in its middle; for ever for others.
+async fn stopped(upload: Option<&Upload>) {
+    match upload {
+        Some(upload) => upload.stopped().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Told to come again, after so many ms if that is known.
 fn refused(after: Option<f64>) -> Response<Answering> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again");
--- a/crates/sandgap/src/front/closing.rs
+++ b/crates/sandgap/src/front/closing.rs
@@ -34,6 +34,8 @@
     Now,
     /// The system holds bytes that have not been read: they are read first.
     ReadFirst,
+    /// It has begun a request since it was asked, and has its whole time for that.
+    Keep,
     /// It takes nothing more, and closes once what it has taken is answered.
     AfterAnswer,
 }
@@ -46,6 +48,7 @@
 pub(super) fn decide(stage: Stage, reason: CloseReason, is_quiet: impl Fn() -> bool) -> Closing {
     match (stage, reason) {
         (Stage::Refused, _) | (Stage::Begun, CloseReason::Evicted) => Closing::Now,
+        (Stage::Begun, CloseReason::IdleTooLong | CloseReason::SentAway) => Closing::Keep,
         (Stage::Silent | Stage::Begun, _) if is_quiet() => Closing::Now,
         (Stage::Silent | Stage::Begun, _) => Closing::ReadFirst,
         (Stage::Idle | Stage::Busy, _) => Closing::AfterAnswer,
@@ -66,6 +69,9 @@
             assert_eq!(decide(Stage::Idle, reason, || panic!("asked by the parser")), Closing::AfterAnswer);
             assert_eq!(decide(Stage::Busy, reason, || panic!("it has been taken")), Closing::AfterAnswer);
         }
+        for reason in [CloseReason::IdleTooLong, CloseReason::SentAway] {
+            assert_eq!(decide(Stage::Begun, reason, || true), Closing::Keep, "a head may still come whole");
+        }
         assert_eq!(decide(Stage::Begun, CloseReason::TimeUp, || false), Closing::ReadFirst);
         assert_eq!(decide(Stage::Begun, CloseReason::Evicted, || false), Closing::Now);
     }
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -98,6 +98,7 @@
                             self.turn(client, stage);
                             continue;
                         }
+                        Closing::Keep => continue,
                         Closing::AfterAnswer => {}
                     }
                     if stage == Stage::Idle {
