Word what a run of the rig found once, and trace scenarios alone

Found on a second reading: the rig's program and two test files each printed an outcome in their own way, and the tests' left out clients that had no end in time, so that a failing soak would not have said why; and every proxy that the rig starts wrote a trace, also in its measures (bench, capacity), where that is part of what is measured.

Change: Outcome is shown in one place; a program traces only where a scenario runs it. No check or bound is touched.

--- a/crates/sandgap-rig/src/main.rs
+++ b/crates/sandgap-rig/src/main.rs
@@ -473,13 +473,7 @@
                         "{name} seed {seed}: {:.1} s, {} untaken, machine stood still {} times, {:.0} ms in all",
                         outcome.seconds, outcome.untaken, outcome.stalls.0, outcome.stalls.1
                     );
-                    println!("{}", outcome.verdict);
-                    outcome.violations.iter().for_each(|v| println!("violation: {v}"));
-                    for (request, proxy, bytes) in &outcome.unended {
-                        println!(
-                            "no end for request {request} at proxy {proxy}, which stopped after {bytes} bytes"
-                        );
-                    }
+                    println!("{outcome}");
                 }
                 if keep_logs || !passes {
                     outcome.logs.keep();
--- a/crates/sandgap-rig/src/proxy.rs
+++ b/crates/sandgap-rig/src/proxy.rs
@@ -29,6 +29,8 @@
     pub args: Vec<String>,
     /// The processor that it is bound to.
     pub cpu: Option<usize>,
+    /// Whether it writes a trace beside its log; measures want none.
+    pub traces: bool,
     /// What fails under it.
     pub faults: Option<FaultLibrary>,
 }
@@ -36,7 +38,7 @@
 impl Program {
     /// A program that runs on any processor, with no system call failing.
     pub fn new(path: PathBuf, args: Vec<String>) -> Self {
-        Program { path, args, cpu: None, faults: None }
+        Program { path, args, cpu: None, traces: false, faults: None }
     }
 }
 
@@ -153,7 +155,9 @@
             let mut command = Command::new(&self.program.path);
             command.args(&self.program.args).env("NODE_CONFIG", &path).stdin(Stdio::null());
             command.stdout(log.try_clone()?).stderr(log);
-            command.env("SANDGAP_TRACE", self.folder.join(format!("n{}.trace", self.number)));
+            if self.program.traces {
+                command.env("SANDGAP_TRACE", self.folder.join(format!("n{}.trace", self.number)));
+            }
             if let Some(faults) = &self.program.faults {
                 faults.load_into(&mut command, seed);
             }
--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -101,6 +101,16 @@
     }
 }
 
+impl std::fmt::Display for Outcome {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        self.verdict.fmt(f)?;
+        self.violations.iter().try_for_each(|violation| write!(f, "\nviolation: {violation}"))?;
+        self.unended.iter().try_for_each(|(request, proxy, bytes)| {
+            write!(f, "\nno end for request {request} at proxy {proxy}, which stopped after {bytes} bytes")
+        })
+    }
+}
+
 /// What the proxies' traces say of rules that would have been broken.
 fn violations(folder: &std::path::Path) -> std::io::Result<Vec<String>> {
     let mut found = Vec::new();
@@ -413,7 +423,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let tag = format!("{}-{}-{:x}", plan.scenario, std::process::id(), plan.seed);
     let mut logs = Folder::new(&tag)?;
-    let mut program = program.clone();
+    let mut program = Program { traces: true, ..program.clone() };
     if plan.system_faults != SystemFaults::default() {
         program.faults = Some(FaultLibrary::build(&logs.path, plan.system_faults)?);
     }
--- a/crates/sandgap/tests/rig.rs
+++ b/crates/sandgap/tests/rig.rs
@@ -16,15 +16,10 @@
     let program = Program::new(PathBuf::from(env!("CARGO_BIN_EXE_sandgap")), Vec::new());
     let plan = scenario(name).expect("named").plan(seed, Size { requests, ..Size::default() });
     let mut outcome = run(plan, &program, Ledger::default()).expect("a verdict");
-    println!("{name} seed {seed}: {}", outcome.verdict);
+    println!("{name} seed {seed}: {outcome}");
     if !outcome.passes() {
         outcome.logs.keep();
-        panic!(
-            "{name} seed {seed}, logs in {}: {} {:?}",
-            outcome.logs.path.display(),
-            outcome.verdict,
-            outcome.violations
-        );
+        panic!("{name} seed {seed}, logs in {}: {outcome}", outcome.logs.path.display());
     }
 }
 
--- a/crates/sandgap/tests/system_faults.rs
+++ b/crates/sandgap/tests/system_faults.rs
@@ -28,15 +28,10 @@
     let _turn = TURN.lock().unwrap_or_else(|e| e.into_inner());
     let program = Program::new(PathBuf::from(env!("CARGO_BIN_EXE_sandgap")), Vec::new());
     let mut outcome = run(plan, &program, Ledger::default()).expect("a verdict");
-    println!("{name} seed {seed}, {faults:?}: {}", outcome.verdict);
+    println!("{name} seed {seed}, {faults:?}: {outcome}");
     if !outcome.passes() {
         outcome.logs.keep();
-        panic!(
-            "{name} seed {seed}, logs in {}: {} {:?}",
-            outcome.logs.path.display(),
-            outcome.verdict,
-            outcome.violations
-        );
+        panic!("{name} seed {seed}, logs in {}: {outcome}", outcome.logs.path.display());
     }
 }
 
