--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -37,6 +37,18 @@
     /// A proxy could not be run.
     #[error(transparent)]
     Proxy(#[from] ProxyError),
+    /// A process may not hold as many links as its hollow proxies would have.
+    #[error(
+        "{in_one} hollow proxies in one process need {needed} descriptors, and it may have {limit}: let fewer share one"
+    )]
+    Descriptors {
+        /// Hollow proxies that share a process.
+        in_one: usize,
+        /// What their links take once each knows all others.
+        needed: usize,
+        /// What the system allows a process.
+        limit: u64,
+    },
     /// Something never came to its end.
     #[error("{0} has no end after {1:?}")]
     Endless(&'static str, Duration),
--- a/crates/sandgap-rig/src/scale/blocks.rs
+++ b/crates/sandgap-rig/src/scale/blocks.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 
+use rustix::process::{Resource, getrlimit};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 use tokio::task::LocalSet;
@@ -13,6 +14,8 @@
 use super::hollow::{Block, BlockSetup, Tally};
 use crate::run::RunError;
 
+/// The argument, before a block's setup, by which a program is started that holds hollow proxies; see [`serve_block`].
+pub const BLOCK_COMMAND: &str = "scale-block";
 /// The question that a block answers.
 const TALLY: &str = "tally";
 
@@ -43,6 +46,8 @@
 impl Blocks {
     /// Starts them.
     pub async fn start(setup: &Setup, all: &BlockSetup) -> Result<Self, RunError> {
+        let in_one = setup.per_process.unwrap_or(all.count).min(all.count);
+        has_descriptors(in_one, all.count + all.voters.len())?;
         let Some(each) = setup.per_process else { return Ok(Blocks::Here(Block::start(all).await?)) };
         let mut running = Vec::new();
         for first in (0..all.count).step_by(each.max(1)) {
@@ -97,10 +102,20 @@
     }
 }
 
+/// Whether one process may hold the links of so many hollow proxies: one to each member of their fleet, and both ends of
+/// those between two of them.
+fn has_descriptors(in_one: usize, members: usize) -> Result<(), RunError> {
+    let needed = in_one * members;
+    match getrlimit(Resource::Nofile).current {
+        Some(limit) if needed as u64 > limit => Err(RunError::Descriptors { in_one, needed, limit }),
+        _ => Ok(()),
+    }
+}
+
 impl Process {
     fn start(rig: &Path, block: BlockSetup) -> std::io::Result<Self> {
         let mut child = Command::new(rig)
-            .arg("scale-block")
+            .arg(BLOCK_COMMAND)
             .arg(serde_json::to_string(&block)?)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
--- a/crates/sandgap-rig/src/scale/mod.rs
+++ b/crates/sandgap-rig/src/scale/mod.rs
@@ -29,7 +29,7 @@
 use crate::run::{Folder, RunError};
 use crate::world::Addresses;
 use blocks::Blocks;
-pub use blocks::serve_block;
+pub use blocks::{BLOCK_COMMAND, serve_block};
 pub use faults::Fault;
 use hollow::{BlockSetup, Defect, Tally};
 pub use report::{Change, Report, VoterCost};
