--- a/crates/sandgap/tests/scale.rs
+++ b/crates/sandgap/tests/scale.rs
@@ -99,7 +99,13 @@
             }
         };
     }
-    let trial = |name: &str, test: fn()| Trial::test(name, move || Ok::<(), Failed>(test()));
+    let trial = |name: &str, test: fn()| {
+        let run = move || {
+            test();
+            Ok::<(), Failed>(())
+        };
+        Trial::test(name, run)
+    };
     let trials = vec![
         trial(
             "what_a_proxy_says_and_hears_at_a_change_does_not_grow_with_the_fleet",
