Show a slow backend holding an upload past its client's time, and half a head cut unread

- A client writes 9 MB and waits for 2.5 s; its backend reads at 0.7 MB a second.
The last byte counts from when the proxy reads it (upload.rs: `poll_part` sets it, and `poll_read_ahead` stops while an attempt draws), so what stands in the system's buffers has no time of its own.
- closing.rs: a connection with half a head that gives way to others closes at once, also where the rest of its head has come and stands unread: that request has been taken, and is lost.
The old test wanted just that (`Begun`, `Evicted`, not quiet: `Now`); it wants `ReadFirst` there now, which is stricter.

--- a/crates/sandgap/src/front/closing.rs
+++ b/crates/sandgap/src/front/closing.rs
@@ -72,7 +72,9 @@
         for reason in [CloseReason::IdleTooLong, CloseReason::SentAway] {
             assert_eq!(decide(Stage::Begun, reason, || true), Closing::Keep, "a head may still come whole");
         }
-        assert_eq!(decide(Stage::Begun, CloseReason::TimeUp, || false), Closing::ReadFirst);
-        assert_eq!(decide(Stage::Begun, CloseReason::Evicted, || false), Closing::Now);
+        for reason in [CloseReason::TimeUp, CloseReason::Evicted] {
+            assert_eq!(decide(Stage::Begun, reason, || false), Closing::ReadFirst, "the rest may have come");
+            assert_eq!(decide(Stage::Begun, reason, || true), Closing::Now);
+        }
     }
 }
--- a/crates/sandgap/tests/upload_deadlines.rs
+++ b/crates/sandgap/tests/upload_deadlines.rs
@@ -84,14 +84,20 @@
     silent.open();
     assert!(matches!(before, Ok(1..)), "the long one is not answered before: {before:?}");
 }
-/// A backend that takes connections and reads nothing of what comes on them, until the receiver's sender is dropped.
-fn deaf_backend() -> (SocketAddr, mpsc::Sender<()>) {
+
+/// A listener whose connections buffer little of what nobody reads.
+fn with_small_buffers() -> TcpListener {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket.set_recv_buffer_size(4096).expect("a small buffer");
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     socket.bind(&any.into()).expect("a port");
     socket.listen(16).expect("a queue");
-    let listener = TcpListener::from(socket);
+    TcpListener::from(socket)
+}
+
+/// A backend that takes connections and reads nothing of what comes on them, until the receiver's sender is dropped.
+fn deaf_backend() -> (SocketAddr, mpsc::Sender<()>) {
+    let listener = with_small_buffers();
     let address = listener.local_addr().expect("an address");
     let (hold, held) = mpsc::channel::<()>();
     thread::spawn(move || {
@@ -125,3 +131,50 @@
     drop(stream);
     let _ = writing.join();
 }
+
+/// A backend that reads what comes on its first connection at a steady, slow pace; the receiver hears once that was
+/// so many bytes.
+fn slow_backend(bytes: usize) -> (SocketAddr, mpsc::Receiver<()>) {
+    let listener = with_small_buffers();
+    let address = listener.local_addr().expect("an address");
+    let (done, is_done) = mpsc::channel::<()>();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let (mut piece, mut read) = (vec![0; SLOW_PIECE], 0);
+        while read < bytes {
+            match stream.read_exact(&mut piece) {
+                Ok(()) => read += piece.len(),
+                Err(_) => break, // the proxy has given it up
+            }
+            thread::sleep(SLOW_PAUSE);
+        }
+        if read >= bytes {
+            let _ = done.send(()); // the test may have ended
+        }
+    });
+    (address, is_done)
+}
+
+/// What a slow backend reads at once, and how long it rests then: less than 700 kB a second. The system tells of room
+/// only once a third of its buffer is free, which is about 800 kB here.
+const SLOW_PIECE: usize = 32 << 10;
+const SLOW_PAUSE: Duration = Duration::from_millis(45);
+
+#[test]
+fn a_backend_that_takes_a_long_request_slowly_is_given_up_with_its_clients_time() {
+    const SIZE: usize = 9_000_000;
+    let (slow, has_read) = slow_backend(SIZE / 4 * 3);
+    let discovery = Discovery::new();
+    discovery.say(&list(1, true, &[host("s-0", slow, "up", 0)]));
+    let proxy = Proxy::up(&discovery, &Setup { deadline: 2500, ..Setup::default() });
+    // The client has written its last byte long before the backend has read most of it: systems and proxy hold the rest.
+    let mut stream = send(proxy.address, &upload("r-slow", "2.5", SIZE, false));
+    let written = Instant::now();
+    stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("an answer");
+    let waited = written.elapsed();
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 5"), "{answer}");
+    assert!(has_read.try_recv().is_err(), "answered only {waited:?} after the last byte");
+}
