Read a long request on while its backend is slow, and cut no half head over its unread rest

Cause 1 (upload.rs): the client's time runs from its last byte, which was noted when the proxy read it. While an attempt drew the body, only that attempt read (`poll_read_ahead` stopped at `drawn`), at its backend's pace; what the client had long written stood in the system's buffers meanwhile and had no time.

Now the rest is read ahead whenever no attempt waits for the next part (`asked` in place of `drawn`), within the same budget; whoever waits reads by itself, so that a body whose backend keeps up is not copied. Where the budget is spent, the earliest moment at which the last byte may have come counts, as before. Who stops in the middle is minded in one place for both cases (`stopped`).

Cause 2 (closing.rs): `Begun` and `Evicted` closed without asking the system whether the rest had come.

--- a/crates/sandgap/src/body/upload.rs
+++ b/crates/sandgap/src/body/upload.rs
@@ -34,7 +34,7 @@
 /// Largest part of a body that comes at once: what the parser's buffer holds.
 const LARGEST_PART: usize = 16 << 10;
 
-/// Memory that all requests together may read ahead into, while no attempt asks for the rest of their bodies.
+/// Memory that all requests together may read ahead into, while nobody asks for the rest of their bodies.
 pub struct ReadAheadBudget {
     /// Pieces that are left.
     left: Cell<usize>,
@@ -68,7 +68,7 @@
     }
 }
 
-/// What has been read of a body before an attempt has asked for it.
+/// What has been read of a body before it was asked for.
 struct ReadAhead {
     pieces: VecDeque<BytesMut>,
     budget: Rc<ReadAheadBudget>,
@@ -113,8 +113,8 @@
     rest: RefCell<Incoming>,
     pace: Cell<Pace>,
     length: Option<u64>,
-    /// An attempt asks for the rest at present.
-    drawn: Cell<bool>,
+    /// An attempt waits for the next part at present, and is woken once that has come.
+    asked: Cell<bool>,
     /// Its end has been read.
     read: Cell<bool>,
     /// When its last byte came from the client, at the latest.
@@ -141,7 +141,7 @@
             rest: RefCell::new(rest),
             pace: Cell::new(pace),
             length,
-            drawn: Cell::new(false),
+            asked: Cell::new(false),
             read: Cell::new(false),
             received: Cell::default(),
             starved: Cell::default(),
@@ -244,11 +244,12 @@
         }
     }
 
-    /// Reads on while no attempt asks for the rest, within the budget: an end of the client's sending stands behind
-    /// what nobody has read, and the system tells of it only once that fits its own buffer.
+    /// Reads on while no attempt waits for the next part, be it that there is none or that its backend is slow, within the
+    /// budget: the client's time counts from its last byte, and an end of its sending stands behind what nobody has read;
+    /// the system tells of that only once it fits its own buffer.
     pub fn poll_read_ahead(&self, cx: &mut Context) {
         let mut ahead = self.ahead.borrow_mut();
-        while !self.is_read() && !self.drawn.get() && self.trouble.get().is_none() {
+        while !self.is_read() && !self.asked.get() && self.trouble.get().is_none() {
             if ahead.poll_room(cx).is_pending() {
                 return self.pause();
             }
@@ -268,15 +269,11 @@
         until
     }
 
-    /// Waits until the client has stopped sending for too long, while no attempt asks for the rest.
+    /// Waits until the client has stopped sending for too long, whether or not an attempt waits for more.
     pub async fn stopped(&self) {
         loop {
             sleep(LOOK).await;
-            if self.starved.get()
-                && !self.drawn.get()
-                && !self.is_read()
-                && self.waits_until() <= Instant::now()
-            {
+            if self.starved.get() && !self.is_read() && self.waits_until() <= Instant::now() {
                 return self.trouble.set(Some(Trouble::TooSlow));
             }
         }
@@ -286,7 +283,7 @@
     fn poll_rest(
         &self, cx: &mut Context, timer: &mut Option<Pin<Box<Sleep>>>,
     ) -> Poll<Option<Result<Bytes, Broken>>> {
-        self.drawn.set(true);
+        self.asked.set(false);
         if let Some(trouble) = self.trouble.get() {
             return Poll::Ready(Some(Err(self.fail(trouble))));
         }
@@ -302,7 +299,9 @@
             let until = self.waits_until();
             let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(until)));
             timer.as_mut().reset(until);
+            self.asked.set(true);
             ready!(timer.as_mut().poll(cx));
+            self.asked.set(false);
             return Poll::Ready(Some(Err(self.fail(Trouble::TooSlow))));
         };
         *timer = None;
@@ -331,7 +330,7 @@
 
 impl Drop for Draw {
     fn drop(&mut self) {
-        self.0.drawn.set(false);
+        self.0.asked.set(false);
     }
 }
 
--- a/crates/sandgap/src/front/closing.rs
+++ b/crates/sandgap/src/front/closing.rs
@@ -43,11 +43,11 @@
 /// Decides by how far a connection has come. `is_quiet` asks the system whether nothing stands unread.
 ///
 /// What has sent nothing closes only while nothing stands unread: a request on a new connection has been taken once its
-/// last byte has come, read or not. Half a head has its whole time; past it, it closes once nothing more of it is there. It
-/// may be cut sooner only to make room for others.
+/// last byte has come, read or not. Half a head has its whole time; past it, or to make room for others, it closes once
+/// nothing more of it is there.
 pub(super) fn decide(stage: Stage, reason: CloseReason, is_quiet: impl Fn() -> bool) -> Closing {
     match (stage, reason) {
-        (Stage::Refused, _) | (Stage::Begun, CloseReason::Evicted) => Closing::Now,
+        (Stage::Refused, _) => Closing::Now,
         (Stage::Begun, CloseReason::IdleTooLong | CloseReason::SentAway) => Closing::Keep,
         (Stage::Silent | Stage::Begun, _) if is_quiet() => Closing::Now,
         (Stage::Silent | Stage::Begun, _) => Closing::ReadFirst,
