--- a/crates/sandgap-rig/shim/system_faults.c
+++ b/crates/sandgap-rig/shim/system_faults.c
@@ -2,12 +2,15 @@
  * one process. SANDGAP_FAULTS names the faults: "seed=7,short_read=20,short_write=20,eintr=20,socket=300,connect=100,
  * accept=100,held_up=2,step_ms=3600000,ahead_ms=3600000". The figures are parts of a thousand of the calls; step_ms is the largest
  * step of the wall clock, which is set anew every two seconds, and ahead_ms what it is ahead by (behind, if negative) for
- * good. Nothing else is touched. */
+ * good. SANDGAP_FAILING_FOLDER names a folder and SANDGAP_FAILING_WHILE a file: for as long as that file is there, nothing can
+ * be written, synced or made under the folder (ENOSPC, EIO). Nothing else is touched. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <limits.h>
 #include <pthread.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -15,6 +18,7 @@
 #include <sys/time.h>
 #include <sys/uio.h>
 #include <time.h>
+#include <unistd.h>
 
 /* A call that is cut short moves one to this many bytes. */
 #define LONGEST_CUT 8
@@ -183,3 +187,75 @@
     }
     return outcome;
 }
+
+/* Whether a path lies in the folder that fails at present. */
+static int is_in_failing_folder(const char *path) {
+    const char *folder = getenv("SANDGAP_FAILING_FOLDER"), *while_there = getenv("SANDGAP_FAILING_WHILE");
+    return folder != NULL && while_there != NULL && strncmp(path, folder, strlen(folder)) == 0 &&
+           access(while_there, F_OK) == 0;
+}
+
+static int is_open_in_failing_folder(int fd) {
+    char link[64], path[PATH_MAX];
+    if (getenv("SANDGAP_FAILING_FOLDER") == NULL)
+        return 0;
+    snprintf(link, sizeof link, "/proc/self/fd/%d", fd);
+    ssize_t length = readlink(link, path, sizeof path - 1);
+    if (length <= 0)
+        return 0;
+    path[length] = 0;
+    return is_in_failing_folder(path);
+}
+
+/* Half of what is to be written is: a full disk takes what there is room for. */
+ssize_t pwrite64(int fd, const void *buffer, size_t length, off64_t offset) {
+    static __typeof__(&pwrite64) real;
+    if (real == NULL)
+        real = REAL(pwrite64);
+    if (!is_open_in_failing_folder(fd))
+        return real(fd, buffer, length, offset);
+    if (length > 1 && draw() % 2 == 0)
+        return real(fd, buffer, length / 2, offset);
+    errno = ENOSPC;
+    return -1;
+}
+
+ssize_t write(int fd, const void *buffer, size_t length) {
+    static __typeof__(&write) real;
+    if (real == NULL)
+        real = REAL(write);
+    if (!is_open_in_failing_folder(fd))
+        return real(fd, buffer, length);
+    errno = ENOSPC;
+    return -1;
+}
+
+int ftruncate64(int fd, off64_t length) {
+    static __typeof__(&ftruncate64) real;
+    if (real == NULL)
+        real = REAL(ftruncate64);
+    if (!is_open_in_failing_folder(fd))
+        return real(fd, length);
+    errno = ENOSPC;
+    return -1;
+}
+
+int fdatasync(int fd) {
+    static __typeof__(&fdatasync) real;
+    if (real == NULL)
+        real = REAL(fdatasync);
+    if (!is_open_in_failing_folder(fd))
+        return real(fd);
+    errno = EIO;
+    return -1;
+}
+
+int fsync(int fd) {
+    static __typeof__(&fsync) real;
+    if (real == NULL)
+        real = REAL(fsync);
+    if (!is_open_in_failing_folder(fd))
+        return real(fd);
+    errno = EIO;
+    return -1;
+}
--- a/crates/sandgap-rig/src/system_faults.rs
+++ b/crates/sandgap-rig/src/system_faults.rs
@@ -75,3 +75,46 @@
         command.env("LD_PRELOAD", &self.path).env("SANDGAP_FAULTS", text);
     }
 }
+
+/// A folder whose files can't be written or synced for a while, by whichever processes have loaded the library.
+#[derive(Debug)]
+pub struct FailingFolder {
+    library: FaultLibrary,
+    folder: PathBuf,
+    /// The folder fails for as long as this file is there.
+    switch: PathBuf,
+}
+
+impl FailingFolder {
+    /// A folder that does not fail yet. The library and the file that switches it lie in `beside`, another folder.
+    ///
+    /// # Errors
+    /// The system's, or what the compiler says.
+    pub fn new(folder: &Path, beside: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(beside)?;
+        let library = FaultLibrary::build(beside, SystemFaults::default())?;
+        Ok(FailingFolder { library, folder: folder.to_owned(), switch: beside.join("failing") })
+    }
+
+    /// Has a command's process load the library.
+    pub fn load_into(&self, command: &mut Command) {
+        self.library.load_into(command, 1);
+        command.env("SANDGAP_FAILING_FOLDER", &self.folder).env("SANDGAP_FAILING_WHILE", &self.switch);
+    }
+
+    /// From now on the folder fails.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn begin(&self) -> io::Result<()> {
+        std::fs::write(&self.switch, b"")
+    }
+
+    /// It can be written again.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn end(&self) -> io::Result<()> {
+        std::fs::remove_file(&self.switch)
+    }
+}
--- a/crates/sandgap/tests/processes/mod.rs
+++ b/crates/sandgap/tests/processes/mod.rs
@@ -6,6 +6,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
+use sandgap_rig::system_faults::FailingFolder;
+
 use crate::sockets::*;
 
 /// A folder that goes with the test.
@@ -24,6 +26,7 @@
 impl Drop for Folder {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.0);
+        let _ = std::fs::remove_dir_all(self.0.with_extension("faults"));
     }
 }
 
@@ -37,6 +40,8 @@
     pub addresses: Vec<SocketAddr>,
     /// The rules of a publication, all but the number of attempts.
     pub backends: Vec<SocketAddr>,
+    /// The folder of stores, where it fails for a while.
+    pub failing: Option<FailingFolder>,
 }
 
 impl<'a> Fleet<'a> {
@@ -45,6 +50,27 @@
             folder: &folder.0,
             addresses: (0..size).map(|_| free()).collect(),
             backends: backends.iter().map(|b| b.address).collect(),
+            failing: None,
+        }
+    }
+
+    /// The same, whose processes can be made to find that nothing can be written to the folder.
+    pub fn whose_folder_fails(folder: &'a Folder, size: usize, backends: &[&Backend]) -> Self {
+        let beside = folder.0.with_extension("faults");
+        let failing = FailingFolder::new(&folder.0, &beside).expect("the library of faults");
+        Fleet { failing: Some(failing), ..Fleet::new(folder, size, backends) }
+    }
+
+    /// Has the folder fail from now on, or no longer.
+    pub fn fail_folder(&self, fails: bool) {
+        let failing = self.failing.as_ref().expect("a folder that fails");
+        let switched = if fails { failing.begin() } else { failing.end() };
+        switched.expect("a file");
+    }
+
+    fn prepare(&self, command: &mut Command) {
+        if let Some(failing) = &self.failing {
+            failing.load_into(command);
         }
     }
 
@@ -90,7 +116,7 @@
             let founded = self.call(n, &["found"]);
             assert!(founded.status.success(), "{founded:?}");
         }
-        Proxy::serve(&text)
+        Proxy::serve_prepared(&text, |command| self.prepare(command))
     }
 
     /// A call by hand with the settings of a proxy.
@@ -101,6 +127,7 @@
         if !words.contains(&"--patience") {
             command.args(["--patience", "25"]);
         }
+        self.prepare(&mut command);
         command.output().expect("the program runs")
     }
 
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -532,9 +532,15 @@
 
     /// Starts one by a file of sandgap's own settings.
     pub fn serve(settings: &str) -> Self {
+        Proxy::serve_prepared(settings, |_| {})
+    }
+
+    /// The same, with a command that is prepared for it.
+    pub fn serve_prepared(settings: &str, prepare: impl FnOnce(&mut Command)) -> Self {
         let file = toml_file(settings);
         let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
         command.arg("serve").arg(&file);
+        prepare(&mut command);
         Proxy::watched(command, file)
     }
 
