Take a disk that says no for no damage, and vote again once it can be written

Checked: redb tells of a foreign or cut file by InvalidData and UnexpectedEof, which no errno gives; all its other I/O errors are the system's. Ruled out: damage by the engine (every store was sound once it could be read).

Change - sandgap-agree: errors of the disk are told from damage by their type (`Unusable`). A store is made under another name, synced and renamed; `Store::renew` writes one anew after a failure, as what can be read then need not be on the disk (fsync(2)); `Store::replace` for the last resort, which had a moment with no store at all. - daemon: `voter_disk.rs` opens a failed store again on a thread, and the agent votes from it as after a start, under another number for its rounds. `kept_version.rs` (cut out of shell.rs) tries again until the version in force is kept, and syncs it. Their unfinished files have names of their own now: v0.redb and v0.kept would have shared v0.new.

--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -487,13 +487,17 @@
         self.own_words(now);
     }
 
-    /// The disk has failed: the voter in this proxy takes no part any more. The proxy goes on as one that asks others.
+    /// The disk has failed: the voter in this proxy takes no part any more. The proxy goes on as one that asks others, until
+    /// [`Agent::vote`] is called with what the disk has once it can be written again. That voter is another one, as after
+    /// a start: what this one was told is forgotten, as is whatever it has not kept.
     pub fn disk_failed(&mut self, why: &str) {
         if let Some(voter) = &mut self.voter {
             voter.halt();
             self.voter = None;
+            self.rebuild = None;
+            self.draw = drawn(self.draw);
             self.note(format!(
-                "the voter's disk has failed ({why}): this proxy votes no more until it starts anew"
+                "the voter's disk has failed ({why}): this proxy votes no more until it is well"
             ));
         }
     }
--- a/crates/sandgap-agree/src/store.rs
+++ b/crates/sandgap-agree/src/store.rs
@@ -5,11 +5,17 @@
 //! at all (the engine commits copy-on-write with checksums and syncs each commit). Every value bears a BLAKE3 hash of
 //! itself and its key, and all are read at the start: a flipped bit, a swapped value or a missing piece makes the
 //! store [`Opened::Damaged`], and a voter must not go on from it under its old seat.
+//!
+//! A disk that says no is something else: it may be full or out of reach for a while, and says nothing about what it holds
+//! ([`Opened::Unavailable`]). A store comes to its name whole: it is made under another one, synced and renamed. And
+//! after a write or a sync that failed nobody can tell what of the file is on the disk (fsync(2)), whatever can be read:
+//! [`Store::renew`] writes it anew.
 
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 
-use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, StorageError, TableDefinition};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 
 use crate::limits::WRITES;
 use crate::log::Damaged::{Broken, Foreign, Later};
@@ -51,6 +57,35 @@
     Unavailable(String),
 }
 
+/// Why a store can't be gone on from.
+enum Unusable {
+    /// The system said no: what is there may be sound.
+    Disk(String),
+    /// It is not what was written.
+    Damaged(String),
+}
+
+impl<E: Into<redb::Error>> From<E> for Unusable {
+    fn from(error: E) -> Self {
+        let error = error.into();
+        if is_of_the_disk(&error) {
+            Unusable::Disk(error.to_string())
+        } else {
+            Unusable::Damaged(error.to_string())
+        }
+    }
+}
+
+/// Whether an error tells of the disk or of another process, and not of what the file holds. The engine tells of a file
+/// that is none of its own, or is cut short, by two errors that the system itself has no number for.
+fn is_of_the_disk(error: &redb::Error) -> bool {
+    match error {
+        redb::Error::Io(e) => !matches!(e.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof),
+        redb::Error::DatabaseAlreadyOpen | redb::Error::PreviousIo => true,
+        _ => false,
+    }
+}
+
 /// See the module.
 pub struct Store {
     db: Database,
@@ -71,20 +106,42 @@
     /// Makes a store for a seat.
     ///
     /// # Errors
-    /// Where there is one already, or the disk says no.
+    /// Where there is one already, or the disk says no; nothing bears its name then.
     pub fn create(path: &Path, saved: &Saved) -> Result<Self, StoreError> {
         if path.exists() {
             return Err(StoreError::Exists(path.to_owned()));
         }
-        let db = Database::create(path).map_err(|e| disk(path, e))?;
-        let store = Store { db, path: path.to_owned() };
-        let first = Write { snapshot: saved.snapshot.clone(), ..Write::default() };
-        store.commit(&first, Some(saved.seat)).map_err(|e| disk(path, e))?;
-        // The name of the file itself has to last as well.
-        if let Some(folder) = path.parent().filter(|p| !p.as_os_str().is_empty()) {
-            std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(|e| disk(path, e))?;
+        Store::write_whole(path, saved)
+    }
+
+    /// Makes a store under another name, and gives it its own once all of it is on the disk.
+    fn write_whole(path: &Path, saved: &Saved) -> Result<Self, StoreError> {
+        let new = unfinished(path);
+        let made = Store::write_new(&new, saved).map_err(|e| disk(&new, e));
+        let made = made.and_then(|db| {
+            std::fs::rename(&new, path).and_then(|()| sync_folder(path)).map_err(|e| disk(path, e))?;
+            Ok(Store { db, path: path.to_owned() })
+        });
+        if made.is_err() {
+            let _ = std::fs::remove_file(&new); // the next try removes it before it begins
+        }
+        made
+    }
+
+    fn write_new(new: &Path, saved: &Saved) -> Result<Database, redb::Error> {
+        match std::fs::remove_file(new) {
+            Err(e) if e.kind() != ErrorKind::NotFound => return Err(e.into()),
+            _ => {}
         }
-        Ok(store)
+        let store = Store { db: Database::create(new)?, path: new.to_owned() };
+        let all = Write {
+            hard: saved.hard.clone(),
+            entries: saved.entries.clone(),
+            snapshot: saved.snapshot.clone(),
+            ..Write::default()
+        };
+        store.commit(&all, Some(saved.seat))?;
+        Ok(store.db)
     }
 
     /// Opens what is there and reads all of it.
@@ -93,31 +150,39 @@
             return Opened::Missing;
         }
         // A file of which the engine can make nothing may make it fail in ways of its own.
-        let read = std::panic::catch_unwind(|| {
-            let mut db = match Database::open(path) {
-                Ok(db) => db,
-                // The process before this one may not have ended yet: its store is no less sound for that.
-                Err(e @ DatabaseError::DatabaseAlreadyOpen) => return Ok(Opened::Unavailable(e.to_string())),
-                Err(DatabaseError::Storage(StorageError::Io(e))) if is_denied(&e) => {
-                    return Ok(Opened::Unavailable(e.to_string()));
+        match std::panic::catch_unwind(|| Store::open_checked(path)) {
+            Ok(Ok((store, saved))) => Opened::Sound(store, saved),
+            Ok(Err(Unusable::Disk(why))) => Opened::Unavailable(why),
+            Ok(Err(Unusable::Damaged(why))) => Opened::Damaged(why),
+            Err(_) => Opened::Damaged("the engine could make nothing of it".into()),
+        }
+    }
+
+    fn open_checked(path: &Path) -> Result<(Store, Saved), Unusable> {
+        let mut db = Database::open(path)?;
+        // Every page's checksum, and what the engine thinks of its free ones: it would fail over these later.
+        db.check_integrity()?;
+        let store = Store { db, path: path.to_owned() };
+        let saved = store.read()?;
+        match Log::load(&saved) {
+            Ok(_) => Ok((store, saved)),
+            Err(Broken(what)) => Err(Unusable::Damaged(Broken(what).to_string())),
+            // Another build's is no less sound for that: it is neither moved away nor begun anew.
+            Err(e @ (Foreign(_) | Later(_))) => Err(Unusable::Disk(e.to_string())),
+        }
+    }
+
+    /// Opens what is there after the disk has failed, and writes all of it anew: what can be read need not be on the disk.
+    pub fn renew(path: &Path) -> Opened {
+        match Store::open(path) {
+            Opened::Sound(store, saved) => {
+                drop(store);
+                match Store::write_whole(path, &saved) {
+                    Ok(store) => Opened::Sound(store, saved),
+                    Err(e) => Opened::Unavailable(e.to_string()),
                 }
-                Err(e) => return Err(e.to_string()),
-            };
-            // Every page's checksum, and what the engine thinks of its free ones: it would fail over these later.
-            db.check_integrity().map_err(|e| e.to_string())?;
-            let store = Store { db, path: path.to_owned() };
-            let saved = store.read()?;
-            match Log::load(&saved) {
-                Ok(_) => Ok::<_, String>(Opened::Sound(store, saved)),
-                Err(Broken(what)) => Err(Broken(what).to_string()),
-                // Another build's is no less sound for that: it is neither moved away nor begun anew.
-                Err(e @ (Foreign(_) | Later(_))) => Ok(Opened::Unavailable(e.to_string())),
             }
-        });
-        match read {
-            Ok(Ok(opened)) => opened,
-            Ok(Err(why)) => Opened::Damaged(why),
-            Err(_) => Opened::Damaged("the engine could make nothing of it".into()),
+            other => other,
         }
     }
 
@@ -126,39 +191,50 @@
     /// # Errors
     /// The disk's.
     pub fn set_aside(path: &Path) -> Result<PathBuf, StoreError> {
-        let free = (1..).map(|n| path.with_extension(format!("damaged-{n}"))).find(|p| !p.exists());
-        let aside = free.unwrap_or_else(|| path.with_extension("damaged"));
+        let aside = free_name(path, "damaged");
         std::fs::rename(path, &aside).map_err(|e| disk(path, e))?;
         Ok(aside)
     }
 
-    fn read(&self) -> Result<Saved, String> {
-        let text = |e: &dyn std::fmt::Display| e.to_string();
-        let read = self.db.begin_read().map_err(|e| text(&e))?;
-        let state = read.open_table(STATE).map_err(|e| text(&e))?;
-        let piece = |key: &str| -> Result<Option<Vec<u8>>, String> {
-            let Some(bytes) = state.get(key).map_err(|e| text(&e))? else { return Ok(None) };
+    /// Puts another store in the place of one that nobody has open, at once or not at all, and keeps the old one under a
+    /// name that it returns.
+    ///
+    /// # Errors
+    /// The disk's; the old one is still in its place then.
+    pub fn replace(path: &Path, saved: &Saved) -> Result<PathBuf, StoreError> {
+        let aside = free_name(path, "replaced");
+        std::fs::hard_link(path, &aside).map_err(|e| disk(path, e))?;
+        Store::write_whole(path, saved)?;
+        Ok(aside)
+    }
+
+    fn read(&self) -> Result<Saved, Unusable> {
+        let read = self.db.begin_read()?;
+        let state = read.open_table(STATE)?;
+        let piece = |key: &str| -> Result<Option<Vec<u8>>, Unusable> {
+            let Some(bytes) = state.get(key)? else { return Ok(None) };
             opened(key.as_bytes(), bytes.value())
                 .map(Some)
-                .ok_or_else(|| format!("'{key}' is not as it was written"))
+                .ok_or_else(|| Unusable::Damaged(format!("'{key}' is not as it was written")))
         };
-        let seat =
-            piece(SEAT)?.and_then(|b| b.try_into().ok()).map(u64::from_le_bytes).ok_or("it names no seat")?;
+        let seat = piece(SEAT)?.and_then(|b| b.try_into().ok()).map(u64::from_le_bytes);
+        let seat = seat.ok_or_else(|| Unusable::Damaged("it names no seat".into()))?;
         let hard = piece(HARD)?;
         let snapshot = match piece(SNAPSHOT)? {
             Some(bytes) => {
-                let (index, rest) = bytes.split_first_chunk::<8>().ok_or("a snapshot without a place")?;
+                let without = || Unusable::Damaged("a snapshot without a place".into());
+                let (index, rest) = bytes.split_first_chunk::<8>().ok_or_else(without)?;
                 Some((u64::from_le_bytes(*index), rest.to_vec()))
             }
             None => None,
         };
         let mut entries = Vec::new();
-        let table = read.open_table(ENTRIES).map_err(|e| text(&e))?;
-        for entry in table.iter().map_err(|e| text(&e))? {
-            let (index, bytes) = entry.map_err(|e| text(&e))?;
+        for entry in read.open_table(ENTRIES)?.iter()? {
+            let (index, bytes) = entry?;
             let index = index.value();
             let value = opened(&index.to_le_bytes(), bytes.value());
-            entries.push((index, value.ok_or_else(|| format!("entry {index} is not as it was written"))?));
+            let torn = || Unusable::Damaged(format!("entry {index} is not as it was written"));
+            entries.push((index, value.ok_or_else(torn)?));
         }
         Ok(Saved { seat, hard, entries, snapshot })
     }
@@ -210,9 +286,25 @@
     }
 }
 
-fn is_denied(e: &std::io::Error) -> bool {
-    use std::io::ErrorKind::{NotFound, PermissionDenied, ReadOnlyFilesystem, ResourceBusy, WouldBlock};
-    matches!(e.kind(), NotFound | PermissionDenied | ReadOnlyFilesystem | ResourceBusy | WouldBlock)
+/// Where a store is made before it has its name. The ending is added, as other files beside it may differ in theirs alone.
+fn unfinished(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".new");
+    name.into()
+}
+
+/// A name beside a store's that no file has yet.
+fn free_name(path: &Path, what: &str) -> PathBuf {
+    let free = (1..).map(|n| path.with_extension(format!("{what}-{n}"))).find(|p| !p.exists());
+    free.unwrap_or_else(|| path.with_extension(what))
+}
+
+/// The name of a file has to last as well.
+fn sync_folder(path: &Path) -> std::io::Result<()> {
+    match path.parent().filter(|p| !p.as_os_str().is_empty()) {
+        Some(folder) => std::fs::File::open(folder)?.sync_all(),
+        None => Ok(()),
+    }
 }
 
 fn disk(path: &Path, e: impl std::fmt::Display) -> StoreError {
@@ -397,6 +489,26 @@
         assert!(matches!(Store::open(&folder.file()), Opened::Sound(..)));
     }
 
+    #[test]
+    fn a_store_that_is_renewed_holds_the_same_and_what_was_half_made_is_in_nobodys_way() {
+        let folder = Folder::new("renewed");
+        std::fs::write(unfinished(&folder.file()), b"half").expect("written");
+        let store = Store::create(&folder.file(), &founding()).expect("made");
+        for write in writes().iter().take(3) {
+            store.keep(write).expect("kept");
+        }
+        assert!(matches!(Store::renew(&folder.file()), Opened::Unavailable(_)), "it is still open");
+        drop(store);
+        let before = saved_at(&folder.file()).expect("sound");
+        let Opened::Sound(renewed, saved) = Store::renew(&folder.file()) else { panic!("not renewed") };
+        assert_eq!(saved, before);
+        renewed.keep(&Write { number: 1, hard: hard(4, 8), ..Write::default() }).expect("kept");
+        drop(renewed);
+        let after = saved_at(&folder.file()).expect("sound");
+        assert_eq!(after, Saved { hard: hard(4, 8), ..before });
+        assert!(!unfinished(&folder.file()).exists());
+    }
+
     #[test]
     fn a_disk_that_fails_says_so_once_and_a_thread_keeps_the_order() {
         let folder = Folder::new("thread");
--- a/crates/sandgap-rig/src/system_faults.rs
+++ b/crates/sandgap-rig/src/system_faults.rs
@@ -76,7 +76,8 @@
     }
 }
 
-/// A folder whose files can't be written or synced for a while, by whichever processes have loaded the library.
+/// A folder whose files can't be written or synced for a while, by whichever processes have loaded the library. The path may
+/// also be the beginning of the paths of some files.
 #[derive(Debug)]
 pub struct FailingFolder {
     library: FaultLibrary,
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/hand.rs
@@ -298,8 +298,7 @@
         }
     }
     let alone = saved.alone(riders()).map_err(|e| Failed::Wrong(e.to_string()))?;
-    let aside = Store::set_aside(path).map_err(|e| Failed::Wrong(e.to_string()))?;
-    Store::create(path, &alone).map_err(|e| Failed::Wrong(e.to_string()))?;
+    let aside = Store::replace(path, &alone).map_err(|e| Failed::Wrong(e.to_string()))?;
     println!(
         "{}: the store of a fleet of one; the old one is {}. Start this proxy, then 'sandgap fleet voters add' others, \
          which begin without a store",
--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -6,9 +6,11 @@
 
 pub mod book;
 pub mod hand;
+mod kept_version;
 mod outs;
 mod releases;
 pub mod shell;
+mod voter_disk;
 mod watch;
 
 use std::cell::{Cell, RefCell};
--- a/crates/sandgap/src/rules/shell.rs
+++ b/crates/sandgap/src/rules/shell.rs
@@ -3,13 +3,12 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use sandgap_agree::log::Saved;
-use sandgap_agree::store::{Keeper, Opened, Store};
+use sandgap_agree::log::{Saved, Write};
+use sandgap_agree::store::{Opened, Store};
 use sandgap_agree::words::Word;
 use sandgap_agree::{Agent, Output, Rulebook, Version};
 use sandgap_fleet::link::{Incoming, Links};
@@ -20,6 +19,8 @@
 use tokio::time::sleep;
 use wharfhitch::{Scope, Settings};
 
+use super::kept_version::KeptVersion;
+use super::voter_disk::{DiskNews, VoterDisk};
 use super::watch::Watch;
 use super::{Rules, Shared, book, now, riders};
 use crate::config::Fleet;
@@ -69,10 +70,10 @@
     members: Members,
     links: Rc<Links>,
     incoming: mpsc::Receiver<Incoming>,
-    keeper: Option<Keeper>,
-    kept: mpsc::UnboundedReceiver<Result<u64, String>>,
-    keeps: mpsc::UnboundedSender<Result<u64, String>>,
-    keeping: Keeping,
+    /// The voter's, if there is one.
+    disk: Option<VoterDisk>,
+    /// Where the version in force is kept for the next start.
+    kept_version: Option<KeptVersion>,
     watch: Rc<Watch>,
 }
 
@@ -125,21 +126,9 @@
         let (name, zone) = (fleet.name.clone(), fleet.zone.clone());
         let me = Identity { name, address: fleet.listen, incarnation, zone };
         let members = Members::new(me, Pace::default(), chance());
-        let (keeps, kept) = mpsc::unbounded_channel(); // one word a write, and writes are bounded
+        let kept_version = fleet.keep.clone().map(KeptVersion::new);
         let watch = Watch::new(parts.clone(), agent.clone(), fleet.votes(), fleet.zone.clone());
-        Shell {
-            parts,
-            agent,
-            fleet,
-            members,
-            links,
-            incoming,
-            keeper: None,
-            kept,
-            keeps,
-            keeping: Keeping::default(),
-            watch,
-        }
+        Shell { parts, agent, fleet, members, links, incoming, disk: None, kept_version, watch }
     }
 
     /// Opens the voter's store. One that is missing or damaged is replaced by a blank one, under another seat.
@@ -163,12 +152,14 @@
                 blank(path)?
             }
         };
-        let told = self.keeps.clone();
-        let keeper = Keeper::start(store, move |kept| drop(told.send(kept))).map_err(|e| e.to_string())?;
-        self.keeper = Some(keeper);
+        self.disk = Some(VoterDisk::start(path, store).map_err(|e| format!("{}: {e}", path.display()))?);
+        self.vote_from(&saved).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// Has the agent vote from what its disk has.
+    fn vote_from(&self, saved: &Saved) -> Result<(), String> {
         let address = self.fleet.listen;
-        let mut agent = self.agent.borrow_mut();
-        agent.vote(now(), &saved, riders(), address).map_err(|e| format!("{}: {e}", path.display()))
+        self.agent.borrow_mut().vote(now(), saved, riders(), address).map_err(|e| e.to_string())
     }
 
     /// The version acted on before the start serves what may be served without a lease.
@@ -217,7 +208,7 @@
                         self.heard(more);
                     }
                 }
-                Some(kept) = self.kept.recv() => self.kept(kept),
+                news = next_of(&mut self.disk) => self.heard_of_disk(news),
                 () = sleep(wait) => {}
             }
             self.fire();
@@ -255,11 +246,21 @@
         }
     }
 
-    fn kept(&mut self, kept: Result<u64, String>) {
-        let mut agent = self.agent.borrow_mut();
-        match kept {
-            Ok(number) => agent.written(now(), number),
-            Err(why) => agent.disk_failed(&why),
+    fn heard_of_disk(&mut self, news: DiskNews) {
+        match news {
+            DiskNews::Written(number) => self.agent.borrow_mut().written(now(), number),
+            DiskNews::Failed(why) => self.agent.borrow_mut().disk_failed(&why),
+            DiskNews::Back(saved) => match self.vote_from(&saved) {
+                Ok(()) => note!("rules: the voter's disk can be written again; this proxy votes"),
+                Err(why) => note!(error: "rules: the voter's disk is back, but can't be voted from: {why}"),
+            },
+        }
+    }
+
+    fn write(&mut self, write: Write) {
+        let handed_over = self.disk.as_mut().map_or(Err("there is none"), |disk| disk.write(write));
+        if let Err(why) = handed_over {
+            self.agent.borrow_mut().disk_failed(why);
         }
     }
 
@@ -284,12 +285,7 @@
                     let known = address.or_else(|| self.members.find(&to).map(|m| m.address));
                     self.links.send(&to, self.way(&to, known), RULES, word.encode());
                 }
-                Output::Write(write) => {
-                    let kept = self.keeper.as_ref().map_or(Err("there is none"), |k| k.keep(write));
-                    if let Err(why) = kept {
-                        self.agent.borrow_mut().disk_failed(why);
-                    }
-                }
+                Output::Write(write) => self.write(write),
                 Output::Check(version, rules) => {
                     let usable = self.check(&rules);
                     if let Err(why) = &usable {
@@ -339,55 +335,17 @@
 
     /// Keeps the version for the next start, off the loop: a slow disk holds up nobody.
     fn keep(&self, version: Version, rules: &Rulebook) {
-        if let (Some(path), Ok(bytes)) = (&self.fleet.keep, rules.encode()) {
-            self.keeping.put(path.clone(), [&version.to_le_bytes()[..], &bytes].concat());
+        if let (Some(kept), Ok(bytes)) = (&self.kept_version, rules.encode()) {
+            kept.put([&version.to_le_bytes()[..], &bytes].concat());
         }
     }
 }
 
-/// Writes the version in force to a file, one at a time and the latest last.
-#[derive(Clone, Default)]
-struct Keeping(Arc<Mutex<Slot>>);
-
-#[derive(Default)]
-struct Slot {
-    /// What is to be written next; a later version takes the place of one that waits.
-    next: Option<Vec<u8>>,
-    /// A thread writes.
-    busy: bool,
-}
-
-impl Keeping {
-    fn slot(&self) -> MutexGuard<'_, Slot> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn put(&self, path: PathBuf, bytes: Vec<u8>) {
-        let mut slot = self.slot();
-        slot.next = Some(bytes);
-        if std::mem::replace(&mut slot.busy, true) {
-            return;
-        }
-        let keeping = self.clone();
-        let thread = std::thread::Builder::new().name("rules-keep".into());
-        if thread.spawn(move || keeping.write_all(&path)).is_err() {
-            slot.busy = false; // without a thread nothing is kept; the next version tries again
-        }
-    }
-
-    fn write_all(&self, path: &Path) {
-        loop {
-            let mut slot = self.slot();
-            let Some(bytes) = slot.next.take() else {
-                slot.busy = false;
-                return;
-            };
-            drop(slot);
-            let new = path.with_extension("new");
-            if let Err(e) = std::fs::write(&new, bytes).and_then(|()| std::fs::rename(&new, path)) {
-                note!(warn: "{}: {e}; the version in force is not kept for the next start", path.display());
-            }
-        }
+/// The next news of a voter's disk; never, where there is none.
+async fn next_of(disk: &mut Option<VoterDisk>) -> DiskNews {
+    match disk {
+        Some(disk) => disk.next().await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/sandgap/tests/failing_folders.rs
+++ b/crates/sandgap/tests/failing_folders.rs
@@ -70,3 +70,33 @@
     let made = fleet.call(0, &["found"]);
     assert!(made.status.success(), "{made:?}");
 }
+
+#[test]
+fn a_voter_whose_disk_failed_catches_up_and_then_carries_a_majority() {
+    let (folder, backend) = (Folder::new("one"), serve());
+    let fleet = Fleet::where_writes_fail(&folder, "v0.redb", 3, &[&backend]);
+    let mut proxies = vec![fleet.start(0), fleet.start(1), fleet.start(2)];
+    fleet.publish(2);
+    for (round, attempts) in [(1, 3), (2, 5)] {
+        fleet.fail_folder(true);
+        fleet.publish(attempts);
+        wait_for("a failed disk", || proxies[0].log_count("votes no more") >= round);
+        // It may also be killed before its disk is well.
+        if round == 2 {
+            proxies[0] = fleet.start(0);
+            wait_for("a look at the store", || proxies[0].said("as a guest"));
+        }
+        fleet.fail_folder(false);
+        let back = if round == 2 { "in force" } else { "can be written again" };
+        wait_for("its disk", || proxies[0].said(back));
+        // Without one of the others it takes the first one's vote.
+        drop(proxies.remove(1));
+        fleet.publish(attempts + 1);
+        proxies.insert(1, fleet.start(1));
+    }
+    let history = said(&fleet.call(2, &["history"]));
+    for version in 1..=5 {
+        assert!(history.lines().any(|line| line.trim_start().starts_with(&version.to_string())), "{history}");
+    }
+    assert_eq!(set_aside(&folder.0), [""; 0]);
+}
--- a/crates/sandgap/tests/processes/mod.rs
+++ b/crates/sandgap/tests/processes/mod.rs
@@ -56,8 +56,13 @@
 
     /// The same, whose processes can be made to find that nothing can be written to the folder.
     pub fn whose_folder_fails(folder: &'a Folder, size: usize, backends: &[&Backend]) -> Self {
+        Fleet::where_writes_fail(folder, "", size, backends)
+    }
+
+    /// The same, for those files of the folder whose names begin so.
+    pub fn where_writes_fail(folder: &'a Folder, names: &str, size: usize, backends: &[&Backend]) -> Self {
         let beside = folder.0.with_extension("faults");
-        let failing = FailingFolder::new(&folder.0, &beside).expect("the library of faults");
+        let failing = FailingFolder::new(&folder.0.join(names), &beside).expect("the library of faults");
         Fleet { failing: Some(failing), ..Fleet::new(folder, size, backends) }
     }
 
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -620,6 +620,11 @@
         self.log.lock().expect("no panic").contains(text)
     }
 
+    /// How often the log holds a text.
+    pub fn log_count(&self, text: &str) -> usize {
+        self.log.lock().expect("no panic").matches(text).count()
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         let mut status = None;
         wait_for("the proxy's end", || {
