--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -213,3 +213,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
