--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::{JoinHandle, yield_now};
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -45,6 +45,8 @@
     pub(super) sender: SendRequest<Sending>,
     pub(super) write_progress: Rc<WriteProgress>,
     stream: Socket,
+    /// Its part of the budget, also held by the stream: it counts until the last of them lets go of the socket.
+    _permit: Rc<OwnedSemaphorePermit>,
     driver: JoinHandle<()>,
 }
 
@@ -176,8 +178,12 @@
         }
         let stream = Socket::new(TcpStream::connect(address).await?);
         let write_progress = Rc::new(WriteProgress::default());
-        let io =
-            TrackedStream { stream: stream.clone(), write_progress: write_progress.clone(), _permit: permit };
+        let permit = Rc::new(permit);
+        let io = TrackedStream {
+            stream: stream.clone(),
+            write_progress: write_progress.clone(),
+            _permit: permit.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER)
             .handshake(TokioIo::new(io))
@@ -186,7 +192,7 @@
         let driver = tokio::task::spawn_local(async move {
             let _ = connection.await; // errors show at the request
         });
-        Ok(Connection { sender, write_progress, stream, driver })
+        Ok(Connection { sender, write_progress, stream, _permit: permit, driver })
     }
 
     /// Pools a connection once it is ready for another request.
--- a/crates/sandgap/src/upstream/progress.rs
+++ b/crates/sandgap/src/upstream/progress.rs
@@ -187,7 +187,7 @@
 pub(super) struct TrackedStream {
     pub(super) stream: Socket,
     pub(super) write_progress: Rc<WriteProgress>,
-    pub(super) _permit: OwnedSemaphorePermit,
+    pub(super) _permit: Rc<OwnedSemaphorePermit>,
 }
 
 impl AsyncRead for TrackedStream {
