--- a/crates/sandgap/tests/upgrade.rs
+++ b/crates/sandgap/tests/upgrade.rs
@@ -182,3 +182,26 @@
     let fourth = Proxy::start(&discovery, &beside);
     wait_for("it to be ready", || fourth.call(b"ready\n").starts_with("200"));
 }
+
+#[test]
+fn a_newer_process_that_ends_before_it_serves_takes_no_client() {
+    let directory = Directory::new("unserved");
+    let backend = Backend::new(Deed::Write(ok("served")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let old = Proxy::up(&discovery, &setup(&directory, None));
+    wait_for("the old one's socket", || directory.socket(old.address).exists());
+    let silent = Discovery::new();
+    silent.hush();
+    // It has the queue, but no list yet.
+    let mut new = Proxy::start(&silent, &setup(&directory, Some(old.address)));
+    wait_for("the newer one", || old.said("a newer process has come"));
+    new.terminate();
+    let mut asked = 0;
+    while new.runs() {
+        asked += 1;
+        let answer = Client::new(&old).ask(&page(&format!("u-{asked}"))).expect("an answer");
+        assert_eq!(answer.status(), 200, "request {asked}");
+    }
+    assert!(asked > 0 && new.wait().success());
+}
