Leave the shared queue to the older process when the newer one ends before it serves

Cause: front/mod.rs `serve` decided by `is_handed_over` alone, which is true only of an older process. Whether this process accepts at all (`Serving::accepts`) decides now, as it does before the end. Read with it and mended: a newer process that waits for its list kept off the queue even after the older one had gone (`held` was never let go), so that it would now have left queued connections to a reset; `Serving::release` lets go with the older one's end.

--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -156,14 +156,15 @@
         }
         let longest = Duration::from_secs_f64(self.generations.borrow().longest().min(1e6) / 1000.0);
         self.inbox.put(Input::End(Instant::now() + longest.min(self.grace) + LAST_ANSWER));
+        // Where another process accepts from the same queue, nothing in it is lost: a newer one, or the one before while
+        // this one has not served yet.
+        let queue_is_anothers = !self.serving.accepts();
         // Idle connections close now: a request that crosses that comes again while connections still do.
         self.serving.stop();
         self.close_all(Stage::Idle);
         let end = Instant::now() + STAY;
-        // Where a newer process accepts from the same queue, nothing in it is lost; what was accepted here just
-        // before may still be about to say something.
-        if self.serving.is_handed_over() {
-            sleep(STAY).await;
+        if queue_is_anothers {
+            sleep(STAY).await; // what was accepted here just before may still be about to say something
         } else {
             while timeout_at(end, self.clone().accept(&listener)).await.is_ok() {}
             let end = Instant::now() + STAY; // a bound, should they never cease to come
--- a/crates/sandgap/src/handover.rs
+++ b/crates/sandgap/src/handover.rs
@@ -159,6 +159,7 @@
         };
         self.follow(read, tells, || {}).await;
         note!("upgrade: the process before has ended");
+        self.serving.release();
         self.alone();
     }
 
--- a/crates/sandgap/src/serving.rs
+++ b/crates/sandgap/src/serving.rs
@@ -98,6 +98,11 @@
         self.held.set(true);
     }
 
+    /// The older process has gone: the queue is this one's, ready or not.
+    pub fn release(&self) {
+        self.set(&self.held, false);
+    }
+
     /// A newer process has begun to accept, or has gone again.
     pub fn hand_over(&self, to_newer: bool) {
         self.set(&self.handed, to_newer);
@@ -213,5 +218,9 @@
         old.drain();
         old.hand_over(true);
         assert_eq!(old.state(), State::Drained);
+        let successor = Serving::default();
+        successor.hold();
+        successor.release();
+        assert!(successor.accepts() && !successor.is_up(), "nobody else accepts, as after any start");
     }
 }
