Draw moves of discovery in the soak, with a drain right after each

Each proxy has two addresses of the stand-in service now; a move names the other one in its configuration and sends SIGHUP, sometimes twice in a row.

--- a/crates/sandgap-rig/src/discovery.rs
+++ b/crates/sandgap-rig/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Stand-in discovery: one service, with an address for each proxy, where it can be silent, stale, split or
+//! Stand-in discovery: one service, with addresses for each proxy alone between which it can be moved, where it can be silent, stale, split or
 //! broken for some or all of them.
 
 use std::cell::{Cell, RefCell};
@@ -42,6 +42,9 @@
     health: Health,
 }
 
+/// Where a proxy finds the service: at the first of these until its configuration names another.
+pub type Addresses = [SocketAddr; 2];
+
 /// The service.
 pub struct Discovery {
     world: Rc<World>,
@@ -56,24 +59,24 @@
 }
 
 struct Side {
-    address: SocketAddr,
+    addresses: Addresses,
     split: Cell<bool>,
     /// A line that goes out as it is.
     odd: RefCell<Option<String>>,
     /// Version that this proxy has been told.
     told: Cell<usize>,
-    server: RefCell<Option<JoinHandle<()>>>,
+    servers: RefCell<Vec<JoinHandle<()>>>,
 }
 
 impl Discovery {
-    /// Starts the service at one address for each proxy.
-    pub fn start(world: &Rc<World>, addresses: Vec<SocketAddr>) -> std::io::Result<Rc<Self>> {
-        let side = |address| Side {
-            address,
+    /// Starts the service at the addresses for each proxy.
+    pub fn start(world: &Rc<World>, addresses: Vec<Addresses>) -> std::io::Result<Rc<Self>> {
+        let side = |addresses| Side {
+            addresses,
             split: Cell::new(false),
             odd: RefCell::default(),
             told: Cell::new(0),
-            server: RefCell::default(),
+            servers: RefCell::default(),
         };
         let discovery = Rc::new(Discovery {
             world: world.clone(),
@@ -85,11 +88,13 @@
             end: Notify::new(),
         });
         for proxy in 0..discovery.sides.len() {
-            let std = std::net::TcpListener::bind(discovery.sides[proxy].address)?;
-            std.set_nonblocking(true)?;
-            let listener = TcpListener::from_std(std)?;
-            let server = spawn_local(discovery.clone().serve(proxy, listener));
-            *discovery.sides[proxy].server.borrow_mut() = Some(server);
+            for address in discovery.sides[proxy].addresses {
+                let std = std::net::TcpListener::bind(address)?;
+                std.set_nonblocking(true)?;
+                let listener = TcpListener::from_std(std)?;
+                let server = spawn_local(discovery.clone().serve(proxy, listener));
+                discovery.sides[proxy].servers.borrow_mut().push(server);
+            }
         }
         Ok(discovery)
     }
@@ -163,8 +168,8 @@
     }
 
     /// Where a proxy finds it.
-    pub fn address(&self, proxy: usize) -> SocketAddr {
-        self.sides[proxy].address
+    pub fn addresses(&self, proxy: usize) -> Addresses {
+        self.sides[proxy].addresses
     }
 
     /// The list as a proxy last had it, in the form of its configuration, and the words that this tells it.
--- a/crates/sandgap-rig/src/proxy.rs
+++ b/crates/sandgap-rig/src/proxy.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use crate::discovery;
 use crate::http::Conn;
 use crate::limits::PATIENCE;
 use crate::schedule::{GRACE_MS, Plan, TENANTS};
@@ -65,8 +66,8 @@
     pub listen: SocketAddr,
     /// Where datagrams arrive, and its view of the others: their addresses, and that of all.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>, SocketAddr)>,
-    /// Discovery.
-    pub discovery: SocketAddr,
+    /// Discovery, wherever it may be moved.
+    pub discovery: discovery::Addresses,
 }
 
 /// A proxy.
@@ -80,6 +81,8 @@
     child: RefCell<Option<std::process::Child>>,
     starts: Cell<u64>,
     reloads: Cell<u64>,
+    /// Times that discovery has been moved.
+    moves: Cell<usize>,
 }
 
 /// The settings object, as the platform's first message has it.
@@ -122,8 +125,8 @@
 impl Proxy {
     /// A proxy that has not started.
     pub fn new(number: usize, place: Place, program: Program, folder: &Path) -> Rc<Self> {
-        let (child, starts, reloads) = (RefCell::default(), Cell::new(0), Cell::new(0));
-        Rc::new(Proxy { number, place, program, folder: folder.to_owned(), child, starts, reloads })
+        let (child, starts, reloads, moves) = Default::default();
+        Rc::new(Proxy { number, place, program, folder: folder.to_owned(), child, starts, reloads, moves })
     }
 
     /// Starts its process; `known` is the list as it last had it.
@@ -138,7 +141,7 @@
             let mut config = json!({
                 "name": format!("n{}", self.number),
                 "listen": self.place.listen,
-                "discovery": self.place.discovery,
+                "discovery": self.discovery(),
                 "seed": format!("{seed:016x}"),
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                 "known": serde_json::from_str::<Value>(known).unwrap_or(Value::Null),
@@ -173,17 +176,37 @@
         run().map_err(|e| ProxyError::Start(self.number, e))
     }
 
+    /// Where its configuration says that discovery is.
+    fn discovery(&self) -> SocketAddr {
+        self.place.discovery[self.moves.get() % self.place.discovery.len()]
+    }
+
     /// Writes its configuration anew, with other worths and times, and says so.
     ///
     /// # Errors
     /// [`ProxyError::Start`], where the file can't be written.
     pub fn reload(&self) -> Result<(), ProxyError> {
+        let reloads = self.reloads.replace(self.reloads.get() + 1);
+        self.reconfigure(|config| {
+            config["settings"]["classes"][0]["worth"] = json!(1.0 + (reloads % 3) as f64);
+            config["settings"]["ceilings"]["idleClose"] = json!(15_000 - reloads % 2 * 5000);
+        })
+    }
+
+    /// Writes its configuration anew with discovery elsewhere, and says so. It goes on where it was, too.
+    ///
+    /// # Errors
+    /// [`ProxyError::Start`], where the file can't be written.
+    pub fn move_discovery(&self) -> Result<(), ProxyError> {
+        self.moves.set(self.moves.get() + 1);
+        self.reconfigure(|config| config["discovery"] = json!(self.discovery()))
+    }
+
+    fn reconfigure(&self, change: impl FnOnce(&mut Value)) -> Result<(), ProxyError> {
         let path = self.folder.join(format!("n{}.json", self.number));
         let write = || {
             let mut config: Value = serde_json::from_slice(&std::fs::read(&path)?)?;
-            let reloads = self.reloads.replace(self.reloads.get() + 1);
-            config["settings"]["classes"][0]["worth"] = json!(1.0 + (reloads % 3) as f64);
-            config["settings"]["ceilings"]["idleClose"] = json!(15_000 - reloads % 2 * 5000);
+            change(&mut config);
             std::fs::write(&path, config.to_string())
         };
         write().map_err(|e: std::io::Error| ProxyError::Start(self.number, e))?;
--- a/crates/sandgap-rig/src/run.rs
+++ b/crates/sandgap-rig/src/run.rs
@@ -170,14 +170,16 @@
         spawn_local(world.clock.clone().watch());
         let addresses = Addresses::default();
         let draw = |n: usize| (0..n).map(|_| addresses.draw()).collect::<Result<Vec<_>, _>>();
-        let discovery = Discovery::start(&world, draw(proxies)?)?;
+        let (first, second) = (draw(proxies)?, draw(proxies)?);
+        let discovery = first.into_iter().zip(second).map(|(one, other)| [one, other]).collect();
+        let discovery = Discovery::start(&world, discovery)?;
         let listen = draw(proxies)?;
         let peer_listen = draw(proxies)?;
         let network = Network::start(&peer_listen, addresses.network(), world.plan.seed).await?;
         let place = |n: usize| Place {
             listen: listen[n],
             peers: peers.then(|| (peer_listen[n], network.seen[n].clone(), network.all[n])),
-            discovery: discovery.address(n),
+            discovery: discovery.addresses(n),
         };
         let made = (0..proxies).map(|n| Proxy::new(n, place(n), program.clone(), &folder.path)).collect();
         let stage = Rc::new(Stage {
@@ -256,13 +258,8 @@
             Fault::DiscoveryEnds => self.discovery.end_watches(),
             Fault::Datagrams(lost, late, doubled) => self.network.set(Weather { lost, late, doubled }),
             Fault::FrontNotices(p) => self.front.believe(p, false),
-            Fault::Reload(p) => {
-                if self.is_free(p)
-                    && let Err(e) = self.proxies[p].reload()
-                {
-                    self.fail(e);
-                }
-            }
+            Fault::Reload(p) => self.reconfigure(p, Proxy::reload),
+            Fault::MoveDiscovery(p) => self.reconfigure(p, Proxy::move_discovery),
             Fault::Term(p) => self.term(p),
             Fault::Kill(p) => self.kill(p),
             // Of one that was busy when it should have been killed nothing has to be started.
@@ -276,6 +273,14 @@
         }
     }
 
+    fn reconfigure(&self, p: usize, change: impl FnOnce(&Proxy) -> Result<(), ProxyError>) {
+        if self.is_free(p)
+            && let Err(e) = change(&self.proxies[p])
+        {
+            self.fail(e);
+        }
+    }
+
     fn say(&self, backend: usize, health: Health) {
         if let Some(backend) = self.backend(backend).filter(|b| !b.is_gone() || health == Health::Removed) {
             self.discovery.say(&backend, health);
--- a/crates/sandgap-rig/src/schedule.rs
+++ b/crates/sandgap-rig/src/schedule.rs
@@ -109,6 +109,8 @@
     Datagrams(f64, f64, f64),
     /// Its configuration is written anew with other figures, and SIGHUP.
     Reload(usize),
+    /// The same with discovery at another address.
+    MoveDiscovery(usize),
     /// SIGTERM; the proxy starts anew once it has ended.
     Term(usize),
     /// SIGKILL.
@@ -552,10 +554,11 @@
         request.stops = d.rng.u32(0..1000) < STOPPERS;
     }
     let n = d.plan.requests.len();
-    let kinds: [fn(&mut Draw, usize, usize); 8] = [
+    let kinds: [fn(&mut Draw, usize, usize); 9] = [
         stops_at_once,
         kills_at_once,
         reloads_in_a_row,
+        discovery_moves,
         backends_misbehave,
         backends_close_idle,
         drains_within,
@@ -594,6 +597,20 @@
     }
 }
 
+/// Discovery is moved for a third of the proxies, for some of them twice in a row, with a drain right after each move.
+fn discovery_moves(d: &mut Draw, from: usize, to: usize) {
+    for _ in 0..(d.plan.proxies / 3).max(1) {
+        let (proxy, at, twice) = (d.rng.usize(0..d.plan.proxies), d.rng.usize(from..to), d.rng.bool());
+        d.step(at, Fault::MoveDiscovery(proxy));
+        if twice {
+            d.step(at + 1, Fault::MoveDiscovery(proxy));
+        }
+        let backend = d.backend();
+        d.step(at + 2, Fault::Drain(backend));
+        d.step(at + (to - from) / 2, Fault::Undrain(backend));
+    }
+}
+
 fn backends_misbehave(d: &mut Draw, from: usize, to: usize) {
     for _ in 0..(d.plan.initial / 6).max(1) {
         let (backend, modes) = (d.backend(), d.modes());
