--- a/crates/sandgap-agree/src/store.rs
+++ b/crates/sandgap-agree/src/store.rs
@@ -312,11 +312,11 @@
 }
 
 /// A store behind a thread of its own, so that a slow disk holds up nobody.
-pub struct Keeper {
+pub struct StoreWriter {
     writes: SyncSender<Write>,
 }
 
-impl Keeper {
+impl StoreWriter {
     /// Starts the thread; `told` hears each write's number once it is on the disk, or why none will be any more.
     ///
     /// # Errors
@@ -336,7 +336,7 @@
                 }
             }
         })?;
-        Ok(Keeper { writes })
+        Ok(StoreWriter { writes })
     }
 
     /// Hands a write over.
@@ -514,9 +514,9 @@
         let folder = Folder::new("thread");
         let store = Store::create(&folder.file(), &founding()).expect("made");
         let (sender, told) = std::sync::mpsc::channel();
-        let keeper = Keeper::start(store, move |kept| drop(sender.send(kept))).expect("a thread");
+        let writer = StoreWriter::start(store, move |kept| drop(sender.send(kept))).expect("a thread");
         for write in writes().into_iter().take(3) {
-            keeper.keep(write).expect("handed over");
+            writer.keep(write).expect("handed over");
         }
         let numbers: Vec<u64> = (0..3).map(|_| told.recv().expect("told").expect("kept")).collect();
         assert_eq!(numbers, [1, 2, 3]);
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -258,12 +258,12 @@
         spawn_local(upgrade.run(older));
     }
     let rules = fleet.map(|fleet| {
-        let rules = Rules::new(rules::shell::agent(&fleet), fleet.terms.span.bound, fleet.header.clone());
+        let rules = Rules::new(rules::runtime::agent(&fleet), fleet.terms.span.bound, fleet.header.clone());
         front.agree(rules.clone());
         let (inbox, front) = (agreed_inbox, front.clone());
         let parts =
-            rules::shell::Parts { rules: rules.clone(), front, inbox, base, discovery: from_discovery };
-        spawn_local(rules::shell::serve(parts, fleet));
+            rules::runtime::Parts { rules: rules.clone(), front, inbox, base, discovery: from_discovery };
+        spawn_local(rules::runtime::serve(parts, fleet));
         rules
     });
     note!("{} listens on {address}", config.name);
@@ -273,7 +273,7 @@
             _ = int.recv() => {}
         }
         if let Some(rules) = rules {
-            spawn_local(async move { rules::shell::retire(&rules).await });
+            spawn_local(async move { rules::runtime::retire(&rules).await });
         }
     };
     // Without its module a proxy could only fail everything: then it is better dead and started anew.
--- a/crates/sandgap/src/main.rs
+++ b/crates/sandgap/src/main.rs
@@ -5,7 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use sandgap::config::Source;
-use sandgap::rules::hand;
+use sandgap::rules::commands;
 use sandgap::settings::schema::{Default, Kind, TABLES};
 use sandgap::{config, daemon, load, log, settings};
 
@@ -41,9 +41,9 @@
     /// Rules on which a fleet agrees: publish, status, history and more
     Fleet {
         #[command(flatten)]
-        whose: hand::Whose,
+        whose: commands::Whose,
         #[command(subcommand)]
-        call: hand::Call,
+        call: commands::Call,
     },
     /// Shows the proxy at work: stand-in backends, a steady load, a hang, a drain, and the ledger's verdict.
     #[cfg(feature = "demo")]
@@ -85,7 +85,7 @@
             ExitCode::SUCCESS
         }
         Some(Command::Check { file, .. }) => check(&file.unwrap_or_default()),
-        Some(Command::Fleet { whose, call }) => hand::call(&whose, call),
+        Some(Command::Fleet { whose, call }) => commands::call(&whose, call),
         #[cfg(feature = "demo")]
         Some(Command::Demo { rate, seconds, seed }) => demo(rate, seconds, seed),
     }
--- a/crates/sandgap/src/rules/hand.rs
+++ b/crates/sandgap/src/rules/commands.rs
@@ -25,7 +25,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::book;
-use super::shell::RULES;
+use super::runtime::RULES;
 use super::{outs, releases, riders};
 use crate::config::{Config, Fleet};
 use crate::{load, settings};
--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -1,15 +1,15 @@
-//! Agreed rules in the daemon: whether a request may be taken now, and under which version. [`shell`] drives the agent
-//! on sockets and the disk, [`book`] turns settings into rulebooks and back, [`hand`] is what staff call, `outs` of it
+//! Agreed rules in the daemon: whether a request may be taken now, and under which version. [`runtime`] drives the agent
+//! on sockets and the disk, [`book`] turns settings into rulebooks and back, [`commands`] is what staff call, `outs` of it
 //! what is about permits, `watch` what a proxy does for these.
 //!
 //! Off unless `[fleet] listen` is set: then the front holds none of this, and no task runs.
 
 pub mod book;
-pub mod hand;
+pub mod commands;
 mod kept_version;
 mod outs;
 mod releases;
-pub mod shell;
+pub mod runtime;
 mod voter_disk;
 mod watch;
 
@@ -51,12 +51,12 @@
     Riders::none().with(Rollout::default())
 }
 
-/// An agent that its shell drives and the front asks.
+/// An agent that its [`runtime`] drives and the front asks.
 pub type Shared = Rc<RefCell<Agent>>;
 
 /// Says under which version a request may be taken now.
 pub struct Rules {
-    /// Another one while an upgrade ends, see [`shell`].
+    /// Another one while an upgrade ends, see [`runtime`].
     agent: RefCell<Shared>,
     bound: Duration,
     header: Option<HeaderName>,
--- a/crates/sandgap/src/rules/outs.rs
+++ b/crates/sandgap/src/rules/outs.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use super::hand::{Caller, Failed, LOOK, Result, who};
+use super::commands::{Caller, Failed, LOOK, Result, who};
 
 /// A wish to take targets out.
 #[derive(Args)]
--- a/crates/sandgap/src/rules/releases.rs
+++ b/crates/sandgap/src/rules/releases.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use super::hand::{Caller, Failed, LOOK, Result, who};
+use super::commands::{Caller, Failed, LOOK, Result, who};
 use super::outs::{targets, word};
 
 /// What is done with a release.
--- a/crates/sandgap/src/rules/shell.rs
+++ b/crates/sandgap/src/rules/runtime.rs
@@ -46,7 +46,7 @@
 /// The longest wait between two looks at the timers, whatever is due.
 const LOOK: Duration = Duration::from_secs(1);
 
-/// What the shell needs of the process.
+/// What the runtime needs of the process.
 #[derive(Clone)]
 pub struct Parts {
     /// Whether requests may be taken.
@@ -62,7 +62,7 @@
 }
 
 /// See the module.
-pub struct Shell {
+pub struct Runtime {
     parts: Parts,
     /// What it drives: the one that counts, or the one that will.
     agent: Shared,
@@ -91,7 +91,7 @@
     Agent::new(now(), &fleet.name, fleet.terms, fleet.voters.clone(), chance())
 }
 
-impl Shell {
+impl Runtime {
     /// Takes this proxy's place in the fleet, and takes up a voter's part if it has one.
     ///
     /// # Errors
@@ -102,13 +102,13 @@
         let listener = retry::until_had(&what, || socket::listen(on)).await;
         let listener = listener.map_err(|e| format!("{what}: {e}"))?;
         let agent = Rc::new(RefCell::new(agent(&fleet)));
-        let mut shell = Self::new(parts, fleet, agent);
-        if let Some(path) = shell.fleet.store.clone().filter(|_| shell.fleet.votes()) {
-            shell.vote(&path)?;
+        let mut runtime = Self::new(parts, fleet, agent);
+        if let Some(path) = runtime.fleet.store.clone().filter(|_| runtime.fleet.votes()) {
+            runtime.vote(&path)?;
         }
-        spawn_local(shell.links.clone().serve(listener));
-        shell.take_up_kept();
-        Ok(shell)
+        spawn_local(runtime.links.clone().serve(listener));
+        runtime.take_up_kept();
+        Ok(runtime)
     }
 
     /// Asks for leases under a name of its own, while the process before this one still has the place.
@@ -128,7 +128,7 @@
         let members = Members::new(me, Pace::default(), chance());
         let kept_version = fleet.keep.clone().map(KeptVersion::new);
         let watch = Watch::new(parts.clone(), agent.clone(), fleet.votes(), fleet.zone.clone());
-        Shell { parts, agent, fleet, members, links, incoming, disk: None, kept_version, watch }
+        Runtime { parts, agent, fleet, members, links, incoming, disk: None, kept_version, watch }
     }
 
     /// Opens the voter's store. One that is missing or damaged is replaced by a blank one, under another seat.
@@ -355,16 +355,16 @@
     let mut guest: Option<JoinHandle<()>> = None;
     let mut told: Option<Instant> = None;
     let mut member = loop {
-        match Shell::member(parts.clone(), fleet.clone()).await {
-            Ok(shell) => break shell,
+        match Runtime::member(parts.clone(), fleet.clone()).await {
+            Ok(runtime) => break runtime,
             Err(e) => {
                 if told.is_none_or(|at| at.elapsed() >= TELL) {
                     note!(warn: "rules: {e}; this process asks as a guest until the place is free");
                     told = Some(Instant::now());
                 }
                 let visit = || {
-                    let mut shell = Shell::guest(parts.clone(), fleet.clone());
-                    spawn_local(async move { shell.run(false).await })
+                    let mut runtime = Runtime::guest(parts.clone(), fleet.clone());
+                    spawn_local(async move { runtime.run(false).await })
                 };
                 guest.get_or_insert_with(visit);
                 sleep(AGAIN).await;
--- a/crates/sandgap/src/rules/voter_disk.rs
+++ b/crates/sandgap/src/rules/voter_disk.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use sandgap_agree::log::{Saved, Write};
-use sandgap_agree::store::{Keeper, Opened, Store};
+use sandgap_agree::store::{Opened, Store, StoreWriter};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -37,8 +37,8 @@
 pub struct VoterDisk {
     path: PathBuf,
     /// None while the disk has failed.
-    keeper: Option<Keeper>,
-    /// Of the keeper in use, or of the thread that opens the store again: nothing that an earlier one says is heard.
+    writer: Option<StoreWriter>,
+    /// Of the writer in use, or of the thread that opens the store again: nothing that an earlier one says is heard.
     words: mpsc::UnboundedReceiver<Word>,
 }
 
@@ -48,8 +48,8 @@
     /// # Errors
     /// Where the system gives no thread.
     pub fn start(path: &Path, store: Store) -> io::Result<Self> {
-        let (keeper, words) = keep(store)?;
-        Ok(VoterDisk { path: path.to_owned(), keeper: Some(keeper), words })
+        let (writer, words) = keep(store)?;
+        Ok(VoterDisk { path: path.to_owned(), writer: Some(writer), words })
     }
 
     /// Hands a write over.
@@ -57,8 +57,8 @@
     /// # Errors
     /// Where the disk has failed or is far behind: the voter must take no further part. The store is opened again then.
     pub fn write(&mut self, write: Write) -> Result<(), &'static str> {
-        let keeper = self.keeper.as_ref().ok_or("it has failed")?;
-        keeper.keep(write).inspect_err(|_| self.reopen())
+        let writer = self.writer.as_ref().ok_or("it has failed")?;
+        writer.keep(write).inspect_err(|_| self.reopen())
     }
 
     /// The next news.
@@ -71,8 +71,8 @@
                     return DiskNews::Failed(why);
                 }
                 Some(Word::Reopened(store, saved)) => match keep(store) {
-                    Ok((keeper, words)) => {
-                        (self.keeper, self.words) = (Some(keeper), words);
+                    Ok((writer, words)) => {
+                        (self.writer, self.words) = (Some(writer), words);
                         return DiskNews::Back(saved);
                     }
                     Err(_) => self.reopen(), // no thread at present
@@ -88,7 +88,7 @@
 
     /// Opens the store again, on a thread of its own, however often that takes.
     fn reopen(&mut self) {
-        self.keeper = None; // its thread ends once its writes have, and lets go of the store
+        self.writer = None; // its thread ends once its writes have, and lets go of the store
         let (sender, words) = mpsc::unbounded_channel(); // one word
         self.words = words;
         let path = self.path.clone();
@@ -99,11 +99,11 @@
     }
 }
 
-/// A keeper of a store, and where it is heard.
-fn keep(store: Store) -> io::Result<(Keeper, mpsc::UnboundedReceiver<Word>)> {
+/// A writer of a store, and where it is heard.
+fn keep(store: Store) -> io::Result<(StoreWriter, mpsc::UnboundedReceiver<Word>)> {
     let (sender, words) = mpsc::unbounded_channel(); // one word a write, and writes are bounded
-    let keeper = Keeper::start(store, move |kept| drop(sender.send(Word::Kept(kept))))?;
-    Ok((keeper, words))
+    let writer = StoreWriter::start(store, move |kept| drop(sender.send(Word::Kept(kept))))?;
+    Ok((writer, words))
 }
 
 /// Tries to open a store until that succeeds, or nobody waits for it any more. One that is missing or damaged now is left
--- a/crates/sandgap/src/rules/watch.rs
+++ b/crates/sandgap/src/rules/watch.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Shared;
-use super::shell::Parts;
+use super::runtime::Parts;
 use crate::event::{Input, StatusQuery};
 
 /// Between two looks at what is under way.
