Hold the address that an upgrade's test starts at, and wait for the word that it wants

The address was one that had just been given back, which other tests' connections may get; what the process said was swallowed, so that this is inferred, not seen.

Change, in tests alone: the address is held by a socket that does not listen, the panic tells what the process said, and the word is waited for, which wants the same.

--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -344,6 +344,17 @@
     (address, socket)
 }
 
+/// An address for a proxy's clients that nobody else is given for as long as the socket is held. Proxies share their
+/// addresses with newer processes, and so with a socket that does not listen.
+pub fn held_address() -> (SocketAddr, socket2::Socket) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_reuse_port(true).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("a port");
+    let address = socket.local_addr().expect("an address").as_socket().expect("of IPv4");
+    (address, socket)
+}
+
 /// A server of a test's own making, a thread a connection.
 pub fn serve(each: impl Fn(BufReader<TcpStream>, TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -549,11 +560,13 @@
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
         let after = |line: &str, words| line.split_once(words).map(|(_, a)| a.parse().expect("an address"));
-        let mut admin = None;
+        let (mut admin, mut said) = (None, String::new());
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
             admin = admin.or_else(|| after(&line, "admin calls at "));
+            said.push_str(&(line.clone() + "\n"));
             after(&line, "listens on ")
         });
+        let address = address.unwrap_or_else(|| panic!("the proxy does not listen: {said}"));
         let kept = log.clone();
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
@@ -561,7 +574,7 @@
                 kept.lock().expect("no panic").push_str(&(line + "\n"));
             }
         });
-        Proxy { child, address: address.expect("the proxy listens"), admin, log, file }
+        Proxy { child, address, admin, log, file }
     }
 
     /// Starts a proxy and waits until it is up.
--- a/crates/sandgap/tests/upgrade.rs
+++ b/crates/sandgap/tests/upgrade.rs
@@ -166,7 +166,7 @@
     let backend = Backend::new(Deed::Write(ok("served")));
     let discovery = Discovery::new();
     discovery.say(&all_up(&[&backend]));
-    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let (free, _held) = held_address();
     drop(UnixListener::bind(directory.socket(free)).expect("a file")); // nobody is behind it
     let first = Proxy::up(&discovery, &setup(&directory, Some(free)));
     drop(first);
@@ -176,7 +176,7 @@
     wait_for("a word on it", || UnixStream::connect(directory.socket(free)).is_ok());
     drop(hangs);
     let third = Proxy::up(&discovery, &setup(&directory, Some(free)));
-    assert!(second.said("a newer process has come"), "it had taken the file's place");
+    wait_for("a word that it had taken the file's place", || second.said("a newer process has come"));
     drop(third);
     let beside = Setup { shared: Some(directory.0.join("nowhere")), ..setup(&directory, Some(free)) };
     let fourth = Proxy::start(&discovery, &beside);
