--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -198,6 +198,8 @@
     pub ended: Arc<AtomicUsize>,
     /// What comes next is answered this many ms late, and so many of them are turned away.
     turn: Arc<(AtomicUsize, AtomicUsize)>,
+    /// How often it has lost its state and begun to count its versions anew.
+    epoch: Arc<AtomicUsize>,
     _stop: Sender<()>,
 }
 
@@ -213,18 +215,29 @@
         let (quiet, still, over) = (hushed.clone(), frozen.clone(), ended.clone());
         let turn = Arc::<(AtomicUsize, AtomicUsize)>::default();
         let waits = turn.clone();
+        let epoch = Arc::<AtomicUsize>::default();
+        let counts = epoch.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (told, heard, stopped) = (told.clone(), heard.clone(), stopped.clone());
                 let (quiet, still, over, waits) = (quiet.clone(), still.clone(), over.clone(), waits.clone());
+                let counts = counts.clone();
                 thread::spawn(move || {
                     let stream = stream.expect("a connection");
-                    watch(stream, &told, &heard, &stopped, &quiet, &still, &waits);
+                    watch(stream, &told, &heard, &stopped, &quiet, &still, &waits, &counts);
                     over.fetch_add(1, Ordering::SeqCst);
                 });
             }
         });
-        Discovery { address, lines, asked, hushed, frozen, ended, turn, _stop: stop }
+        Discovery { address, lines, asked, hushed, frozen, ended, turn, epoch, _stop: stop }
+    }
+
+    /// It has lost its state: its watches end, and its versions begin with that of `line`, a whole list. Whoever resumes
+    /// from a version that it does not have yet gets that.
+    pub fn count_anew(&self, line: &str) {
+        let mut lines = self.lines.lock().expect("no panic");
+        *lines = vec![line.to_owned()];
+        self.epoch.fetch_add(1, Ordering::SeqCst);
     }
 
     /// Calls wait for their turn from now on.
@@ -267,9 +280,10 @@
     }
 }
 
+#[allow(clippy::too_many_arguments)] // each is one way to misbehave
 fn watch(
     mut stream: TcpStream, lines: &Mutex<Vec<String>>, asked: &Seen, stop: &Mutex<Receiver<()>>,
-    hushed: &AtomicUsize, frozen: &AtomicUsize, turn: &(AtomicUsize, AtomicUsize),
+    hushed: &AtomicUsize, frozen: &AtomicUsize, turn: &(AtomicUsize, AtomicUsize), epoch: &AtomicUsize,
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
     let Some(request) = read_message(&mut reader) else { return };
@@ -291,16 +305,19 @@
     }
     thread::sleep(Duration::from_millis(turn.0.load(Ordering::SeqCst) as u64));
     let seq = |line: &String| serde_json::from_str::<serde_json::Value>(line).ok()?["seq"].as_u64();
+    let began = epoch.load(Ordering::SeqCst);
     let mut sent = match after {
         Some(after) => {
             let lines = lines.lock().expect("no panic");
-            lines.iter().position(|l| seq(l).is_some_and(|s| s > after)).unwrap_or(lines.len())
+            let is_ahead = lines.iter().filter_map(seq).max().is_some_and(|last| after > last);
+            let news = || lines.iter().position(|l| seq(l).is_some_and(|s| s > after)).unwrap_or(lines.len());
+            if is_ahead { 0 } else { news() }
         }
         None => 0,
     };
     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     let mut silence = 0;
-    loop {
+    while epoch.load(Ordering::SeqCst) == began {
         let still = number < frozen.load(Ordering::SeqCst);
         let fresh = match still {
             true => Vec::new(),
@@ -669,7 +686,11 @@
     }
 
     pub fn at(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).expect("the proxy accepts");
+        Client::on(TcpStream::connect(address).expect("the proxy accepts"))
+    }
+
+    /// One whose connection is up.
+    pub fn on(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
         Client(BufReader::new(stream))
     }
@@ -682,6 +703,14 @@
         read_message(&mut self.0)
     }
 
+    /// Whether something of an answer comes within some milliseconds, which stays unread.
+    pub fn has_answer(&mut self) -> bool {
+        self.0.get_ref().set_read_timeout(Some(Duration::from_millis(5))).expect("a time-out");
+        let has = self.0.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
+        self.0.get_ref().set_read_timeout(Some(LIMIT)).expect("a time-out");
+        has
+    }
+
     pub fn ask(&mut self, text: &str) -> Option<Message> {
         self.send(text);
         self.answer()
