Log and count standstills of the process, and log each list with its version

The driver notes when it last had taken in all that had come, and says by how long it was held up (counter standstill, log, trace); each list is logged with version, form and counts. No decision is changed.

--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::rules::{self, Rules};
 use crate::serving::Serving;
 use crate::upstream::Upstreams;
+use crate::view::View;
 use crate::{admin, body, change, discovery, front, load, note, peers, retry};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch, and
@@ -209,6 +210,7 @@
         serving: serving.clone(),
         remembered: known_only.clone(),
         diagnostics: diagnostics.clone(),
+        view: Rc::new(View::default()),
     };
     let (fleet, base) = (config.fleet, config.settings.clone());
     let generations = Generations::new(&config.settings, &config.names);
--- a/crates/sandgap/src/diagnostics.rs
+++ b/crates/sandgap/src/diagnostics.rs
@@ -38,6 +38,8 @@
     Late,
     /// The process has come to another state.
     State,
+    /// The process stood still, by how long at least.
+    Standstill,
 }
 
 impl Event {
@@ -52,6 +54,7 @@
             Event::Violation => "violation",
             Event::Late => "late",
             Event::State => "state",
+            Event::Standstill => "standstill",
         }
     }
 }
--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -318,7 +318,9 @@
         }
         let scope = if list.whole { Scope::Full } else { Scope::Delta };
         self.believed.set(self.number);
-        self.inbox.put(Input::List(scope, list.entries()));
+        let hosts = list.entries();
+        note_list(&list, &hosts);
+        self.inbox.put(Input::List(scope, hosts));
         if let Some(told) = self.told.take() {
             let _ = told.send(()); // nobody waits for it while the process ends
         }
@@ -326,6 +328,14 @@
     }
 }
 
+/// Logs what a list says.
+fn note_list(list: &List, hosts: &[Host]) {
+    let count = |health: &str| hosts.iter().filter(|h| h.health == health).count();
+    let form = if list.whole { "the whole list" } else { "changes" };
+    let (up, draining, removed) = (count("up"), count("draining"), count("removed"));
+    note!("discovery: version {}, {form}: {up} up, {draining} draining, {removed} removed", list.seq);
+}
+
 /// The next line of a watch; never, where there is none.
 async fn next_of(lines: &mut Option<Lines>) -> Option<Vec<u8>> {
     match lines {
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -26,6 +26,7 @@
 use crate::note;
 use crate::peers::Peers;
 use crate::serving::Serving;
+use crate::view::View;
 
 /// Inputs taken between two looks at the timers; a few microseconds each.
 const BATCH: usize = 32;
@@ -49,6 +50,8 @@
     pub remembered: Rc<Cell<bool>>,
     /// Counts and traces what happens.
     pub diagnostics: Rc<Diagnostics>,
+    /// How old the view is by which attempts are made.
+    pub view: Rc<View>,
 }
 
 /// What is kept with a request: the form in which it goes on, and whoever waits for its answer.
@@ -197,6 +200,9 @@
                     None => return,
                 },
             }
+            if let Some(span) = self.core.effects.parts.view.standstill() {
+                self.note_standstill(span);
+            }
             // What else has come in meanwhile, but no more than leaves timers on time.
             for _ in 0..BATCH {
                 let Ok(input) = inputs.try_recv() else { break };
@@ -204,6 +210,7 @@
             }
             self.core.fire(self.now());
             let now = Instant::now();
+            self.core.effects.parts.view.renew(now);
             if now >= sweep {
                 self.core.effects.parts.backs.iter().for_each(|b| b.sweep());
                 let believed = self.core.decider().beliefs();
@@ -214,6 +221,13 @@
         }
     }
 
+    fn note_standstill(&self, span: Duration) {
+        note!(warn: "the process stood still for {} ms", span.as_millis());
+        let diagnostics = &self.core.effects.parts.diagnostics;
+        diagnostics.count(Event::Standstill, standstill_name(span));
+        diagnostics.trace("standstill", || json!({"ms": span.as_millis() as u64}));
+    }
+
     /// What is under way, after all that was put in before this was asked.
     fn look(&self, look: StatusQuery) {
         let StatusQuery { at, measured, cohort, answer } = look;
@@ -300,6 +314,15 @@
     }
 }
 
+/// A standstill's word for logs and counters: the least promise that it can break.
+fn standstill_name(span: Duration) -> &'static str {
+    match span.as_millis() {
+        ..100 => "under_100_ms",
+        100..500 => "under_500_ms",
+        _ => "over_500_ms",
+    }
+}
+
 /// An outcome's word for logs and counters.
 fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod settings;
 pub mod socket;
 pub mod upstream;
+pub mod view;
