Send nothing by a view from before a standstill: read first what has come

Cause: after a standstill (SIGSTOP, no processor) epoll_wait may return EINTR or a few events, timers have fired and connections have come up: the module's tick judged the attempts of before as silent, freed their slots and sent waiting requests, and attempts wrote to connections that had come up, before the sockets that held the drain and the clients' ends were read (driver.rs, the loop of Driver::run; progress.rs, SendPrecondition::check). Seen in the log of the failing test: the standstill is noted 1.2 ms before the list is taken, the sends are between. Ruled out: a lost or ignored list, as it is taken each time.

Change: the driver, which wakes every 20 ms, takes a gap of over 50 ms for a standstill, lets the runtime turn until everything that has come is read, and takes all of it, news of backends first, before it looks at a timer. The first byte of a request waits until it has (View), and a head that was made over 50 ms ago is not written, as it tells its backend more time than is left.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -636,7 +636,8 @@
             endpoint_open: endpoint.is_open(),
             lease_holds: self.effects.may_send(&request.held),
             time_left: deadline.saturating_sub(self.now),
-            repeat_dropped: true, // asked next
+            repeat_dropped: true,     // asked next
+            head_age: Duration::ZERO, // it is made later
         };
         facts.may_send()?;
         request.attempts.may_repeat(request.effect, self.now, endpoint.place())?;
--- a/crates/sandgap-driver/src/permit.rs
+++ b/crates/sandgap-driver/src/permit.rs
@@ -14,6 +14,11 @@
 /// Nothing begins for a client with less time than this left. A process may be held up for 0.15 s between a look at its
 /// clock and a write, and what begins more than 0.1 s after a client has given up is lost.
 pub const LEAST_TIME_LEFT: Duration = Duration::from_millis(50);
+/// Nothing is sent by a view of backends and clients that is older than this: nothing may begin more than 0.1 s after its
+/// client has left, and a process may be held up once more before it writes.
+pub const MAX_VIEW_AGE: Duration = Duration::from_millis(50);
+/// A head tells what its client had left when it was made, and may be wrong by 0.15 s: an older one is not written.
+pub const MAX_HEAD_AGE: Duration = Duration::from_millis(50);
 /// An answer may come up to this long after its client's time, and then only earns nothing; a later one is lost.
 pub const LATEST_ANSWER: Duration = Duration::from_millis(500);
 
@@ -32,6 +37,8 @@
     MayHaveRun,
     /// An earlier attempt may have run, and nobody there drops the repeat any more.
     RepeatNotDropped,
+    /// The process stood still since the request's head was made, which tells more time than its client has left.
+    HeadOutdated,
 }
 
 impl Denial {
@@ -44,6 +51,7 @@
             Denial::LeaseLapsed => "lease_lapsed",
             Denial::MayHaveRun => "may_have_run",
             Denial::RepeatNotDropped => "repeat_not_dropped",
+            Denial::HeadOutdated => "head_outdated",
         }
     }
 }
@@ -85,7 +93,7 @@
             Denial::EndpointClosed => Some(Violation::SendToClosedEndpoint),
             Denial::MayHaveRun => Some(Violation::RepeatOfUnsafe),
             Denial::RepeatNotDropped => Some(Violation::RepeatNotDropped),
-            Denial::DeadlineOver | Denial::LeaseLapsed => None,
+            Denial::DeadlineOver | Denial::LeaseLapsed | Denial::HeadOutdated => None,
         }
     }
 }
@@ -198,6 +206,8 @@
     pub time_left: Duration,
     /// If it may be a repeat: it is still dropped as one.
     pub repeat_dropped: bool,
+    /// How long ago its head was made, if it has been.
+    pub head_age: Duration,
 }
 
 impl SendFacts {
@@ -212,6 +222,7 @@
             SendFacts { lease_holds: false, .. } => Err(Denial::LeaseLapsed),
             SendFacts { repeat_dropped: false, .. } => Err(Denial::RepeatNotDropped),
             SendFacts { time_left, .. } if time_left < LEAST_TIME_LEFT => Err(Denial::DeadlineOver),
+            SendFacts { head_age, .. } if head_age > MAX_HEAD_AGE => Err(Denial::HeadOutdated),
             SendFacts { .. } => Ok(()),
         }
     }
--- a/crates/sandgap-driver/src/permit/tests.rs
+++ b/crates/sandgap-driver/src/permit/tests.rs
@@ -67,6 +67,7 @@
         lease_holds: true,
         time_left: LEAST_TIME_LEFT,
         repeat_dropped: true,
+        head_age: MAX_HEAD_AGE,
     };
     assert_eq!(good.may_send(), Ok(()));
     for (facts, denial) in [
@@ -75,6 +76,7 @@
         (SendFacts { lease_holds: false, ..good }, Denial::LeaseLapsed),
         (SendFacts { repeat_dropped: false, ..good }, Denial::RepeatNotDropped),
         (SendFacts { time_left: LEAST_TIME_LEFT - at(1), ..good }, Denial::DeadlineOver),
+        (SendFacts { head_age: MAX_HEAD_AGE + at(1), ..good }, Denial::HeadOutdated),
     ] {
         assert_eq!(facts.may_send(), Err(denial));
     }
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -196,9 +196,11 @@
         None => None,
     };
     let budget = config.sockets - RESERVE;
+    let view = Rc::new(View::default());
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs.
-    let upstreams = Rc::new(Upstreams::new(&config.connections, budget / 4, diagnostics.clone()));
+    let upstreams =
+        Rc::new(Upstreams::new(&config.connections, budget / 4, diagnostics.clone(), view.clone()));
     let known_only = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
     let parts = Parts {
@@ -210,7 +212,7 @@
         serving: serving.clone(),
         remembered: known_only.clone(),
         diagnostics: diagnostics.clone(),
-        view: Rc::new(View::default()),
+        view,
     };
     let (fleet, base) = (config.fleet, config.settings.clone());
     let generations = Generations::new(&config.settings, &config.names);
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -26,7 +26,7 @@
 use crate::note;
 use crate::peers::Peers;
 use crate::serving::Serving;
-use crate::view::View;
+use crate::view::{self, View};
 
 /// Inputs taken between two looks at the timers; a few microseconds each.
 const BATCH: usize = 32;
@@ -192,21 +192,17 @@
             if next < timer.deadline() || timer.is_elapsed() {
                 timer.as_mut().reset(next);
             }
-            tokio::select! {
+            let input = tokio::select! {
                 biased;
-                () = &mut timer => {}
+                () = &mut timer => None,
                 input = inputs.recv() => match input {
-                    Some(input) => self.take(input),
+                    Some(input) => Some(input),
                     None => return,
                 },
-            }
-            if let Some(span) = self.core.effects.parts.view.standstill() {
-                self.note_standstill(span);
-            }
-            // What else has come in meanwhile, but no more than leaves timers on time.
-            for _ in 0..BATCH {
-                let Ok(input) = inputs.try_recv() else { break };
-                self.take(input);
+            };
+            match self.core.effects.parts.view.standstill() {
+                Some(span) => self.catch_up(span, input, &mut inputs).await,
+                None => self.take_batch(input, &mut inputs),
             }
             self.core.fire(self.now());
             let now = Instant::now();
@@ -221,6 +217,31 @@
         }
     }
 
+    /// Takes an input and what else has come in meanwhile, but no more than leaves timers on time.
+    fn take_batch(&mut self, input: Option<Input>, inputs: &mut mpsc::UnboundedReceiver<Input>) {
+        input.into_iter().for_each(|input| self.take(input));
+        for _ in 0..BATCH {
+            let Ok(input) = inputs.try_recv() else { break };
+            self.take(input);
+        }
+    }
+
+    /// After a standstill takes in all that has come before anything is decided by the clock, news of backends first. What
+    /// is to be sent meanwhile begins only after that: attempts are tasks of their own, and this doesn't wait for any.
+    async fn catch_up(
+        &mut self, span: Duration, input: Option<Input>, inputs: &mut mpsc::UnboundedReceiver<Input>,
+    ) {
+        self.note_standstill(span);
+        view::settle().await;
+        let mut backlog: Vec<Input> = input.into_iter().collect();
+        while let Ok(input) = inputs.try_recv() {
+            backlog.push(input);
+        }
+        let (news, others): (Vec<Input>, Vec<Input>) =
+            backlog.into_iter().partition(Input::is_news_of_backends);
+        news.into_iter().chain(others).for_each(|input| self.take(input));
+    }
+
     fn note_standstill(&self, span: Duration) {
         note!(warn: "the process stood still for {} ms", span.as_millis());
         let diagnostics = &self.core.effects.parts.diagnostics;
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -66,6 +66,13 @@
     },
 }
 
+impl Input {
+    /// Whether it tells which backends take work: it depends on no other input.
+    pub fn is_news_of_backends(&self) -> bool {
+        matches!(self, Input::DiscoveryAlive | Input::List(..) | Input::Drains(_))
+    }
+}
+
 /// A question about what is under way. Its answer is of a moment after all that was put in before it.
 pub struct StatusQuery {
     /// Backends of which the attempts are told.
--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -45,10 +45,11 @@
         if !endpoint.is_open() || !wanted.get() {
             return report.tell(Outcome::NotSent, None);
         }
+        let head_made = Instant::now();
         let Some(request) = message.request(until) else { return report.tell(Outcome::NotSent, None) };
         let write_progress = connection.write_progress.clone();
         write_progress.start(
-            SendPrecondition { endpoint: endpoint.clone(), wanted, lease, before, until },
+            SendPrecondition { endpoint: endpoint.clone(), wanted, lease, before, until, head_made },
             &message.body,
         );
         let sender = &mut connection.sender;
--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -20,6 +20,7 @@
 use crate::diagnostics::Diagnostics;
 use crate::event::{Back, Endpoint};
 use crate::socket::Socket;
+use crate::view::View;
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
@@ -65,6 +66,8 @@
 /// What all attempts share: time-outs and the budget of sockets.
 pub struct Upstreams {
     pub(super) diagnostics: Rc<Diagnostics>,
+    /// How old the view is by which attempts are made.
+    view: Rc<View>,
     dial_timeout: Cell<Duration>,
     idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
@@ -80,9 +83,11 @@
     /// Time-outs from the settings, and how many sockets all attempts may hold together.
     pub fn new(
         connections: &wharfhitch::settings::Connections, sockets: usize, diagnostics: Rc<Diagnostics>,
+        view: Rc<View>,
     ) -> Self {
         let new = Upstreams {
             diagnostics,
+            view,
             dial_timeout: Cell::default(),
             idle_limit: Cell::default(),
             sockets: Arc::new(Semaphore::new(sockets)),
@@ -182,6 +187,7 @@
         let io = TrackedStream {
             stream: stream.clone(),
             write_progress: write_progress.clone(),
+            view: self.view.clone(),
             _permit: permit.clone(),
         };
         let (sender, connection) = http1::Builder::new()
--- a/crates/sandgap/src/upstream/pool/tests.rs
+++ b/crates/sandgap/src/upstream/pool/tests.rs
@@ -16,7 +16,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let endpoint = Endpoint::new(1, listener.local_addr().expect("an address"), 0.0);
         let times = Connections { dial_timeout: 5000.0, idle_close: 30_000.0 };
-        let upstreams = Upstreams::new(&times, 4, Diagnostics::new(None));
+        let upstreams = Upstreams::new(&times, 4, Diagnostics::new(None), Rc::default());
         let connection = upstreams.connection(&endpoint).await.expect("a connection");
         let (backend, _) = listener.accept().await.expect("it came");
         upstreams.park(&endpoint, connection, Duration::ZERO);
--- a/crates/sandgap/src/upstream/progress.rs
+++ b/crates/sandgap/src/upstream/progress.rs
@@ -17,6 +17,7 @@
 use crate::body::Upload;
 use crate::event::{AnswerBy, Endpoint, Lease};
 use crate::socket::Socket;
+use crate::view::View;
 
 /// Once an answer has begun, a part of it must come at least every so often. An answer that is told longer than it
 /// is would else keep its request until the client gives up.
@@ -59,6 +60,8 @@
     pub(super) before: Option<Instant>,
     /// When its client gives up.
     pub(super) until: Instant,
+    /// When its head was made.
+    pub(super) head_made: Instant,
 }
 
 impl SendPrecondition {
@@ -71,6 +74,7 @@
             lease_holds: self.lease.as_ref().is_none_or(|l| l.holds()),
             time_left: self.until.saturating_duration_since(now),
             repeat_dropped: self.before.is_none_or(|before| now < before),
+            head_age: now.saturating_duration_since(self.head_made),
         };
         facts.may_send()
     }
@@ -187,6 +191,7 @@
 pub(super) struct TrackedStream {
     pub(super) stream: Socket,
     pub(super) write_progress: Rc<WriteProgress>,
+    pub(super) view: Rc<View>,
     pub(super) _permit: Rc<OwnedSemaphorePermit>,
 }
 
@@ -201,6 +206,10 @@
 
 impl AsyncWrite for TrackedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        // Whatever the precondition asks about may have changed while the process stood still.
+        if !self.write_progress.begun.get() {
+            std::task::ready!(self.view.poll_current(cx));
+        }
         if !self.write_progress.may_write() {
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
@@ -241,6 +250,7 @@
                 lease: None,
                 before: None,
                 until: Instant::now() + Duration::from_secs(9),
+                head_made: Instant::now(),
             },
             &Payload::Short(Bytes::from_static(body)),
         );
