--- a/crates/sandgap/tests/held_up.rs
+++ b/crates/sandgap/tests/held_up.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sockets::*;
 
@@ -147,3 +147,81 @@
     let wrote = plays.into_iter().map(|p| p.join().expect("no panic")).filter(|wrote| *wrote).count();
     assert_eq!(wrote, 0, "of {PROXIES} processes");
 }
+
+/// How long a backend was told that its answer is waited for, by the request's id.
+fn told_seconds(backend: &Backend, id: &str) -> f64 {
+    let mut told = None;
+    wait_for("the request at its backend", || {
+        told = backend.seen().iter().find(|m| m.id() == id).and_then(|m| m.header("x-timeout")?.parse().ok());
+        told.is_some()
+    });
+    told.expect("just seen")
+}
+
+/// What was sent while a process stood still, and by how many seconds its backend was told too much.
+fn told_too_much(number: usize) -> Vec<(String, f64)> {
+    let backend = Backend::new(Deed::Write(ok("well")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup::default());
+    let name = |kind: &str| format!("{kind}-{number}");
+    let mut kept = Client::new(&proxy);
+    assert_eq!(status(kept.ask(&submit(&name("before"), "2.0", "body"))), 200);
+    let mut half = Client::new(&proxy);
+    let text = submit(&name("half"), "2.0", "body");
+    half.send(&text[..text.len() - 2]);
+    thread::sleep(Duration::from_millis(100));
+    proxy.signal("-STOP");
+    let mut new = Client::new(&proxy);
+    new.send(&submit(&name("new"), "2.0", "body"));
+    kept.send(&submit(&name("kept"), "2.0", "body"));
+    half.send(&text[text.len() - 2..]);
+    let sent = Instant::now();
+    thread::sleep(Duration::from_millis(600));
+    let passed = sent.elapsed().as_secs_f64();
+    proxy.signal("-CONT");
+    ["new", "kept", "half"]
+        .map(|kind| (name(kind), told_seconds(&backend, &name(kind)) - (2.0 - passed)))
+        .into_iter()
+        .collect()
+}
+
+/// A backend may be told this much more than its client has left, in seconds.
+const DEADLINE_SLACK: f64 = 0.15;
+
+#[test]
+fn the_time_for_which_a_process_stood_still_is_told_to_no_backend() {
+    let plays: Vec<_> = (0..PROXIES).map(|n| thread::spawn(move || told_too_much(n))).collect();
+    let all: Vec<_> = plays.into_iter().flat_map(|p| p.join().expect("no panic")).collect();
+    println!("{all:?}");
+    let over: Vec<_> = all.iter().filter(|(_, too_much)| *too_much > DEADLINE_SLACK).collect();
+    assert!(over.is_empty(), "{} of {}: {over:?}", over.len(), all.len());
+}
+
+/// SIGKILL comes so long after SIGTERM at the earliest, where the longest deadline is 3 s or more.
+const LIFE_AFTER_SIGTERM: Duration = Duration::from_millis(3700);
+
+#[test]
+fn a_process_told_to_end_while_it_stood_still_has_answered_before_it_may_be_killed() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::new(Deed::Hold(held, ok("late")));
+    let agents: Vec<Discovery> = (0..PROXIES).map(|_| Discovery::new()).collect();
+    agents.iter().for_each(|a| a.say(&all_up(&[&backend])));
+    let proxies: Vec<Proxy> = agents.iter().map(|a| Proxy::up(a, &Setup::default())).collect();
+    let mut clients: Vec<Client> = proxies.iter().map(Client::new).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&submit(&format!("held-{n}"), "5", "body"));
+    }
+    wait_for("the requests", || backend.seen().len() == PROXIES);
+    proxies.iter().for_each(|p| p.signal("-STOP"));
+    proxies.iter().for_each(Proxy::terminate);
+    let told = Instant::now();
+    thread::sleep(STANDSTILL);
+    proxies.iter().for_each(|p| p.signal("-CONT"));
+    let answered = clients.iter_mut().filter_map(|c| c.answer().map(|_| told.elapsed()));
+    let times: Vec<Duration> = answered.collect();
+    gate.open();
+    println!("{times:?}");
+    assert!(times.len() == PROXIES && times.iter().all(|t| *t < LIFE_AFTER_SIGTERM), "{times:?}");
+}
