--- a/crates/sandgap/src/body/upload.rs
+++ b/crates/sandgap/src/body/upload.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use super::{Broken, LONGEST, Pace};
+use crate::view::View;
 
 /// What is wrong with a long request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,6 +112,8 @@
     first: RefCell<Bytes>,
     ahead: RefCell<ReadAhead>,
     rest: RefCell<Incoming>,
+    /// Tells since when what is read may have stood unread.
+    view: Rc<View>,
     pace: Cell<Pace>,
     length: Option<u64>,
     /// An attempt waits for the next part at present, and is woken once that has come.
@@ -134,11 +137,13 @@
     /// A body of which `first` has come, at that pace; its whole length, where that is told.
     pub fn new(
         first: Bytes, rest: Incoming, pace: Pace, length: Option<u64>, budget: Rc<ReadAheadBudget>,
+        view: Rc<View>,
     ) -> Rc<Self> {
         Rc::new(Upload {
             first: RefCell::new(first),
             ahead: RefCell::new(ReadAhead { pieces: VecDeque::new(), budget }),
             rest: RefCell::new(rest),
+            view,
             pace: Cell::new(pace),
             length,
             asked: Cell::new(false),
@@ -227,7 +232,7 @@
             };
             let Some(frame) = frame else {
                 self.read.set(true);
-                self.set_received(self.unread_since.get().unwrap_or_else(Instant::now));
+                self.set_received(self.unread_since.get().unwrap_or_else(|| self.view.arrived_at()));
                 return Poll::Ready(Ok(None));
             };
             let Ok(frame) = frame else { return Poll::Ready(Err(Trouble::Malformed)) };
@@ -237,7 +242,7 @@
             self.pace.set(pace);
             self.starved.set(false);
             if self.is_read() {
-                self.set_received(self.unread_since.get().unwrap_or_else(Instant::now));
+                self.set_received(self.unread_since.get().unwrap_or_else(|| self.view.arrived_at()));
             }
             let fits = pace.passed() <= LONGEST;
             return Poll::Ready(if fits { Ok(Some(data)) } else { Err(Trouble::TooLong) });
--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -17,6 +17,7 @@
 use super::limits::{AHEAD, BACKENDS, IDLE_MOST, NEXT, SPARED, WHOLE};
 use crate::body::Upload;
 use crate::socket::Socket;
+use crate::view::View;
 
 /// How far a connection has come. The order is the one in which connections give way to others.
 #[derive(Clone, Copy, PartialEq)]
@@ -106,16 +107,16 @@
     }
 
     /// Waits until the client has gone while its answer is awaited.
-    pub(super) async fn disconnected(&self, stream: &Socket) {
+    pub(super) async fn disconnected(&self, stream: &Socket, view: &View) {
         let mut closing = None;
-        poll_fn(|cx| self.poll_disconnected(stream, &mut closing, cx)).await;
+        poll_fn(|cx| self.poll_disconnected(stream, view, &mut closing, cx)).await;
     }
 
     /// The parser sees by itself that a client has gone only for as long as nothing unread stands behind the request.
     /// What may be read ahead of it is read here: within a budget the rest of a long body, too. The system tells of an
     /// end behind what then stays unread, if it has room for that.
     fn poll_disconnected<'a>(
-        &self, stream: &'a Socket, closing: &mut Option<Closing<'a>>, cx: &mut Context,
+        &self, stream: &'a Socket, view: &View, closing: &mut Option<Closing<'a>>, cx: &mut Context,
     ) -> Poll<()> {
         let mut bytes = [MaybeUninit::uninit(); AHEAD]; // not cleared: this is polled with each step of a connection
         while self.waits.get() {
@@ -134,7 +135,7 @@
             let mut ahead = self.ahead.borrow_mut();
             let kept = buf.filled().len().min(AHEAD - ahead.len());
             ahead.extend_from_slice(&buf.filled()[..kept]);
-            self.ahead_came.set(Instant::now());
+            self.ahead_came.set(view.arrived_at());
             self.flooded.set(self.flooded.get() || kept < buf.filled().len());
         }
         Poll::Pending
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -48,7 +48,7 @@
         let Some(open) = OpenId::take(&self.ids, &asked.id) else {
             return plain(StatusCode::CONFLICT, "a request with this id is open");
         };
-        let received = match receive(body, &self.read_ahead).await {
+        let received = match receive(body, &self.read_ahead, self.upstreams.view()).await {
             Ok(received) => received,
             Err(trouble) => {
                 let (status, text) = told(trouble);
@@ -56,7 +56,7 @@
             }
         };
         // A client counts from its last byte.
-        let came = if received.late { Instant::now() } else { came };
+        let came = if received.late { client.heard.get() } else { came };
         let deadline = came + asked.patience;
         let body = received.body;
         let upload = match &body {
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -79,7 +79,7 @@
             .header_read_timeout(None)
             .max_buf_size(HEAD_SIZE)
             .serve_connection(TokioIo::new(io), service);
-        let disconnected = client.disconnected(&stream);
+        let disconnected = client.disconnected(&stream, self.upstreams.view());
         tokio::pin!(connection, disconnected);
         let mut cut = None;
         let mut closed_idle = None;
@@ -151,7 +151,7 @@
         let mut ahead = self.client.ahead.borrow_mut();
         if ahead.is_empty() {
             std::task::ready!(self.stream.poll_read(cx, buf))?;
-            self.client.heard.set(Instant::now());
+            self.client.heard.set(self.front.upstreams.view().arrived_at());
         } else {
             let now = ahead.len().min(buf.remaining());
             buf.put_slice(&ahead[..now]);
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -155,7 +155,8 @@
             }
         }
         let longest = Duration::from_secs_f64(self.generations.borrow().longest().min(1e6) / 1000.0);
-        self.inbox.put(Input::End(Instant::now() + longest.min(self.grace) + LAST_ANSWER));
+        let told = self.upstreams.view().arrived_at();
+        self.inbox.put(Input::End(told + longest.min(self.grace) + LAST_ANSWER));
         // Where another process accepts from the same queue, nothing in it is lost: a newer one, or the one before while
         // this one has not served yet.
         let queue_is_anothers = !self.serving.accepts();
@@ -205,7 +206,7 @@
             next = listener.accept() => next,
             () = std::future::ready(()) => {
                 let next = listener.accept().await;
-                self.empty.set(Instant::now()); // until this one came
+                self.empty.set(self.upstreams.view().arrived_at()); // until this one came
                 next
             }
         };
--- a/crates/sandgap/src/front/receive.rs
+++ b/crates/sandgap/src/front/receive.rs
@@ -10,6 +10,7 @@
 
 use crate::body::{self, Pace, ReadAheadBudget, Trouble, Upload};
 use crate::upstream::Payload;
+use crate::view::View;
 
 /// A body, and whether its client has been waited for: then its time counts from here.
 pub(super) struct Received {
@@ -28,7 +29,7 @@
 
 /// Receives what has to be there before a request can go on. One that is told to be too long never comes here.
 pub(super) async fn receive(
-    mut incoming: Incoming, read_ahead: &Rc<ReadAheadBudget>,
+    mut incoming: Incoming, read_ahead: &Rc<ReadAheadBudget>, view: &Rc<View>,
 ) -> Result<Received, Trouble> {
     let length = incoming.size_hint().exact();
     let mut pace = Pace::default();
@@ -43,7 +44,8 @@
         pace.moved(Instant::now(), data.len());
         have.push(data);
         if pace.passed() > body::WHOLE as u64 {
-            let upload = Upload::new(body::join(have), incoming, pace, length, read_ahead.clone());
+            let (budget, view) = (read_ahead.clone(), view.clone());
+            let upload = Upload::new(body::join(have), incoming, pace, length, budget, view);
             return Ok(Received { body: Payload::Long(upload), late: pace.has_waited() });
         }
     }
--- a/crates/sandgap/src/main.rs
+++ b/crates/sandgap/src/main.rs
@@ -66,6 +66,12 @@
 fn main() -> ExitCode {
     let Arguments { log: format, command } = Arguments::parse();
     log::start(format);
+    let code = run(command);
+    log::finish();
+    code
+}
+
+fn run(command: Option<Command>) -> ExitCode {
     match command.or_else(|| Some(Command::Serve { file: std::env::var_os("NODE_CONFIG")?.into() })) {
         None => {
             sandgap::note!(error:
--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -104,6 +104,11 @@
         &self.diagnostics
     }
 
+    /// How old the view is by which attempts are made.
+    pub fn view(&self) -> &Rc<View> {
+        &self.view
+    }
+
     /// Takes over other time-outs.
     pub fn change(&self, connections: &wharfhitch::settings::Connections) {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
--- a/crates/sandgap/src/view.rs
+++ b/crates/sandgap/src/view.rs
@@ -4,7 +4,8 @@
 //! stopped or had no processor, knows neither the drains that were told meanwhile nor the clients that left. When it goes on,
 //! its timers have fired and its connections have come up, and all of that may be looked at before the news is: nothing is
 //! sent by such a view. The driver first lets everything be read that has come ([`settle`]), and a request's first byte waits
-//! until the driver has acted on it ([`View::poll_current`]).
+//! until the driver has acted on it ([`View::poll_current`]). What is read then may have come at any time since
+//! ([`View::arrived_at`]): its client has waited for as long.
 
 use std::cell::{Cell, RefCell};
 use std::task::{Context, Poll, Waker};
@@ -49,6 +50,14 @@
         Some(self.caught_up.get().elapsed()).filter(|age| *age > MAX_VIEW_AGE)
     }
 
+    /// The earliest moment at which that may have come which is read from a socket now.
+    pub fn arrived_at(&self) -> Instant {
+        match self.standstill() {
+            Some(_) => self.caught_up.get(),
+            None => Instant::now(),
+        }
+    }
+
     /// Waits until the driver has caught up, where it has not.
     pub fn poll_current(&self, cx: &Context) -> Poll<()> {
         if self.standstill().is_none() {
--- a/crates/sandgap/tests/full_log.rs
+++ b/crates/sandgap/tests/full_log.rs
@@ -19,7 +19,8 @@
         let discovery = Discovery::new();
         discovery.say(&all_up(&[&backends[0], &backends[1]]));
         let (listen, _held) = held_address();
-        let file = config_file(&config(discovery.address, &Setup { listen: Some(listen), ..Setup::default() }));
+        let file =
+            config_file(&config(discovery.address, &Setup { listen: Some(listen), ..Setup::default() }));
         let (_reader, mut writer) = std::io::pipe().expect("a pipe");
         writer.write_all(&vec![b'\n'; PIPE]).expect("a pipe that takes as much as it holds");
         let mut child = Command::new(env!("CARGO_BIN_EXE_sandgap"))
