Order lists by the calls they came on, and hear discovery before the remembered list serves

Discovery::take went by versions alone: a list of a lower one counted as stale, also a whole one on a call that began after the held one had come, so that a process that lived through a service's loss of state kept sending to drained backends until it started anew; and the first list of a new address was believed although it may be older. And daemon.rs put the remembered list in force before discovery had been asked, and served from it after 0.5 s, where what an agent has counts from the first moment.

Change. list_order.rs (no I/O) judges each list by its version, the call it came on and what was believed when: newer, repeated, or uncertain. What an uncertain list closes is closed at once; what it opens of what was closed of late waits until 6 s after that closing (closings.rs), by when no service is behind. Where a call can't tell, the whole list is asked for anew, rarer each time where calls cost. The remembered list is offered only once an agent has been silent for a whole call (1 s), or an asked service for 0.5 s as before. FetchList, which the module never asks for, goes the same way.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -13,7 +13,8 @@
     Outcome, RequestId, Scope, State, TenantId, ZoneId,
 };
 
-use crate::endpoint::{Endpoint, Host};
+use crate::closings::Closings;
+use crate::endpoint::{DRAINING, Endpoint, Host, UP};
 use crate::permit::{Attempts, Denial, LATEST_ANSWER, Place, SendFacts, Violation};
 use crate::starts::Starts;
 
@@ -183,6 +184,7 @@
 enum Due {
     Module(u64),
     LastResort(RequestId),
+    Reopening(BackendId),
 }
 
 impl<H> PendingRequest<H> {
@@ -202,6 +204,7 @@
     pub effects: O,
     names: Names,
     starts: Starts,
+    closings: Closings,
     endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
     /// Endpoints numbered so far.
     numbered: u64,
@@ -228,6 +231,7 @@
             effects,
             names,
             starts: Starts::new(unix_zero),
+            closings: Closings::default(),
             endpoints: FxHashMap::default(),
             numbered: 0,
             pending: FxHashMap::default(),
@@ -303,6 +307,7 @@
             match due {
                 Due::Module(token) => self.handle(now, Event::Timer(token)),
                 Due::LastResort(id) => self.on_deadline(now, id),
+                Due::Reopening(id) => self.reopen(now, id),
             }
         }
     }
@@ -445,22 +450,69 @@
         self.starts.told_all(now);
     }
 
-    /// News of the list.
+    /// News of the list, newer than all before.
     pub fn list(&mut self, now: Time, scope: Scope, hosts: Vec<Host>) {
+        for host in &hosts {
+            let id = BackendId(number_of(&host.host));
+            match host.state() {
+                State::Up => self.closings.opened(id),
+                State::Draining | State::Gone => self.closings.closed(now, id, host.born_ms),
+            }
+        }
+        self.take_list(now, scope, hosts);
+    }
+
+    /// News of the list that may be older than what is known: backends that it closes are closed at once, those that were
+    /// closed of late are opened by it only once nobody can be behind any more, see [`crate::REOPEN_AFTER`].
+    pub fn uncertain_list(&mut self, now: Time, scope: Scope, hosts: Vec<Host>) {
+        let hosts = hosts.into_iter().map(|host| self.hold_back(now, host)).collect();
+        self.take_list(now, scope, hosts);
+    }
+
+    /// A line of an uncertain list as far as it counts now.
+    fn hold_back(&mut self, now: Time, mut host: Host) -> Host {
+        let id = BackendId(number_of(&host.host));
+        if host.state() != State::Up {
+            self.closings.closed(now, id, host.born_ms);
+            return host;
+        }
+        // Of a process before the one that is known.
+        if let Some(known) = self.endpoints.get(&id).filter(|known| known.born_ms > host.born_ms) {
+            (host.dial, host.born_ms) = (Some(known.address), known.born_ms);
+            host.health = if known.is_open() { UP } else { DRAINING }.into();
+            return host;
+        }
+        if let Some(counts_at) = self.closings.hold_back(now, id, &host) {
+            self.due.push(Reverse((counts_at, Due::Reopening(id))));
+            host.health = DRAINING.into();
+        }
+        host
+    }
+
+    /// What an uncertain list said of a backend that was closed then counts now, unless there is other news of it.
+    fn reopen(&mut self, now: Time, id: BackendId) {
+        if let Some(host) = self.closings.due(now, id) {
+            self.take_list(now, Scope::Delta, vec![host]);
+        }
+    }
+
+    fn take_list(&mut self, now: Time, scope: Scope, hosts: Vec<Host>) {
         let whole = matches!(scope, Scope::Full | Scope::Cached);
         let entries: Vec<Backend> = hosts.into_iter().map(|host| self.backend(now, host)).collect();
         if whole {
             let listed: FxHashSet<BackendId> = entries.iter().map(|e| e.id).collect();
-            let effects = &mut self.effects;
+            let (effects, closings) = (&mut self.effects, &mut self.closings);
             // Attempts that are out keep what they need of a backend that has left.
             self.endpoints.retain(|id, endpoint| {
                 let stays = listed.contains(id);
                 if !stays {
                     shut(endpoint, effects);
+                    closings.closed(now, *id, endpoint.born_ms);
                 }
                 stays
             });
         }
+        self.closings.forget_old(now);
         if matches!(scope, Scope::Full | Scope::Delta) {
             self.starts.told_all(now);
         }
@@ -533,11 +585,7 @@
     /// Notes where a backend is, and whether something new may go there.
     fn backend(&mut self, now: Time, host: Host) -> Backend {
         let id = BackendId(number_of(&host.host));
-        let state = match host.health.as_str() {
-            "up" if host.dial.is_some() => State::Up,
-            "removed" => State::Gone,
-            _ => State::Draining, // draining, unknown or nowhere: nothing new goes there
-        };
+        let state = host.state();
         let zone = host.site.and_then(|z| Some(ZoneId(known(&mut self.names.zones, &z)?)));
         let cell = host.block.map(CellId);
         if let Some(address) = host.dial {
--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
 
+mod reopening;
+
 const fn at(ms: u64) -> Time {
     Duration::from_millis(ms)
 }
--- a/crates/sandgap-driver/src/endpoint.rs
+++ b/crates/sandgap-driver/src/endpoint.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use wharfhitch::State;
+
 use crate::permit::Place;
 
 /// One line of the list of backends.
@@ -27,6 +29,24 @@
     pub born_ms: f64,
 }
 
+/// Health of a backend that takes work.
+pub(crate) const UP: &str = "up";
+/// Health of one that finishes what it has.
+pub(crate) const DRAINING: &str = "draining";
+/// Health of one that has left.
+const REMOVED: &str = "removed";
+
+impl Host {
+    /// Whether it takes work; where that can't be read it takes none.
+    pub(crate) fn state(&self) -> State {
+        match self.health.as_str() {
+            UP if self.dial.is_some() => State::Up,
+            REMOVED => State::Gone,
+            _ => State::Draining,
+        }
+    }
+}
+
 /// One process of a backend at one address. A restart or a new address makes a new one.
 pub struct Endpoint {
     /// Never used twice in a process: what backs keep for an endpoint they file under it.
--- a/crates/sandgap-driver/src/lib.rs
+++ b/crates/sandgap-driver/src/lib.rs
@@ -3,10 +3,13 @@
 //! channel: time and inputs go in, and what is to be done comes out through [`Effects`]. The daemon carries that
 //! out on sockets, the laboratory in virtual time, so that both run the same code.
 
+mod closings;
 mod core;
 mod endpoint;
+pub mod list_order;
 pub mod permit;
 mod starts;
 
+pub use crate::closings::REOPEN_AFTER;
 pub use crate::core::{Answer, Arrival, Attempt, Cause, Core, Effects, Policy, Time};
 pub use crate::endpoint::{Endpoint, Holding, Host};
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -1,6 +1,5 @@
 //! The daemon: one proxy from its configuration until it has finished.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -17,7 +16,7 @@
 use crate::config::{Config, Source};
 use crate::diagnostics::{Diagnostics, Event};
 use crate::driver::{Driver, Parts};
-use crate::event::{Inbox, Input};
+use crate::event::{Host, Inbox, Input};
 use crate::front::{Frontend, UploadLimits};
 use crate::generation::Generations;
 use crate::handover::{self, Taken, Upgrade};
@@ -39,9 +38,6 @@
 const READ_AHEAD_PART: usize = 8;
 /// The environment's variable that names a file for the trace of events.
 const TRACE: &str = "SANDGAP_TRACE";
-/// If discovery has said nothing by then, the remembered list is served from.
-const PATIENCE: Duration = Duration::from_millis(500);
-
 /// What a reload changes.
 struct Reload {
     path: PathBuf,
@@ -140,6 +136,15 @@
     }
 }
 
+/// What discovery had told counts from a process's first moment: the remembered list, which may be older, is offered only
+/// once discovery has been silent for `patience`.
+async fn offer_remembered(hosts: Vec<Host>, patience: Duration, inbox: Inbox) {
+    if !hosts.is_empty() {
+        tokio::time::sleep(patience).await;
+        inbox.put(Input::Remembered(hosts));
+    }
+}
+
 async fn run(path: PathBuf, config: Config) -> Result<(), String> {
     let at = |what: &str| {
         let what = what.to_owned();
@@ -201,7 +206,6 @@
     // of the budget is theirs.
     let upstreams =
         Rc::new(Upstreams::new(&config.connections, budget / 4, diagnostics.clone(), view.clone()));
-    let known_only = Rc::new(Cell::new(false));
     let asked = Rc::new(Notify::new());
     let parts = Parts {
         inbox: inbox.clone(),
@@ -210,7 +214,6 @@
         discovery: addresses.clone(),
         watch: asked.clone(),
         serving: serving.clone(),
-        remembered: known_only.clone(),
         diagnostics: diagnostics.clone(),
         view,
     };
@@ -220,20 +223,17 @@
     let balancer = Balancer::new(config.settings, config.seed);
     let driver =
         spawn_local(Driver::new(balancer, config.names, parts, Beliefs::new(config.metrics)).run(inputs));
-    inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
-    if let Source::Fixed(hosts) = config.source {
-        inbox.put(Input::List(Scope::Full, hosts));
+    match config.source {
+        Source::Fixed(hosts) => inbox.put(Input::List(Scope::Full, hosts)),
+        Source::Discovery(_) => {
+            inbox.put(Input::List(Scope::Cached, Vec::new())); // the module's clock begins
+            let remembered = discovery::remembered(&config.known).unwrap_or_default();
+            spawn_local(offer_remembered(remembered, discovery::patience(pushed), inbox.clone()));
+        }
     }
     if let Some(addresses) = addresses {
         spawn_local(discovery::follow(addresses, inbox.clone(), (!pushed).then_some(asked)));
     }
-    let up = serving.clone();
-    spawn_local(async move {
-        tokio::time::sleep(PATIENCE).await;
-        if known_only.get() {
-            up.listed();
-        }
-    });
     let uploads = UploadLimits {
         at_once: config.memory / MEMORY_PART / UPLOAD,
         read_ahead_bytes: config.memory / READ_AHEAD_PART,
--- a/crates/sandgap/src/discovery/clocks.rs
+++ b/crates/sandgap/src/discovery/clocks.rs
@@ -31,11 +31,17 @@
 /// And a call on one that is up after this span: discovery works through calls in turn, and turns away those that would
 /// wait for more than 2 s. One that is given up sooner has waited in vain, and waits anew at the end.
 pub(super) const TURN: Duration = Duration::from_millis(2200);
+/// Where discovery is asked, the remembered list is served from if nothing has been told this long after the start.
+pub(super) const PATIENCE: Duration = Duration::from_millis(500);
 /// Where lists are pushed, a call that waits for longer is joined by another: an agent that was silent may never
 /// answer those that came before its return.
 pub(super) const HEDGE: Duration = Duration::from_millis(200);
 /// Between two calls where each costs discovery something, at first and at most.
 pub(super) const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Versions that have not fallen for this span are in order again.
+pub(super) const CALM: Duration = Duration::from_secs(10);
+/// Doublings of the first backoff that reach the longest.
+pub(super) const MAX_DOUBLINGS: u32 = 5;
 /// A list whose lines stop coming for this span in its middle is torn.
 pub(super) const REST: Duration = Duration::from_millis(100);
 /// Between two lines in the log about calls that fail.
--- a/crates/sandgap/src/discovery/lines.rs
+++ b/crates/sandgap/src/discovery/lines.rs
@@ -10,7 +10,7 @@
 use sandgap_socket::SharedStream;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::clocks::{CALL, CONNECT, TURN};
 
@@ -19,19 +19,22 @@
 
 /// Opens a watch of what came after a version; see [`super::clocks`] for how long that may take.
 pub(super) async fn open(address: SocketAddr, after: Option<u64>, pushed: bool) -> Result<Lines, String> {
+    let began = Instant::now();
     let after = after.map_or(String::new(), |seq| format!("&after={seq}"));
     let query = format!("watch=1{after}");
     let (up, answered) = if pushed { (CALL, CALL) } else { (CONNECT, TURN) };
     let call = async {
         let stream =
             timeout(up, TcpStream::connect(address)).await.map_err(|_| "no connection".to_owned())?;
-        get_on(stream.map_err(|e| e.to_string())?, address, &query).await
+        get_on(stream.map_err(|e| e.to_string())?, address, &query, began).await
     };
     timeout(answered, call).await.unwrap_or_else(|_| Err("no answer".into()))
 }
 
 /// An answer's body, line by line.
 pub(super) struct Lines {
+    /// When the call began.
+    pub(super) began: Instant,
     body: hyper::body::Incoming,
     buffer: Vec<u8>,
     /// Ends the connection with the answer.
@@ -74,11 +77,14 @@
 }
 
 pub(super) async fn get(address: SocketAddr, query: &str) -> Result<Lines, String> {
+    let began = Instant::now();
     let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
-    get_on(stream, address, query).await
+    get_on(stream, address, query, began).await
 }
 
-async fn get_on(stream: TcpStream, address: SocketAddr, query: &str) -> Result<Lines, String> {
+async fn get_on(
+    stream: TcpStream, address: SocketAddr, query: &str, began: Instant,
+) -> Result<Lines, String> {
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(SharedStream::from(stream))).await.map_err(|e| e.to_string())?;
     let mut task = JoinSet::new();
@@ -94,5 +100,5 @@
     if answer.status() != StatusCode::OK {
         return Err(format!("status {}", answer.status()));
     }
-    Ok(Lines { body: answer.into_body(), buffer: Vec::new(), _connection: task, _sender: sender })
+    Ok(Lines { began, body: answer.into_body(), buffer: Vec::new(), _connection: task, _sender: sender })
 }
--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use sandgap_driver::list_order::{Arrived, ListOrder, Verdict};
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::sync::{Notify, oneshot, watch};
@@ -19,7 +20,7 @@
 use crate::event::{Host, Inbox, Input};
 use crate::note;
 use assembly::{Assembly, Item};
-use clocks::{BACKOFF, HEDGE, REST, SAY, SILENCE, WHOLE};
+use clocks::{BACKOFF, CALL, CALM, HEDGE, MAX_DOUBLINGS, PATIENCE, REST, SAY, SILENCE, WHOLE};
 use lines::{Lines, get, open};
 
 /// Reads what can be read: one odd entry must not hide what the rest of the list says.
@@ -73,9 +74,16 @@
     }
 }
 
+/// How long discovery may take to tell its list before it counts as silent. An agent answers at once; one that has not
+/// within a whole call is silent. Elsewhere what is told counts only once it is, and a call may wait for its turn.
+pub fn patience(pushed: bool) -> Duration {
+    if pushed { CALL } else { PATIENCE }
+}
+
 /// Follows discovery wherever the configuration says that it is. With `asked` a watch is opened only when the
 /// module wants one. After a move the old service is listened to until the new one has told its list.
 pub async fn follow(mut addresses: watch::Receiver<SocketAddr>, inbox: Inbox, asked: Option<Rc<Notify>>) {
+    let start = Instant::now();
     let believed = Rc::new(Cell::new(0));
     let mut serving = JoinSet::new();
     for number in 0.. {
@@ -84,13 +92,16 @@
         let source = Discovery {
             address,
             inbox: inbox.clone(),
-            seq: None,
+            start,
+            order: ListOrder::new(number > 0),
             number,
             believed: believed.clone(),
             told: Some(told),
             heard: 0,
             pushed: asked.is_none(),
             asked: None,
+            regressions: 0,
+            regressed_at: None,
         };
         let mut next = JoinSet::new();
         next.spawn_local(source.keep(asked.clone()));
@@ -113,8 +124,10 @@
 struct Discovery {
     address: SocketAddr,
     inbox: Inbox,
-    /// Version of the list that the driver has from here.
-    seq: Option<u64>,
+    /// Zero of the times by which calls and lists are ordered.
+    start: Instant,
+    /// Which lists from here are newer than which.
+    order: ListOrder,
     /// Addresses are counted up; the highest that has told a whole list is believed, and none before it.
     number: u64,
     believed: Rc<Cell<u64>>,
@@ -126,6 +139,9 @@
     pushed: bool,
     /// When it was asked last.
     asked: Option<Instant>,
+    /// Times that versions have fallen of late, and when that was last.
+    regressions: u32,
+    regressed_at: Option<Instant>,
 }
 
 impl Discovery {
@@ -142,13 +158,13 @@
     async fn keep_asked(mut self, asked: &Notify) {
         let (mut backoff, mut silent) = (BACKOFF.0, false);
         loop {
-            let waits = self.number == 0 || self.seq.is_some();
+            let waits = self.number == 0 || self.order.held().is_some();
             if waits {
                 asked.notified().await;
             }
             // After a silent watch the whole list is asked for: one that resumes says nothing while nothing changes,
             // and a second silence would be seen too late.
-            let after = self.seq.filter(|_| !silent);
+            let after = self.order.held().filter(|_| !silent);
             let first = if silent { WHOLE } else { SILENCE };
             let error = match open(self.address, after, false).await {
                 Ok(lines) => {
@@ -163,7 +179,7 @@
             }
             // Once there is a list the next watch waits for the module's wish, and the module wishes for none before it
             // is told of this one's end: also of the first one after a move, which it did not wish for.
-            if waits || self.seq.is_some() {
+            if waits || self.order.held().is_some() {
                 note!(warn: "discovery: {error}");
                 self.inbox.put(Input::List(Scope::Failed, Vec::new()));
                 continue;
@@ -177,15 +193,16 @@
     /// Reads a watch until it ends; a broken line is mended by a new watch from the last good one.
     async fn watch_on(&mut self, mut lines: Lines, mut first: Duration) -> Trouble {
         loop {
-            match self.read(&mut lines, first).await {
-                Trouble::Broken(e) => {
-                    note!(warn: "discovery: a broken line: {e}");
-                    match self.renew(Some(lines), false).await {
-                        Some(new) => (lines, first) = (new, SILENCE),
-                        None => return Trouble::Useless("discovery has moved".into()),
-                    }
-                }
-                trouble => return trouble,
+            let trouble = self.read(&mut lines, first).await;
+            let whole = match &trouble {
+                Trouble::Broken(_) => false,
+                Trouble::Regressed(_) => true,
+                _ => return trouble,
+            };
+            note!(warn: "discovery: {trouble}; another watch is opened");
+            match self.renew(Some(lines), whole).await {
+                Some(new) => (lines, first) = (new, SILENCE),
+                None => return Trouble::Useless("discovery has moved".into()),
             }
         }
     }
@@ -193,11 +210,11 @@
     /// Where lists are pushed, calls cost nothing: whenever there is doubt, another watch is opened, and the one before
     /// is listened to until that is up.
     async fn keep_pushed(mut self) {
-        let (mut old, mut silent) = (None, 0);
+        let (mut old, mut silent, mut regressed) = (None, 0, false);
         loop {
             // A watch that resumes says nothing for as long as nothing changes. After two silent ones the whole list is
             // asked for, which has to come at once.
-            let whole = silent > 1 || self.seq.is_none();
+            let whole = silent > 1 || regressed || self.order.held().is_none();
             let Some(mut lines) = self.renew(old.take(), whole).await else { return };
             let before = self.heard;
             let trouble = self.read(&mut lines, if whole { WHOLE } else { SILENCE }).await;
@@ -210,9 +227,10 @@
                 _ => 0,
             };
             note!(warn: "discovery: {trouble}; another watch is opened");
+            regressed = matches!(trouble, Trouble::Regressed(_));
             match trouble {
-                Trouble::Silent | Trouble::Broken(_) => old = Some(lines),
-                Trouble::Useless(_) => self.seq = None,
+                Trouble::Silent | Trouble::Broken(_) | Trouble::Regressed(_) => old = Some(lines),
+                Trouble::Useless(_) => self.order.forget(),
                 Trouble::Over(_) => {}
             }
         }
@@ -244,13 +262,13 @@
                     continue;
                 }
                 Item::Part => continue,
-                Item::Whole(list) => match self.take(list, false) {
+                Item::Whole(list) => match self.take(list, false, lines.began) {
                     Ok(()) => continue,
                     Err(trouble) => return trouble,
                 },
                 Item::Torn(why, list) => (why, list),
             };
-            if let Some(Err(trouble)) = torn.1.map(|list| self.take(list, true)) {
+            if let Some(Err(trouble)) = torn.1.map(|list| self.take(list, true, lines.began)) {
                 return trouble;
             }
             return Trouble::Broken(torn.0);
@@ -261,9 +279,10 @@
     /// has been told, however late the new one is. Where calls cost nothing, one that is not answered is joined by
     /// another; elsewhere one follows the other, later each time. `None` once discovery has moved.
     async fn renew(&mut self, mut old: Option<Lines>, whole: bool) -> Option<Lines> {
-        let after = self.seq.filter(|_| !whole);
+        let after = self.order.held().filter(|_| !whole);
+        let old_began = old.as_ref().map(|lines| lines.began);
         let mut calls: JoinSet<Result<Lines, String>> = JoinSet::new();
-        let mut wait = if self.pushed { HEDGE } else { BACKOFF.0 };
+        let mut wait = if self.pushed { HEDGE } else { self.backoff() };
         let (mut assembly, mut said) = (Assembly::default(), None::<Instant>);
         let mut next = self.asked.map_or_else(Instant::now, |at| at + wait);
         while !self.is_past() {
@@ -289,7 +308,8 @@
                 }
                 line = next_of(&mut old) => match line.map(|line| assembly.push(&line)) {
                     Some(Item::Whole(list) | Item::Torn(_, Some(list))) => {
-                        if self.take(list, true).is_err() {
+                        let began = old_began.unwrap_or(self.start);
+                        if self.take(list, true, began).is_err() {
                             old = None;
                         }
                     }
@@ -301,26 +321,51 @@
         None
     }
 
-    /// Takes a list. Behind a `gap` changes count, but the version stays that of the last one before it.
-    fn take(&mut self, list: List, gap: bool) -> Result<(), Trouble> {
+    /// Versions have fallen. A service that mixes two lists would have each proxy ask it again and again.
+    fn note_regression(&mut self) {
+        let is_calm = self.regressed_at.is_none_or(|at| at.elapsed() >= CALM);
+        self.regressions = if is_calm { 1 } else { self.regressions.saturating_add(1) };
+        self.regressed_at = Some(Instant::now());
+    }
+
+    /// Between two calls where each costs discovery something: longer while its versions keep falling.
+    fn backoff(&self) -> Duration {
+        let is_calm = self.regressed_at.is_none_or(|at| at.elapsed() >= CALM);
+        let doublings = if is_calm { 0 } else { self.regressions.min(MAX_DOUBLINGS) };
+        (BACKOFF.0 * 2u32.pow(doublings)).min(BACKOFF.1)
+    }
+
+    /// Takes a list that came on a call which began then. Behind a `gap` changes count, but a watch resumes from the last
+    /// list before it.
+    fn take(&mut self, list: List, gap: bool, call_began: Instant) -> Result<(), Trouble> {
         if self.is_past() {
             return Err(Trouble::Useless("discovery has moved".into()));
         }
-        if self.seq.is_some_and(|seq| list.seq < seq || list.seq == seq && !list.whole) {
-            note!(warn: "discovery: news of {} is stale", list.seq); // what it says is older than what is known
-            return Ok(());
-        }
-        if !list.whole && self.seq.is_none() {
-            return Err(Trouble::Useless("changes without a list".into()));
-        }
-        if list.whole || !gap {
-            self.seq = Some(list.seq);
-        }
+        let hosts = list.entries();
+        let arrived = Arrived {
+            version: list.seq,
+            whole: list.whole,
+            empty: hosts.is_empty(),
+            behind_gap: gap,
+            call_began: call_began.saturating_duration_since(self.start),
+        };
+        let held = self.order.held();
+        let verdict = self.order.judge(self.start.elapsed(), arrived);
+        note_list(&list, &hosts, verdict);
         let scope = if list.whole { Scope::Full } else { Scope::Delta };
+        match verdict {
+            Verdict::Baseless => return Err(Trouble::Useless("changes without a list".into())),
+            Verdict::Repeated => return Ok(()),
+            Verdict::Newer => self.inbox.put(Input::List(scope, hosts)),
+            Verdict::Uncertain { ask_again: false } => self.inbox.put(Input::UncertainList(scope, hosts)),
+            Verdict::Uncertain { ask_again: true } => {
+                // What it leaves out may have come after it: only what it names counts.
+                self.inbox.put(Input::UncertainList(Scope::Delta, hosts));
+                self.note_regression();
+                return Err(Trouble::Regressed(format!("{} after {}", list.seq, held.unwrap_or_default())));
+            }
+        }
         self.believed.set(self.number);
-        let hosts = list.entries();
-        note_list(&list, &hosts);
-        self.inbox.put(Input::List(scope, hosts));
         if let Some(told) = self.told.take() {
             let _ = told.send(()); // nobody waits for it while the process ends
         }
@@ -329,11 +374,21 @@
 }
 
 /// Logs what a list says.
-fn note_list(list: &List, hosts: &[Host]) {
+fn note_list(list: &List, hosts: &[Host], verdict: Verdict) {
     let count = |health: &str| hosts.iter().filter(|h| h.health == health).count();
     let form = if list.whole { "the whole list" } else { "changes" };
     let (up, draining, removed) = (count("up"), count("draining"), count("removed"));
-    note!("discovery: version {}, {form}: {up} up, {draining} draining, {removed} removed", list.seq);
+    let order = match verdict {
+        Verdict::Newer => "newer",
+        Verdict::Repeated => "nothing new",
+        Verdict::Uncertain { ask_again: true } => "stale or counted anew",
+        Verdict::Uncertain { ask_again: false } => "perhaps older",
+        Verdict::Baseless => "of an unknown list",
+    };
+    note!(
+        "discovery: version {}, {form}, {order}: {up} up, {draining} draining, {removed} removed",
+        list.seq
+    );
 }
 
 /// The next line of a watch; never, where there is none.
@@ -350,6 +405,9 @@
     /// A line can't be read, and may hide a change.
     #[error("a broken line: {0}")]
     Broken(String),
+    /// Versions have fallen: an old list was repeated, or the service counts anew.
+    #[error("version {0}")]
+    Regressed(String),
     /// No sign of life.
     #[error("the watch is silent")]
     Silent,
@@ -368,7 +426,8 @@
         serde_json::from_slice::<List>(&body).map_err(|e| format!("a broken list: {e}"))
     });
     match list.await.unwrap_or_else(|_| Err("no answer".into())) {
-        Ok(list) => inbox.put(Input::List(Scope::Full, list.entries())),
+        // It may have been on its way for longer than the news of a watch.
+        Ok(list) => inbox.put(Input::UncertainList(Scope::Full, list.entries())),
         Err(e) => {
             note!(warn: "discovery: {e}");
             inbox.put(Input::List(Scope::Failed, Vec::new()));
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -46,8 +46,6 @@
     pub watch: Rc<Notify>,
     /// Told once discovery has told the list.
     pub serving: Rc<Serving>,
-    /// Set once there is a remembered list to serve from.
-    pub remembered: Rc<Cell<bool>>,
     /// Counts and traces what happens.
     pub diagnostics: Rc<Diagnostics>,
     /// How old the view is by which attempts are made.
@@ -138,8 +136,8 @@
     fn listed(&mut self, scope: Scope, some: bool) {
         match scope {
             Scope::Full => self.parts.serving.listed(),
-            Scope::Cached => self.parts.remembered.set(some),
-            Scope::Delta | Scope::Failed => {}
+            Scope::Cached if some => self.parts.serving.listed(),
+            Scope::Cached | Scope::Delta | Scope::Failed => {}
         }
     }
 
@@ -325,6 +323,18 @@
                 }
                 self.core.list(now, scope, hosts);
             }
+            Input::UncertainList(scope, mut hosts) => {
+                if let Some(drains) = &mut self.drains {
+                    drains.overlay(scope, &mut hosts);
+                }
+                self.core.uncertain_list(now, scope, hosts);
+            }
+            Input::Remembered(hosts) => {
+                if !self.core.effects.parts.serving.has_list() {
+                    note!(warn: "discovery is silent: the list of the process before is served from");
+                    self.take(Input::List(Scope::Cached, hosts));
+                }
+            }
             Input::Drains(names) => {
                 let lines = self.drains.get_or_insert_default().change(names);
                 self.core.list(now, Scope::Delta, lines);
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -51,8 +51,12 @@
     Change(Box<wharfhitch::Change>),
     /// Discovery has shown that it has nothing new to tell.
     DiscoveryAlive,
-    /// News of the list.
+    /// News of the list, newer than all before.
     List(Scope, Vec<Host>),
+    /// News of the list that may be older than what is known.
+    UncertainList(Scope, Vec<Host>),
+    /// The list as a process before this one had it: for as long as discovery has told none.
+    Remembered(Vec<Host>),
     /// Backends that are drained by hand, whatever the list says of them.
     Drains(BTreeSet<String>),
     /// Somebody asks what is under way.
@@ -69,7 +73,7 @@
 impl Input {
     /// Whether it tells which backends take work: it depends on no other input.
     pub fn is_news_of_backends(&self) -> bool {
-        matches!(self, Input::DiscoveryAlive | Input::List(..) | Input::Drains(_))
+        matches!(self, Input::DiscoveryAlive | Input::List(..) | Input::UncertainList(..) | Input::Drains(_))
     }
 }
 
--- a/crates/sandgap/src/serving.rs
+++ b/crates/sandgap/src/serving.rs
@@ -148,6 +148,11 @@
         self.changes.subscribe()
     }
 
+    /// Whether there is a list to serve from.
+    pub fn has_list(&self) -> bool {
+        self.listed.get()
+    }
+
     /// Waits until this process could serve.
     pub async fn ready(&self) {
         let mut changes = self.changes();
