Take a line that leaves out a start for no new process, and read the clock once a read

A line that says removed may leave out born_ms; an uncertain list that names the old process again would have passed for a new one and opened it at once. The latest start that is known counts now (closings.rs, Core::note_closing). View::arrived_at read the clock twice for each read.

--- a/crates/sandgap-driver/src/closings.rs
+++ b/crates/sandgap-driver/src/closings.rs
@@ -25,8 +25,10 @@
 pub(crate) struct Closings(FxHashMap<BackendId, Closing>);
 
 impl Closings {
-    /// A backend has been told to drain or to be gone.
+    /// A backend has been told to drain or to be gone; what says so may leave out when it started.
     pub(crate) fn closed(&mut self, now: Time, id: BackendId, born_ms: f64) {
+        let known = self.0.get(&id).map_or(0.0, |closing| closing.born_ms);
+        let born_ms = born_ms.max(known);
         self.0.insert(id, Closing { told_at: now, born_ms, held_back: None });
     }
 
--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -456,7 +456,7 @@
             let id = BackendId(number_of(&host.host));
             match host.state() {
                 State::Up => self.closings.opened(id),
-                State::Draining | State::Gone => self.closings.closed(now, id, host.born_ms),
+                State::Draining | State::Gone => self.note_closing(now, id, host.born_ms),
             }
         }
         self.take_list(now, scope, hosts);
@@ -469,11 +469,17 @@
         self.take_list(now, scope, hosts);
     }
 
+    /// A backend drains or is gone, by a line that may leave out when it started.
+    fn note_closing(&mut self, now: Time, id: BackendId, born_ms: f64) {
+        let known = self.endpoints.get(&id).map_or(0.0, |endpoint| endpoint.born_ms);
+        self.closings.closed(now, id, born_ms.max(known));
+    }
+
     /// A line of an uncertain list as far as it counts now.
     fn hold_back(&mut self, now: Time, mut host: Host) -> Host {
         let id = BackendId(number_of(&host.host));
         if host.state() != State::Up {
-            self.closings.closed(now, id, host.born_ms);
+            self.note_closing(now, id, host.born_ms);
             return host;
         }
         // Of a process before the one that is known.
--- a/crates/sandgap-driver/src/core/tests/reopening.rs
+++ b/crates/sandgap-driver/src/core/tests/reopening.rs
@@ -57,6 +57,15 @@
     assert!(is_open(&core, "a"));
 }
 
+#[test]
+fn a_line_that_leaves_out_the_start_makes_no_new_process_of_the_old_one() {
+    let mut core = core();
+    core.list(at(1000), Scope::Delta, vec![born("a", 1, "up", 100.0)]);
+    core.list(at(2000), Scope::Delta, vec![born("a", 1, "removed", 0.0)]);
+    core.uncertain_list(at(3000), Scope::Delta, vec![born("a", 1, "up", 100.0)]);
+    assert!(!is_open(&core, "a"));
+}
+
 /// What a test knows of one backend.
 #[derive(Clone, Copy, Default)]
 struct Told {
--- a/crates/sandgap/src/view.rs
+++ b/crates/sandgap/src/view.rs
@@ -52,10 +52,8 @@
 
     /// The earliest moment at which that may have come which is read from a socket now.
     pub fn arrived_at(&self) -> Instant {
-        match self.standstill() {
-            Some(_) => self.caught_up.get(),
-            None => Instant::now(),
-        }
+        let (now, caught_up) = (Instant::now(), self.caught_up.get());
+        if now.saturating_duration_since(caught_up) > MAX_VIEW_AGE { caught_up } else { now }
     }
 
     /// Waits until the driver has caught up, where it has not.
