Count, trace and log connections to backends and the answers that nobody asked for

Change: counters upstream.opened, upstream.reused and unsolicited.first and .after_answer; trace words exchange (request, attempt, backend, connection, answers on it before, how long it was quiet, its age, how the exchange ended) and unsolicited; a log line a second at most. upstream/connection.rs holds one connection and what is known of its exchanges; pool.rs keeps the pool. No behaviour changes: the same connections are used and closed as before.

--- a/crates/sandgap/src/diagnostics.rs
+++ b/crates/sandgap/src/diagnostics.rs
@@ -40,6 +40,10 @@
     State,
     /// The process stood still, by range of length.
     Standstill,
+    /// A connection to a backend was opened, or reused for another request.
+    Upstream,
+    /// A backend has sent bytes that no request asked for.
+    Unsolicited,
 }
 
 impl Event {
@@ -55,6 +59,8 @@
             Event::Late => "late",
             Event::State => "state",
             Event::Standstill => "standstill",
+            Event::Upstream => "upstream",
+            Event::Unsolicited => "unsolicited",
         }
     }
 }
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -227,6 +227,11 @@
         self.request
     }
 
+    /// Attempt number, from 0.
+    pub fn attempt(&self) -> u32 {
+        self.attempt
+    }
+
     /// When the attempt started or, for a long request, when its last byte was sent.
     pub fn sent(&self) -> Instant {
         self.sent
--- a/crates/sandgap/src/socket.rs
+++ b/crates/sandgap/src/socket.rs
@@ -22,6 +22,17 @@
     TcpListener::from_std(listener)
 }
 
+/// What has arrived on a connection and is unread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// Nothing.
+    Nothing,
+    /// At least one byte.
+    Bytes,
+    /// The end of the connection, or an error.
+    End,
+}
+
 /// A shared socket; clones refer to the same one. Reads and writes continue until the system reports that it would
 /// block, see [`sandgap_socket`].
 #[derive(Clone)]
@@ -72,19 +83,24 @@
         let _ = SockRef::from(&*self.0).set_linger(Some(std::time::Duration::ZERO)); // on failure the close is orderly
     }
 
-    /// Whether the peer has neither closed the connection nor sent unread bytes. Asks the system, as the runtime may not
-    /// have noticed yet.
-    pub fn is_quiet(&self) -> bool {
+    /// What has arrived and is unread. Asks the system, as the runtime may not have noticed yet.
+    pub fn received(&self) -> Received {
         let mut byte = [MaybeUninit::uninit()];
         loop {
             match SockRef::from(&*self.0).peek(&mut byte) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
-                Ok(_) => return false,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Received::Nothing,
+                Ok(0) | Err(_) => return Received::End,
+                Ok(_) => return Received::Bytes,
             }
         }
     }
 
+    /// Whether the peer has neither closed the connection nor sent unread bytes.
+    pub fn is_quiet(&self) -> bool {
+        self.received() == Received::Nothing
+    }
+
     /// Waits until the peer sends something or closes, without reading it.
     pub async fn readable(&self) {
         let mut byte = [0];
--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -11,7 +11,7 @@
 use super::progress::SendPrecondition;
 use super::response::{ResponsePart, exchange};
 use super::{Outgoing, Payload, Upstreams};
-use crate::body::{AnswerEnd, AnswerProgress};
+use crate::body::{AnswerEnd, AnswerProgress, BodyError};
 use crate::diagnostics::Event;
 use crate::event::{self, AnswerBy, Attempt};
 use crate::retry;
@@ -81,8 +81,17 @@
             }
         };
         let took = report.sent().elapsed();
+        let exchanges = connection.exchanges.clone();
+        self.diagnostics.trace("exchange", || {
+            json!({"request": request_number.0, "attempt": report.attempt(), "backend": endpoint.address,
+                "connection": exchanges.connection, "answers_before": exchanges.answers.get(),
+                "quiet_ms": exchanges.quiet().map(|q| q.saturating_sub(took).as_secs_f64() * 1000.0),
+                "age_ms": exchanges.age().as_secs_f64() * 1000.0, "sent": write_progress.is_complete(),
+                "end": end_name(answer.as_ref())})
+        });
         match answer {
             Some(Ok(ResponsePart::Whole(outcome, reply, keep))) => {
+                exchanges.record_answer(request_number);
                 report.finish(outcome, reply.map(|r| Box::new(r) as event::Reply));
                 write_progress.precondition.replace(None);
                 self.keep(&endpoint, connection, keep && write_progress.is_complete(), took).await;
@@ -91,6 +100,7 @@
                 report.started(Box::new(reply));
                 write_progress.precondition.replace(None);
                 let (outcome, keep) = follow(&progress, end, &answer_by).await;
+                exchanges.record_answer(request_number);
                 report.finish(outcome, None);
                 self.keep(&endpoint, connection, keep && write_progress.is_complete(), took).await;
             }
@@ -110,6 +120,16 @@
     }
 }
 
+/// How an exchange ended, for the trace.
+fn end_name(answer: Option<&Result<ResponsePart, BodyError>>) -> String {
+    match answer {
+        Some(Ok(ResponsePart::Whole(outcome, ..))) => format!("answer: {outcome:?}"),
+        Some(Ok(ResponsePart::Long(..))) => "a long answer has begun".into(),
+        Some(Err(error)) => error.to_string(),
+        None => "no answer in time".into(),
+    }
+}
+
 /// Waits for the end of a long answer; the flag tells whether its connection may be reused. A client that disconnects or
 /// reads nothing is not the backend's fault. An answer that may still be short is cut off at the client's deadline.
 async fn follow(progress: &AnswerProgress, mut end: AnswerEnd, answer_by: &AnswerBy) -> (Outcome, bool) {
--- a/crates/sandgap/src/upstream/mod.rs
+++ b/crates/sandgap/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Attempts at backends. One attempt is one request on one connection; this module never resends a request.
 
 mod attempt;
+mod connection;
 mod pool;
 mod progress;
 mod response;
--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -7,19 +7,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
-use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::task::{JoinHandle, yield_now};
+use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::progress::{TrackedStream, WriteProgress};
-use crate::body::RequestBody;
-use crate::diagnostics::Diagnostics;
+use super::connection::{Connection, Exchanges, Liveness};
+use crate::diagnostics::{Diagnostics, Event};
 use crate::event::{BackendPool, Endpoint};
-use crate::socket::Socket;
+use crate::note;
 use crate::view::View;
 
 /// A pooled connection is closed after this fraction of the idle time after which backends close it.
@@ -31,8 +28,8 @@
 const REST: (u32, Duration) = (8, Duration::from_millis(10));
 /// Maximum wait until a connection is ready for its next request.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
-/// Buffer size of a connection: room for any head; long bodies pass through it in pieces.
-const BUFFER_BYTES: usize = 16 << 10;
+/// Shortest interval between two log lines about unsolicited bytes.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// An idle connection in the pool.
 struct Idle {
@@ -42,29 +39,6 @@
     usable_at: Instant,
 }
 
-/// A connection to a backend; dropping it closes the socket.
-pub(super) struct Connection {
-    pub(super) sender: SendRequest<RequestBody>,
-    pub(super) write_progress: Rc<WriteProgress>,
-    stream: Socket,
-    /// Permit of the socket budget, shared with the stream: the socket counts until both have been dropped.
-    _permit: Rc<OwnedSemaphorePermit>,
-    driver: JoinHandle<()>,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
-impl Connection {
-    /// Whether a request may be written: the backend has neither closed the connection nor sent unsolicited bytes.
-    fn is_alive(&self) -> bool {
-        self.sender.is_ready() && self.stream.is_quiet()
-    }
-}
-
 /// State shared by all attempts: timeouts, the pool and the socket budget.
 pub struct Upstreams {
     pub(super) diagnostics: Rc<Diagnostics>,
@@ -77,6 +51,10 @@
     max_sockets: usize,
     /// Sockets currently available to backends, see [`Upstreams::set_available`].
     available: Cell<usize>,
+    /// Connections opened so far.
+    opened: Cell<u64>,
+    /// When unsolicited bytes were last logged.
+    unsolicited_logged: Rc<Cell<Option<Instant>>>,
     /// Idle connections by endpoint number, in the order of their last use. Each holds a permit, so the socket budget
     /// bounds their total number.
     idle: RefCell<FxHashMap<u64, Vec<Idle>>>,
@@ -96,6 +74,8 @@
             sockets: Arc::new(Semaphore::new(sockets)),
             max_sockets: sockets,
             available: Cell::new(sockets),
+            opened: Cell::default(),
+            unsolicited_logged: Rc::default(),
             idle: RefCell::default(),
         };
         new.change(connections);
@@ -167,21 +147,38 @@
     /// Takes a connection from the pool or opens one.
     pub(super) async fn connection(&self, endpoint: &Endpoint) -> io::Result<Connection> {
         while let Some(idle) = self.take_idle(endpoint) {
-            if idle.since.elapsed() >= self.idle_limit.get() || !idle.connection.is_alive() {
+            if idle.since.elapsed() >= self.idle_limit.get()
+                || !self.is_alive(endpoint.address, &idle.connection)
+            {
                 continue;
             }
             if idle.usable_at > Instant::now() {
                 sleep_until(idle.usable_at).await;
-                if !idle.connection.is_alive() {
+                if !self.is_alive(endpoint.address, &idle.connection) {
                     continue;
                 }
             }
+            self.diagnostics.count(Event::Upstream, "reused");
             return Ok(idle.connection);
         }
         // Boxed, so that the many attempts that reuse a connection don't reserve memory for this future.
         Box::pin(timeout(self.dial_timeout.get(), self.open(endpoint.address))).await?
     }
 
+    /// Whether a pooled connection may carry another request.
+    fn is_alive(&self, address: SocketAddr, connection: &Connection) -> bool {
+        let liveness = connection.liveness();
+        if liveness == Liveness::Unsolicited {
+            self.unsolicited_report(address).write(&connection.exchanges);
+        }
+        liveness == Liveness::Alive
+    }
+
+    fn unsolicited_report(&self, address: SocketAddr) -> UnsolicitedReport {
+        let (diagnostics, logged) = (self.diagnostics.clone(), self.unsolicited_logged.clone());
+        UnsolicitedReport { address, diagnostics, logged }
+    }
+
     async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
         if self.sockets.available_permits() == 0 || self.in_use() >= self.available.get() {
             self.close_idle();
@@ -191,24 +188,13 @@
         if self.in_use() > self.available.get() {
             return Err(io::ErrorKind::QuotaExceeded.into());
         }
-        let stream = Socket::new(TcpStream::connect(address).await?);
-        let write_progress = Rc::new(WriteProgress::default());
-        let permit = Rc::new(permit);
-        let io = TrackedStream {
-            stream: stream.clone(),
-            write_progress: write_progress.clone(),
-            view: self.view.clone(),
-            _permit: permit.clone(),
-        };
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(io))
-            .await
-            .map_err(io::Error::other)?;
-        let driver = tokio::task::spawn_local(async move {
-            let _ = connection.await; // errors are reported by the request
-        });
-        Ok(Connection { sender, write_progress, stream, _permit: permit, driver })
+        let report = self.unsolicited_report(address);
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
+        let on_unsolicited = move |exchanges: &Exchanges| report.write(exchanges);
+        let opened = Connection::open(address, number, permit, self.view.clone(), on_unsolicited).await?;
+        self.diagnostics.count(Event::Upstream, "opened");
+        Ok(opened)
     }
 
     /// Returns a connection to the pool once it is ready for another request.
@@ -221,6 +207,40 @@
     }
 }
 
+/// Counts, traces and logs bytes of a backend that no request asked for.
+struct UnsolicitedReport {
+    address: SocketAddr,
+    diagnostics: Rc<Diagnostics>,
+    logged: Rc<Cell<Option<Instant>>>,
+}
+
+impl UnsolicitedReport {
+    fn write(&self, exchanges: &Exchanges) {
+        let (connection, answers) = (exchanges.connection, exchanges.answers.get());
+        let (quiet, age) = (exchanges.quiet(), exchanges.age());
+        let request = exchanges.last_request().map(|request| request.0);
+        self.diagnostics.count(Event::Unsolicited, if answers == 0 { "first" } else { "after_answer" });
+        self.diagnostics.trace("unsolicited", || {
+            json!({"backend": self.address, "connection": connection, "answers": answers, "last_request": request,
+                "quiet_ms": quiet.map(ms), "age_ms": ms(age)})
+        });
+        if self.logged.get().is_some_and(|at| at.elapsed() < LOG_INTERVAL) {
+            return;
+        }
+        self.logged.set(Some(Instant::now()));
+        let quiet = quiet.map_or(0.0, ms);
+        note!(
+            warn: "backend {} has sent bytes that no request asked for on connection {connection}, {quiet:.1} ms after \
+            answer {answers}; the connection is closed",
+            self.address
+        );
+    }
+}
+
+fn ms(span: Duration) -> f64 {
+    span.as_secs_f64() * 1000.0
+}
+
 impl BackendPool for Upstreams {
     fn retire(&self, endpoint: &Endpoint) {
         self.idle.borrow_mut().remove(&endpoint.number);
@@ -228,7 +248,8 @@
 
     fn sweep(&self) {
         let now = Instant::now();
-        let fresh = |i: &Idle| now - i.since < self.idle_limit.get() && i.connection.is_alive();
+        let fresh =
+            |i: &Idle| now - i.since < self.idle_limit.get() && i.connection.liveness() == Liveness::Alive;
         self.idle.borrow_mut().retain(|_, all| {
             all.retain(fresh);
             !all.is_empty()
--- a/crates/sandgap/src/upstream/pool/tests.rs
+++ b/crates/sandgap/src/upstream/pool/tests.rs
@@ -23,8 +23,7 @@
         upstreams.return_idle(&endpoint, connection, Duration::ZERO);
         assert_eq!(upstreams.in_use(), 1);
         drop(backend); // the backend closes it while it is idle
-        let has_ended =
-            |u: &Upstreams| u.idle.borrow()[&1].iter().all(|idle| idle.connection.driver.is_finished());
+        let has_ended = |u: &Upstreams| u.idle.borrow()[&1].iter().all(|idle| idle.connection.is_finished());
         while !has_ended(&upstreams) {
             sleep(Duration::from_millis(1)).await;
         }
