Take a late rejection for no proof that the request has not run

What callers saw: an unsafe request sent to a second backend, and a keyed one outside its cell, while the first ran it; and answers to the request before.

Cause: attempt.rs reported a 503 with X-Not-Processed as Outcome::Full, never run, on any connection. If a backend sends such an answer unasked within some ms of a due one, the next request on that connection gets it while the backend works on that request. The connection was then used again, and the true answer was served to the request after.

Change: sandgap-driver/src/reuse.rs (no I/O) holds what is known of a connection and decides when it may be used again and what an answer proves. A connection that has been quiet for 250 ms is taken first, then the one that has been quiet for longest. A rejection on one that was not quiet is Outcome::FullUnproven: the backend counts as full, the request as one that may have run.

--- a/crates/sandgap-driver/src/lib.rs
+++ b/crates/sandgap-driver/src/lib.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 pub mod list_order;
 pub mod permit;
+pub mod reuse;
 mod starts;
 
 pub use crate::closings::REOPEN_AFTER;
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -374,6 +374,7 @@
         Outcome::Served => "served",
         Outcome::Error => "error",
         Outcome::Full => "turned_away",
+        Outcome::FullUnproven => "turned_away_unproven",
         Outcome::TimedOut => "timed_out",
         Outcome::ConnectFailed => "connect_failed",
         Outcome::Reset => "reset",
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -267,7 +267,7 @@
                 self.holding.ended(false);
             }
             // These outcomes say nothing about the backend's health.
-            Outcome::Full | Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::Full | Outcome::FullUnproven | Outcome::Cancelled | Outcome::NotSent => {}
         }
         let latency = self.latency.unwrap_or_else(|| self.elapsed());
         let (request, attempt) = (self.request, self.attempt);
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use wharfhitch::RequestId;
+use wharfhitch::{Effect, RequestId};
 
 use super::Frontend;
 use super::admission::{AwaitingAnswer, Client};
@@ -87,7 +87,9 @@
             let left = deadline.saturating_duration_since(Instant::now()).as_secs_f64();
             json!({"request": id.0, "id": &*parsed.id, "connection": client.number, "left_s": left})
         });
-        let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body, patience };
+        let is_repeatable = effect != Effect::Unsafe;
+        let uri = target(&head.uri);
+        let message = Outgoing { class, is_repeatable, method: head.method, uri, headers, body, patience };
         self.input_sender.send(Input::Request(Box::new(Arrival {
             id,
             class,
--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sandgap_driver::permit::Denial;
+use sandgap_driver::reuse::{Exchange, Verdict};
 use serde_json::json;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use wharfhitch::Outcome;
@@ -46,6 +47,8 @@
         if !endpoint.is_open() || !wanted.get() {
             return report.finish(Outcome::NotSent, None);
         }
+        let exchanges = connection.exchanges.clone();
+        self.reuse.begin(&endpoint, &exchanges);
         let head_made = Instant::now();
         let Some(request) = message.request(until) else { return report.finish(Outcome::NotSent, None) };
         let write_progress = connection.write_progress.clone();
@@ -81,28 +84,45 @@
             }
         };
         let took = report.sent().elapsed();
-        let exchanges = connection.exchanges.clone();
         self.diagnostics.trace("exchange", || {
+            let history = exchanges.history.borrow();
             json!({"request": request_number.0, "attempt": report.attempt(), "backend": endpoint.address,
-                "connection": exchanges.connection, "answers_before": exchanges.answers.get(),
-                "quiet_ms": exchanges.quiet().map(|q| q.saturating_sub(took).as_secs_f64() * 1000.0),
+                "connection": history.number, "answers_before": history.answers,
+                "quiet_ms": self.reuse.quiet_before(&exchanges, took).map(|quiet| quiet.as_secs_f64() * 1000.0),
                 "age_ms": exchanges.age().as_secs_f64() * 1000.0, "sent": write_progress.is_complete(),
                 "end": end_name(answer.as_ref())})
         });
+        let verdict = match &answer {
+            Some(Ok(part)) => {
+                let exchange = Exchange {
+                    class: message.class,
+                    question: message.question(),
+                    is_repeatable: message.is_repeatable,
+                    is_early: write_progress.is_answer_early.get(),
+                    until: self.reuse.time(until),
+                    answer: part.kind(),
+                };
+                self.reuse.judge(&endpoint, &exchanges, request_number, exchange, took)
+            }
+            Some(Err(_)) | None => Verdict::Proven,
+        };
         match answer {
             Some(Ok(ResponsePart::Whole(outcome, reply, keep))) => {
-                exchanges.record_answer(request_number);
+                let outcome = match verdict {
+                    Verdict::Unproven => Outcome::FullUnproven,
+                    Verdict::Proven | Verdict::Doubtful(_) => outcome,
+                };
                 report.finish(outcome, reply.map(|r| Box::new(r) as event::Reply));
                 write_progress.precondition.replace(None);
-                self.keep(&endpoint, connection, keep && write_progress.is_complete(), took).await;
+                self.keep(&endpoint, connection, keep && write_progress.is_complete()).await;
             }
             Some(Ok(ResponsePart::Long(reply, progress, end))) => {
                 report.started(Box::new(reply));
                 write_progress.precondition.replace(None);
                 let (outcome, keep) = follow(&progress, end, &answer_by).await;
-                exchanges.record_answer(request_number);
+                self.reuse.answer_ended(&exchanges);
                 report.finish(outcome, None);
-                self.keep(&endpoint, connection, keep && write_progress.is_complete(), took).await;
+                self.keep(&endpoint, connection, keep && write_progress.is_complete()).await;
             }
             Some(Err(_)) if write_progress.denied.get().is_some() && !write_progress.has_begun.get() => {
                 let reason = write_progress.denied.get().map_or("", Denial::name);
--- a/crates/sandgap/src/upstream/connection.rs
+++ b/crates/sandgap/src/upstream/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a backend: its socket, the HTTP client on it, and the exchanges that it has carried.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::error::Error as _;
 use std::io;
 use std::net::SocketAddr;
@@ -9,6 +9,7 @@
 
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use sandgap_driver::reuse::ConnectionHistory;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinHandle;
@@ -34,34 +35,15 @@
     driver: JoinHandle<()>,
 }
 
-/// What logs tell of a connection.
+/// The exchanges of a connection.
 pub(super) struct Exchanges {
-    /// Number of the connection, unique within the process.
-    pub(super) connection: u64,
+    pub(super) history: RefCell<ConnectionHistory>,
     opened: Instant,
-    /// Answers received so far.
-    pub(super) answers: Cell<u32>,
-    /// The latest request with an answer, and when its answer ended.
-    last: Cell<Option<(RequestId, Instant)>>,
+    /// The latest request whose answer has ended, for logs.
+    pub(super) last_request: Cell<Option<RequestId>>,
 }
 
 impl Exchanges {
-    /// Records the end of an answer.
-    pub(super) fn record_answer(&self, request: RequestId) {
-        self.answers.set(self.answers.get() + 1);
-        self.last.set(Some((request, Instant::now())));
-    }
-
-    /// The latest request with an answer.
-    pub(super) fn last_request(&self) -> Option<RequestId> {
-        self.last.get().map(|(request, _)| request)
-    }
-
-    /// Time since the latest answer.
-    pub(super) fn quiet(&self) -> Option<Duration> {
-        self.last.get().map(|(_, at)| at.elapsed())
-    }
-
     /// Age of the connection.
     pub(super) fn age(&self) -> Duration {
         self.opened.elapsed()
@@ -94,10 +76,9 @@
         let stream = Socket::new(TcpStream::connect(address).await?);
         let write_progress = Rc::new(WriteProgress::default());
         let exchanges = Rc::new(Exchanges {
-            connection: number,
+            history: RefCell::new(ConnectionHistory::new(number)),
             opened: Instant::now(),
-            answers: Cell::default(),
-            last: Cell::default(),
+            last_request: Cell::default(),
         });
         let permit = Rc::new(permit);
         let io = TrackedStream {
--- a/crates/sandgap/src/upstream/mod.rs
+++ b/crates/sandgap/src/upstream/mod.rs
@@ -2,26 +2,36 @@
 
 mod attempt;
 mod connection;
+mod idle;
 mod pool;
 mod progress;
 mod response;
+mod reuse;
 
+use std::hash::{Hash as _, Hasher as _};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Uri};
+use rustc_hash::FxHasher;
 use tokio::time::Instant;
+use wharfhitch::ClassId;
 
 use crate::body::{AnswerBody, RequestBody, Upload};
 use crate::event::{Attempt, Exchange};
 pub use pool::Upstreams;
 
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout");
 
 /// A client's request as it is forwarded.
 pub struct Outgoing {
+    /// Class of the request.
+    pub class: ClassId,
+    /// Whether it may be repeated, so that an equal request may get an equal answer.
+    pub is_repeatable: bool,
     /// Request method.
     pub method: Method,
     /// Path and query.
@@ -100,6 +110,14 @@
 }
 
 impl Outgoing {
+    /// Hash of what the request asks for: its target and its idempotency key.
+    fn question(&self) -> u64 {
+        let mut hasher = FxHasher::default();
+        self.uri.hash(&mut hasher);
+        self.headers.get(IDEMPOTENCY_KEY).hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// When the client of a long request stops waiting; assumes that its last byte arrives now if it has not yet.
     pub(super) fn patience_ends(&self, upload: &Upload) -> Instant {
         upload.received_at().unwrap_or_else(Instant::now) + self.patience
--- a/crates/sandgap/src/upstream/pool/tests.rs
+++ b/crates/sandgap/src/upstream/pool/tests.rs
@@ -20,11 +20,10 @@
         let upstreams = Upstreams::new(&times, 4, Diagnostics::new(None), Rc::default());
         let connection = upstreams.connection(&endpoint).await.expect("connect to the listener");
         let (backend, _) = listener.accept().await.expect("the connection is accepted");
-        upstreams.return_idle(&endpoint, connection, Duration::ZERO);
+        upstreams.reuse.keep(&endpoint, connection);
         assert_eq!(upstreams.in_use(), 1);
         drop(backend); // the backend closes it while it is idle
-        let has_ended = |u: &Upstreams| u.idle.borrow()[&1].iter().all(|idle| idle.connection.is_finished());
-        while !has_ended(&upstreams) {
+        while !upstreams.reuse.idle.all_finished(1) {
             sleep(Duration::from_millis(1)).await;
         }
         assert_eq!(upstreams.in_use(), 1, "the pool still holds its socket");
--- a/crates/sandgap/src/upstream/progress.rs
+++ b/crates/sandgap/src/upstream/progress.rs
@@ -50,6 +50,8 @@
     last_part_at: Cell<Option<Instant>>,
     /// The answer's head has been received; its body follows.
     in_body: Cell<bool>,
+    /// The answer's head was received before the request's last byte was written.
+    pub(super) is_answer_early: Cell<bool>,
     /// Notified when a part of an answer is read.
     part_read: Notify,
 }
@@ -105,11 +107,13 @@
         self.blocked_since.set(None);
         self.last_part_at.set(None);
         self.in_body.set(false);
+        self.is_answer_early.set(false);
     }
 
     /// Records that the answer's head has been received.
     pub(super) fn answer_head_received(&self) {
         self.in_body.set(true);
+        self.is_answer_early.set(!self.is_complete());
         self.last_part_at.set(Some(Instant::now()));
         self.part_read.notify_one();
     }
--- a/crates/sandgap/src/upstream/response.rs
+++ b/crates/sandgap/src/upstream/response.rs
@@ -1,5 +1,6 @@
 //! Reads a backend's answer: all of a short one, or the first part of a long one.
 
+use std::hash::Hasher as _;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,8 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, StatusCode};
+use rustc_hash::FxHasher;
+use sandgap_driver::reuse::AnswerKind;
 use tokio::time::{Instant, sleep};
 use wharfhitch::Outcome;
 
@@ -41,6 +44,27 @@
     Long(Reply, Rc<AnswerProgress>, AnswerEnd),
 }
 
+impl ResponsePart {
+    /// What the answer is, for the check whether it belongs to its request.
+    pub(super) fn kind(&self) -> AnswerKind {
+        match self {
+            ResponsePart::Whole(Outcome::Served, Some(reply), _) => match &reply.body {
+                AnswerBody::Whole(bytes) => AnswerKind::Success(hash(bytes.as_deref().unwrap_or_default())),
+                AnswerBody::Long(..) => AnswerKind::LongSuccess,
+            },
+            ResponsePart::Whole(Outcome::Full, ..) => AnswerKind::Rejection,
+            ResponsePart::Whole(..) => AnswerKind::Failure,
+            ResponsePart::Long(..) => AnswerKind::LongSuccess,
+        }
+    }
+}
+
+fn hash(bytes: &[u8]) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write(bytes);
+    hasher.finish()
+}
+
 /// Sends a request and reads the answer, or the first part of a long one.
 pub(super) async fn exchange(
     sender: &mut SendRequest<RequestBody>, request: Request<RequestBody>, write_progress: &WriteProgress,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -493,10 +493,10 @@
             }
             Outcome::NotSent | Outcome::Cancelled => {}
             Outcome::TimedOut if silent || latency < fair => {} // already counted as a failure, or none
-            Outcome::Full if self.record_rejection(now, k, sent, held) => {}
-            _ => self.record_result(k, class, false, outcome == Outcome::Full, now),
+            _ if outcome.is_rejection() && self.record_rejection(now, k, sent, held) => {}
+            _ => self.record_result(k, class, false, outcome.is_rejection(), now),
         }
-        if outcome == Outcome::Full {
+        if outcome.is_rejection() {
             self.adjust_window(false);
         }
         self.update_open(k, now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -14,7 +14,7 @@
 pub struct BackendId(pub u64);
 
 /// An index into [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ClassId(pub usize);
 
 /// An index into [`Settings::tenants`].
@@ -216,6 +216,9 @@
     Error,
     /// Rejected without being processed, because the server was full.
     Full,
+    /// Rejected like [`Outcome::Full`], but the rejection may have been sent for an earlier request on the connection, so that
+    /// the attempt may have run.
+    FullUnproven,
     /// No answer arrived in time.
     TimedOut,
     /// The connection could not be established.
@@ -233,6 +236,11 @@
     pub fn may_have_run(self) -> bool {
         !matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent)
     }
+
+    /// Whether the server has rejected the attempt because it was full.
+    pub fn is_rejection(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::FullUnproven)
+    }
 }
 
 /// New settings, applied while requests are open.
