Do not use an answer that repeats another one on its connection

What callers saw: a client served with the answer to the request before its own.

Cause: nothing compared an answer with those before it on its connection, so a 200 that a backend sends a second time was served to the next request there.

If it repeats one, in a class whose answers otherwise differ and to another question, the request ends as on a reset and the connection is closed; so does one whose answer began before it was complete.

--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -107,6 +107,11 @@
             Some(Err(_)) | None => Verdict::Proven,
         };
         match answer {
+            // The request ends as on a broken connection, and the connection is closed.
+            Some(Ok(_)) if matches!(verdict, Verdict::Doubtful(_)) => {
+                let may_have_run = write_progress.is_complete();
+                report.finish(if may_have_run { Outcome::Reset } else { Outcome::ConnectFailed }, None);
+            }
             Some(Ok(ResponsePart::Whole(outcome, reply, keep))) => {
                 let outcome = match verdict {
                     Verdict::Unproven => Outcome::FullUnproven,
--- a/crates/sandgap/src/upstream/reuse.rs
+++ b/crates/sandgap/src/upstream/reuse.rs
@@ -62,7 +62,10 @@
         let verdict =
             self.rules.borrow_mut().judge(self.now(), endpoint.number, &mut history, exchange, took);
         drop(history);
-        exchanges.last_request.set(Some(request));
+        match verdict {
+            Verdict::Doubtful(doubt) => self.report(endpoint, exchanges, doubt.name(), Some(request)),
+            Verdict::Proven | Verdict::Unproven => exchanges.last_request.set(Some(request)),
+        }
         verdict
     }
 
