Use connections of a backend that sends unsolicited answers only when they are quiet

What callers saw: answers to other requests and second runs, again and again from the same two or three backends.

Cause: bytes that no request asked for closed the one connection on which they were found and had no other effect. The next request on another connection of that backend went out after the same pause of at most 10 ms.

--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -109,7 +109,9 @@
             }
             if idle.usable_from > Instant::now() {
                 sleep_until(idle.usable_from).await;
-                if !self.is_alive(endpoint, &idle.connection) {
+                // Its backend may have lost trust meanwhile.
+                let is_usable = self.reuse.is_usable(endpoint, &idle.connection);
+                if !is_usable || !self.is_alive(endpoint, &idle.connection) {
                     continue;
                 }
             }
--- a/crates/sandgap/src/upstream/reuse.rs
+++ b/crates/sandgap/src/upstream/reuse.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sandgap_driver::Time;
-use sandgap_driver::reuse::{ConnectionReuse, Exchange, Verdict};
+use sandgap_driver::reuse::{ConnectionReuse, Doubt, Exchange, Verdict};
 use serde_json::json;
 use tokio::time::Instant;
 use wharfhitch::RequestId;
@@ -63,7 +63,7 @@
             self.rules.borrow_mut().judge(self.now(), endpoint.number, &mut history, exchange, took);
         drop(history);
         match verdict {
-            Verdict::Doubtful(doubt) => self.report(endpoint, exchanges, doubt.name(), Some(request)),
+            Verdict::Doubtful(doubt) => self.report_doubt(endpoint, exchanges, request, doubt),
             Verdict::Proven | Verdict::Unproven => exchanges.last_request.set(Some(request)),
         }
         verdict
@@ -92,12 +92,32 @@
         self.idle.add(endpoint.number, idle);
     }
 
-    /// A backend has sent bytes that no request asked for.
+    /// Whether a connection may be used again now.
+    pub(super) fn is_usable(&self, endpoint: &Endpoint, connection: &Connection) -> bool {
+        let (now, history) = (self.now(), connection.exchanges.history.borrow());
+        self.rules.borrow().availability(now, endpoint.number, &history).from <= now
+    }
+
+    /// A backend has sent bytes that no request asked for. If that is news, its idle connections are closed, as they may owe
+    /// such an answer, too.
     pub(super) fn unsolicited(&self, endpoint: &Endpoint, exchanges: &Exchanges) {
+        let history = exchanges.history.borrow();
+        let is_news = self.rules.borrow_mut().record_unsolicited(self.now(), endpoint.number, &history);
+        drop(history);
+        if is_news {
+            self.idle.close(endpoint.number);
+        }
         let is_first = exchanges.history.borrow().answers == 0;
         self.report(endpoint, exchanges, if is_first { "first" } else { "after_answer" }, None);
     }
 
+    fn report_doubt(&self, endpoint: &Endpoint, exchanges: &Exchanges, request: RequestId, doubt: Doubt) {
+        if doubt == Doubt::Repeated {
+            self.idle.close(endpoint.number);
+        }
+        self.report(endpoint, exchanges, doubt.name(), Some(request));
+    }
+
     /// Counts, traces and logs an unsolicited answer, or an answer that may belong to another request than `request`.
     fn report(
         &self, endpoint: &Endpoint, exchanges: &Exchanges, reason: &'static str, request: Option<RequestId>,
