Ask of one backend, and of equal questions apart, whether its answers differ

Seen in a run of the whole suite on the tree before: requests_and_answers_pass_through_unchanged opened two connections for two requests, and no_new_requests_go_to_a_backend_that_is_draining_removed_or_moved was told to try again. Traced: connections waited from the very first answer on, and two backends that each always answer with their own name counted as answers that differ, so that a backend's second equal answer was not used.

Change: answers to equal questions are compared within one backend, those to other questions over all; one comparison is enough; the process's first connection is used at once.

Result: both tests pass (35 of 35 in proxy.rs, once), unsolicited_answers.rs three times of three, 44 tests of sandgap-driver.

--- a/crates/sandgap-driver/src/reuse.rs
+++ b/crates/sandgap-driver/src/reuse.rs
@@ -27,8 +27,6 @@
 /// How long such a backend is distrusted after its latest unsolicited answer: at first, and at most. The time doubles each
 /// time it sends one after it was trusted again.
 const DISTRUST: (Duration, Duration) = (Duration::from_secs(60), Duration::from_secs(960));
-/// Answers of a class that have to be compared before it is known whether they differ.
-const MIN_COMPARED: u32 = 1;
 /// Equal answers are unusual in a class if there are at least this many different ones for each.
 const DIFFERENT_PER_EQUAL: u32 = 64;
 /// Answers of one connection that are compared with later ones, at most. A connection with more of them within the required
@@ -72,7 +70,7 @@
 pub enum Doubt {
     /// It began before the request was complete.
     Early,
-    /// It repeats a recent answer on the connection, of a class whose answers differ.
+    /// It repeats a recent answer on the connection, where answers differ.
     Repeated,
     /// The backend has sent an unsolicited answer on another connection meanwhile.
     Distrusted,
@@ -114,6 +112,7 @@
 #[derive(Clone, Copy, Debug)]
 struct RecentBody {
     at: Time,
+    class: ClassId,
     body: u64,
     question: u64,
 }
@@ -126,7 +125,7 @@
     /// Answers received so far.
     pub answers: u32,
     last: Option<LastAnswer>,
-    /// Bodies of classes whose answers differ, the latest last.
+    /// Bodies of the answers within the required quiet time, the latest last.
     recent: VecDeque<RecentBody>,
     /// Whether the connection had been quiet for long enough when the present request was sent.
     was_quiet: bool,
@@ -161,48 +160,38 @@
     quiet: Duration,
 }
 
-/// The latest answer of a class.
+/// An answer with which the next one is compared.
 #[derive(Clone, Copy, Debug)]
 struct LastBody {
+    at: Time,
     body: u64,
     question: u64,
     connection: u64,
 }
 
-/// How much the answers of a class differ from one another.
+/// How often an answer differed from the one before.
 #[derive(Clone, Copy, Debug, Default)]
-struct AnswerVariety {
-    last: Option<LastBody>,
-    /// Answers that differed from the one before.
+struct Variety {
     different: u32,
-    /// Answers to another question that were equal to the one before.
     equal: u32,
-    /// Equal questions have had equal answers.
-    has_equal_answers_to_equal_questions: bool,
 }
 
-impl AnswerVariety {
-    /// Whether enough answers have been compared.
-    fn is_known(&self) -> bool {
-        self.different + self.equal >= MIN_COMPARED
+impl Variety {
+    fn is_known(self) -> bool {
+        self.different + self.equal > 0
     }
 
-    /// Whether an equal answer to another question would be unusual.
-    fn is_distinctive(&self) -> bool {
+    /// Whether an equal answer would be unusual.
+    fn is_distinctive(self) -> bool {
         self.is_known() && self.equal.saturating_mul(DIFFERENT_PER_EQUAL) <= self.different
     }
 
-    /// Records a body. An equal one on the same connection counts only if that had been quiet, as it may be a repeated answer.
-    fn record(&mut self, body: u64, exchange: &Exchange, history: &ConnectionHistory) {
-        let latest = LastBody { body, question: exchange.question, connection: history.number };
-        let Some(before) = self.last.replace(latest) else { return };
-        if before.body != body {
+    /// Compares an answer with the one before. An equal one on the same connection counts only if that had been quiet, as it
+    /// may be a repeated answer.
+    fn compare(&mut self, before: &LastBody, latest: &LastBody, was_quiet: bool) {
+        if before.body != latest.body {
             self.different += 1;
-        } else if before.connection == history.number && !history.was_quiet {
-            return;
-        } else if exchange.is_repeatable && before.question == exchange.question {
-            self.has_equal_answers_to_equal_questions = true;
-        } else {
+        } else if before.connection != latest.connection || was_quiet {
             self.equal += 1;
         }
         if self.different.max(self.equal) >= MAX_COUNT {
@@ -211,6 +200,29 @@
     }
 }
 
+/// How much the answers of a class differ from one another.
+#[derive(Clone, Debug, Default)]
+struct AnswerVariety {
+    /// The latest answer of any backend.
+    last: Option<LastBody>,
+    /// Answers to different questions, of all backends together.
+    other_question: Variety,
+    /// Answers of one backend to the same question.
+    same_question: Variety,
+}
+
+impl AnswerVariety {
+    fn is_known(&self) -> bool {
+        self.other_question.is_known() || self.same_question.is_known()
+    }
+
+    /// Whether an equal answer would be unusual. Where answers to the same question differ, others do, too.
+    fn is_distinctive(&self, is_same_question: bool) -> bool {
+        let is_other_known = !is_same_question && self.other_question.is_known();
+        if is_other_known { self.other_question } else { self.same_question }.is_distinctive()
+    }
+}
+
 /// When a connection may be used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Availability {
@@ -227,6 +239,8 @@
     distrusted: FxHashMap<u64, Distrust>,
     /// Bounded by the number of classes.
     varieties: FxHashMap<ClassId, AnswerVariety>,
+    /// The latest answer of each backend and class; old ones are removed.
+    last_bodies: FxHashMap<(u64, ClassId), LastBody>,
 }
 
 impl ConnectionReuse {
@@ -276,7 +290,12 @@
         }
         history.answers += 1;
         let behind_until = match exchange.answer {
-            AnswerKind::Success(body) if self.record_body(now, history, body, &exchange) => now,
+            // The first connection is used at once, so that requests one after another need only one.
+            AnswerKind::Success(body)
+                if self.record_body(now, endpoint, history, body, &exchange) || history.number == 1 =>
+            {
+                now
+            }
             AnswerKind::Success(_) => now + QUIET,
             _ if !history.was_quiet => exchange.until.max(now) + QUIET,
             AnswerKind::LongSuccess => now + QUIET,
@@ -303,26 +322,34 @@
         }
     }
 
-    /// Whether an answer has the body of a recent one on its connection. That is usual only if the question is the same, too,
-    /// in a class where such answers are known to be equal.
+    /// Whether an answer has the body of a recent one on its connection, where answers are known to differ.
     fn is_repeated(&self, history: &ConnectionHistory, exchange: &Exchange) -> bool {
         let AnswerKind::Success(body) = exchange.answer else { return false };
-        let variety = self.varieties.get(&exchange.class);
-        let may_repeat =
-            exchange.is_repeatable && variety.is_some_and(|v| v.has_equal_answers_to_equal_questions);
-        let is_usual = |recent: &RecentBody| may_repeat && recent.question == exchange.question;
-        history.recent.iter().any(|recent| recent.body == body && !is_usual(recent))
+        let is_unusual = |recent: &RecentBody| {
+            let is_same_question = exchange.is_repeatable && recent.question == exchange.question;
+            self.varieties.get(&recent.class).is_some_and(|variety| variety.is_distinctive(is_same_question))
+        };
+        history.recent.iter().any(|recent| recent.body == body && is_unusual(recent))
     }
 
     /// Records the body of an answer, for comparison with others of its class and with later ones on its connection. Returns
     /// whether it is known how much answers of that class differ.
     fn record_body(
-        &mut self, now: Time, history: &mut ConnectionHistory, body: u64, exchange: &Exchange,
+        &mut self, now: Time, endpoint: u64, history: &mut ConnectionHistory, body: u64, exchange: &Exchange,
     ) -> bool {
+        let question = exchange.question;
+        if history.recent.len() < MAX_RECENT {
+            history.recent.push_back(RecentBody { at: now, class: exchange.class, body, question });
+        }
+        let latest = LastBody { at: now, body, question, connection: history.number };
         let variety = self.varieties.entry(exchange.class).or_default();
-        variety.record(body, exchange, history);
-        if variety.is_distinctive() && history.recent.len() < MAX_RECENT {
-            history.recent.push_back(RecentBody { at: now, body, question: exchange.question });
+        let is_same_question = |before: &LastBody| exchange.is_repeatable && before.question == question;
+        if let Some(before) = variety.last.replace(latest).filter(|before| !is_same_question(before)) {
+            variety.other_question.compare(&before, &latest, history.was_quiet);
+        }
+        let before = self.last_bodies.insert((endpoint, exchange.class), latest);
+        if let Some(before) = before.filter(is_same_question) {
+            variety.same_question.compare(&before, &latest, history.was_quiet);
         }
         variety.is_known()
     }
@@ -343,9 +370,10 @@
         before.is_none_or(|before| now >= before.until || before.quiet < quiet)
     }
 
-    /// Forgets backends that have been trusted again for long.
+    /// Forgets backends that have been trusted again for long, and old answers.
     pub fn prune(&mut self, now: Time) {
         self.distrusted.retain(|_, distrust| now < distrust.until + DISTRUST.1);
+        self.last_bodies.retain(|_, last| now < last.at + DISTRUST.0);
     }
 }
 
