--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -333,15 +333,19 @@
     /// Records that versions went backwards. Without the count, a service that mixes two lists would be called again
     /// and again by each proxy.
     fn record_regression(&mut self) {
-        let is_calm = self.regressed_at.is_none_or(|at| at.elapsed() >= REGRESSION_RESET);
-        self.regressions = if is_calm { 1 } else { self.regressions.saturating_add(1) };
+        self.regressions = self.recent_regressions().saturating_add(1);
         self.regressed_at = Some(Instant::now());
     }
 
+    /// How often versions went backwards, 0 if they have not for a while.
+    fn recent_regressions(&self) -> u32 {
+        let is_calm = self.regressed_at.is_none_or(|at| at.elapsed() >= REGRESSION_RESET);
+        if is_calm { 0 } else { self.regressions }
+    }
+
     /// Wait between two calls where each costs discovery something; it grows while versions keep going backwards.
     fn backoff(&self) -> Duration {
-        let is_calm = self.regressed_at.is_none_or(|at| at.elapsed() >= REGRESSION_RESET);
-        let doublings = if is_calm { 0 } else { self.regressions.min(MAX_DOUBLINGS) };
+        let doublings = self.recent_regressions().min(MAX_DOUBLINGS);
         (BACKOFF.0 * 2u32.pow(doublings)).min(BACKOFF.1)
     }
 
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -19,8 +19,8 @@
 use crate::discovery;
 use crate::drains::Drains;
 use crate::event::{
-    Answer, AnswerBy, Arrival, Attempt, BackendPool, Endpoint, Exchange, Input, InputSender, Lease, Reply,
-    Report, StatusQuery, StatusReply,
+    Answer, AnswerBy, Arrival, Attempt, BackendPool, Endpoint, Exchange, Host, Input, InputSender, Lease,
+    Reply, Report, StatusQuery, StatusReply,
 };
 use crate::limit_report::LimitReport;
 use crate::note;
@@ -284,6 +284,13 @@
         self.start.elapsed()
     }
 
+    /// Marks backends of a list that are drained by hand.
+    fn apply_drains(&mut self, scope: Scope, hosts: &mut [Host]) {
+        if let Some(drains) = &mut self.drains {
+            drains.apply_to_list(scope, hosts);
+        }
+    }
+
     fn handle(&mut self, input: Input) {
         let now = self.now();
         match input {
@@ -332,15 +339,11 @@
             Input::Change(change) => self.core.change(now, *change),
             Input::DiscoveryAlive => self.core.discovery_alive(now),
             Input::List(scope, mut hosts) => {
-                if let Some(drains) = &mut self.drains {
-                    drains.apply_to_list(scope, &mut hosts);
-                }
+                self.apply_drains(scope, &mut hosts);
                 self.core.list(now, scope, hosts);
             }
             Input::UncertainList(scope, mut hosts) => {
-                if let Some(drains) = &mut self.drains {
-                    drains.apply_to_list(scope, &mut hosts);
-                }
+                self.apply_drains(scope, &mut hosts);
                 self.core.uncertain_list(now, scope, hosts);
             }
             Input::PreviousList(hosts) => {
