Rename the records of the rule checker to the terms of the field

Change, in sandgap-rules and its users: Ran{Perhaps, Never} -> AttemptEnd{MayHaveRun, NotProcessed}; End::{Crossed, Silent} -> {ClosedBeforeResponse, NoResponse}; Stream -> StreamingChecker with submitted, finished, attempt_received, attempt_ended, health_told, backend_overloaded; module stream -> streaming_checker. Left: Sent, Acted, Outs, two rules of the verdict, and the lists of rig and lab.

--- a/crates/sandgap-lab/src/fleet.rs
+++ b/crates/sandgap-lab/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use sandgap_driver::Endpoint;
-use sandgap_rules::Stream as RuleChecker;
+use sandgap_rules::StreamingChecker as RuleChecker;
 use wharfhitch::{BackendId, Millis, Outcome as AttemptOutcome};
 
 use crate::calendar::{Calendar, MS, Nanos, SECOND, nanos};
--- a/crates/sandgap-lab/src/fleet/attempts.rs
+++ b/crates/sandgap-lab/src/fleet/attempts.rs
@@ -3,7 +3,7 @@
 use rand::RngExt;
 use sandgap_driver::permit::Violation;
 use sandgap_driver::{Answer, Attempt};
-use sandgap_rules::{End, Ran, Sent};
+use sandgap_rules::{AttemptEnd, End, Sent};
 use wharfhitch::RequestId;
 
 use super::{
@@ -161,7 +161,7 @@
             told: None,
             ran: None,
         };
-        self.rules.came(request, sent);
+        self.rules.attempt_received(request, sent);
         self.measures.attempts += 1;
         self.measures.crossings += u64::from(crosses);
         self.trace_line(now, request, || format!("attempt {n} goes to server {s}"));
@@ -184,11 +184,13 @@
         state.in_transit -= 1;
         let fails = matches!(state.mode, Mode::Errors(part) if self.choices_rng.random::<f64>() < part);
         match state.mode {
-            _ if !state.running => self.attempt_done(now, n, Ran::Never, Some(AttemptOutcome::Reset)),
-            _ if fails => self.attempt_done(now, n, Ran::Perhaps, Some(AttemptOutcome::Error)),
-            Mode::Hang | Mode::BlackHole => self.attempt_done(now, n, Ran::Perhaps, None),
+            _ if !state.running => {
+                self.attempt_done(now, n, AttemptEnd::NotProcessed, Some(AttemptOutcome::Reset))
+            }
+            _ if fails => self.attempt_done(now, n, AttemptEnd::MayHaveRun, Some(AttemptOutcome::Error)),
+            Mode::Hang | Mode::BlackHole => self.attempt_done(now, n, AttemptEnd::MayHaveRun, None),
             Mode::ResetBefore | Mode::Refuse => {
-                self.attempt_done(now, n, Ran::Never, Some(AttemptOutcome::ConnectFailed))
+                self.attempt_done(now, n, AttemptEnd::NotProcessed, Some(AttemptOutcome::ConnectFailed))
             }
             Mode::Normal | Mode::Errors(_) | Mode::ResetAfter => {
                 if state.mode == Mode::ResetAfter {
@@ -196,10 +198,12 @@
                 }
                 match state.server.take(now, n, work) {
                     Taken::In => self.schedule_completion(now, s),
-                    Taken::Full => self.attempt_done(now, n, Ran::Never, Some(AttemptOutcome::Full)),
+                    Taken::Full => {
+                        self.attempt_done(now, n, AttemptEnd::NotProcessed, Some(AttemptOutcome::Full))
+                    }
                     Taken::Falls => {
-                        self.attempt_done(now, n, Ran::Perhaps, Some(AttemptOutcome::Reset));
-                        self.rules.fell(s as u16, micros(now));
+                        self.attempt_done(now, n, AttemptEnd::MayHaveRun, Some(AttemptOutcome::Reset));
+                        self.rules.backend_overloaded(s as u16, micros(now));
                         self.measures.fallen += 1;
                         self.end_server(now, s);
                     }
@@ -227,7 +231,7 @@
         server.done(now, &mut done);
         for n in done.drain(..) {
             let served = self.attempts.get(n).is_some_and(|a| a.outcome == AttemptOutcome::Served);
-            let ran = if served { Ran::Answered } else { Ran::Perhaps };
+            let ran = if served { AttemptEnd::Answered } else { AttemptEnd::MayHaveRun };
             self.attempt_done(
                 now,
                 n,
@@ -246,15 +250,16 @@
         state.running = false;
         let mut held = Vec::new();
         state.server.clear(now, &mut held);
-        held.into_iter().for_each(|n| self.attempt_done(now, n, Ran::Perhaps, Some(AttemptOutcome::Reset)));
+        held.into_iter()
+            .for_each(|n| self.attempt_done(now, n, AttemptEnd::MayHaveRun, Some(AttemptOutcome::Reset)));
         self.update_truth(s);
     }
 
     /// An attempt has ended at its server. The proxy learns of `outcome`, or of nothing where it is `None`.
-    fn attempt_done(&mut self, now: Nanos, n: u32, ran: Ran, outcome: Option<AttemptOutcome>) {
+    fn attempt_done(&mut self, now: Nanos, n: u32, ran: AttemptEnd, outcome: Option<AttemptOutcome>) {
         let Some(a) = self.attempts.get_mut(n) else { return };
         a.finished = true;
-        self.rules.over(a.request, n, micros(now), ran);
+        self.rules.attempt_ended(a.request, n, micros(now), ran);
         let (request, told) = (a.request, a.reported);
         match outcome.filter(|_| !told) {
             Some(outcome) => {
--- a/crates/sandgap-lab/src/fleet/client.rs
+++ b/crates/sandgap-lab/src/fleet/client.rs
@@ -120,7 +120,7 @@
         let number =
             self.requests.add(PendingRequest { task, proxy: p as u16, process, deadline, read: false });
         self.measures.requests += 1;
-        self.rules.asked(number, effect, process, micros(now), micros(deadline));
+        self.rules.submitted(number, effect, process, micros(now), micros(deadline));
         self.trace_line(now, number, || {
             format!("task {} sent to proxy {p} (process {process})", task.number)
         });
@@ -172,7 +172,7 @@
         let Some(r) = self.requests.get(number) else { return };
         let (p, process, read) = (r.proxy, r.process, r.read);
         let gave_up = now > r.deadline;
-        let (end, ended) = if gave_up { (End::Silent, Ended::Lost) } else { (End::Left, Ended::Left) };
+        let (end, ended) = if gave_up { (End::NoResponse, Ended::Lost) } else { (End::Left, Ended::Left) };
         self.end_request(now, number, end, ended, None);
         if read {
             self.client_gone(now, p, process, number);
@@ -197,7 +197,7 @@
         &mut self, now: Nanos, number: u32, end: End, ended: Ended, after: Option<f64>,
     ) {
         let Some(r) = self.requests.remove(number) else { return };
-        self.rules.got(number, micros(now), end);
+        self.rules.finished(number, micros(now), end);
         self.trace_line(now, number, || format!("{end:?}"));
         self.end_try(now, r.task, ended, after);
     }
--- a/crates/sandgap-lab/src/fleet/discovery.rs
+++ b/crates/sandgap-lab/src/fleet/discovery.rs
@@ -76,7 +76,7 @@
         let hosts = entries.iter().map(|(s, health)| self.host(*s, health)).collect();
         // A server that is missing from the list has left; the checker records that too.
         for (i, _) in self.servers.iter().enumerate().filter(|(_, s)| s.health == "removed") {
-            self.rules.told(self.proxies[usize::from(p)].process, i as u16, false, micros(now));
+            self.rules.health_told(self.proxies[usize::from(p)].process, i as u16, false, micros(now));
         }
         self.give_list(now, p, scope, &entries, hosts);
     }
@@ -110,7 +110,7 @@
     ) {
         let proxy = &mut self.proxies[usize::from(p)];
         for (s, health) in entries {
-            self.rules.told(proxy.process, *s as u16, *health == "up", micros(now));
+            self.rules.health_told(proxy.process, *s as u16, *health == "up", micros(now));
         }
         let mut scope = scope;
         if self.experiment.fleet.defect == Some(Defect::IgnoresDrains) {
--- a/crates/sandgap-lab/src/fleet/events.rs
+++ b/crates/sandgap-lab/src/fleet/events.rs
@@ -1,7 +1,7 @@
 //! The event loop, and the fault actions.
 
 use rand::RngExt;
-use sandgap_rules::{End, Ran};
+use sandgap_rules::{AttemptEnd, End};
 
 use super::{
     EXPIRY_INTERVAL, Event, Fleet, LATE_ANSWER_WAIT, MS, Mode, Nanos, RunError, STOP_DELAY, StepAction,
@@ -29,12 +29,14 @@
         }
         let waiting: Vec<u32> = self.requests.iter().map(|(n, _)| n).collect();
         for n in waiting {
-            self.end_request(horizon, n, End::Silent, Ended::Lost, None);
+            self.end_request(horizon, n, End::NoResponse, Ended::Lost, None);
         }
         // Attempts that are still in progress may or may not have run.
         let running: Vec<(u32, u32)> =
             self.attempts.iter().filter(|(_, a)| !a.finished).map(|(n, a)| (n, a.request)).collect();
-        running.into_iter().for_each(|(n, r)| self.rules.over(r, n, micros(horizon), Ran::Perhaps));
+        running
+            .into_iter()
+            .for_each(|(n, r)| self.rules.attempt_ended(r, n, micros(horizon), AttemptEnd::MayHaveRun));
         Ok(())
     }
 
--- a/crates/sandgap-lab/src/fleet/setup.rs
+++ b/crates/sandgap-lab/src/fleet/setup.rs
@@ -5,7 +5,7 @@
 
 use rand::{Rng, RngExt};
 use sandgap_driver::Core;
-use sandgap_rules::{Stream as RuleChecker, Terms};
+use sandgap_rules::{StreamingChecker as RuleChecker, Terms};
 use wharfhitch::settings::{Names, number_of};
 use wharfhitch::{BackendId, Balancer, Scope};
 
--- a/crates/sandgap-rig/src/backend.rs
+++ b/crates/sandgap-rig/src/backend.rs
@@ -15,7 +15,7 @@
 use crate::machine::{Admission, Machine};
 use crate::schedule::{CELL, Mode, SecondAnswers};
 use crate::world::World;
-use sandgap_rules::{Ran, Record, Writer};
+use sandgap_rules::{AttemptEnd, Record, Writer};
 
 /// Largest number of connections that fill the accept queue of a black hole.
 const MAX_FILLERS: usize = 4;
@@ -235,7 +235,7 @@
             told: message.header("x-timeout").and_then(parse_seconds),
         };
         world.record(Writer::Backends, received);
-        let guard = AttemptGuard { world, attempt, ran: Cell::new(Ran::Perhaps) };
+        let guard = AttemptGuard { world, attempt, ran: Cell::new(AttemptEnd::MayHaveRun) };
         let Some(request) = request else {
             return peer.conn.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await.is_ok();
         };
@@ -271,7 +271,7 @@
                 return false;
             }
             Admission::Rejected => {
-                guard.ran.set(Ran::Never);
+                guard.ran.set(AttemptEnd::NotProcessed);
                 return peer.conn.write(REJECTION.as_bytes()).await.is_ok();
             }
             Admission::Done(at) => {
@@ -292,7 +292,7 @@
             }
             _ => {
                 // Recorded before the write, since the client may have the bytes before this task runs again.
-                guard.ran.set(Ran::Answered);
+                guard.ran.set(AttemptEnd::Answered);
                 drop(guard);
                 peer.answer(mode, request, attempt).await.is_ok()
             }
@@ -367,7 +367,7 @@
 struct AttemptGuard<'a> {
     world: &'a World,
     attempt: u32,
-    ran: Cell<Ran>,
+    ran: Cell<AttemptEnd>,
 }
 
 impl Drop for AttemptGuard<'_> {
--- a/crates/sandgap-rig/src/client.rs
+++ b/crates/sandgap-rig/src/client.rs
@@ -206,7 +206,7 @@
         if end.1 {
             front.keep_idle(proxy, conn);
         }
-        if end.0 != End::Crossed {
+        if end.0 != End::ClosedBeforeResponse {
             let took = (at + (r.timeout_ms * 1000.0) as Micros).saturating_sub(deadline);
             let aim = (world.plan.classes[r.class].aim_ms * 1000.0) as Micros;
             front.count_end(proxy, end.0, took, aim);
@@ -245,8 +245,8 @@
     let until = leaves.map_or(patience, |l| l.min(patience));
     match timeout_at(until, conn.answer(&world.clock)).await {
         Err(_) if until < patience => (End::Left, false),
-        Err(_) => (End::Silent, false),
-        Ok(Err(ReadError::Ended)) if used => (End::Crossed, false),
+        Err(_) => (End::NoResponse, false),
+        Ok(Err(ReadError::Ended)) if used => (End::ClosedBeforeResponse, false),
         Ok(Err(_)) => (End::Broken, false),
         Ok(Ok(answer)) => {
             let keep = answer.header("connection") != Some("close");
--- a/crates/sandgap-rules/src/checker.rs
+++ b/crates/sandgap-rules/src/checker.rs
@@ -7,7 +7,7 @@
 
 use crate::Micros;
 use crate::latencies::Latencies;
-use crate::record::{Effect, End, Ran, Rule, Verdict};
+use crate::record::{AttemptEnd, Effect, End, Rule, Verdict};
 
 /// By how much the time passed on to a backend may exceed what the client has left, by the operators' terms, µs.
 const TOLD_SLACK: Micros = 150_000;
@@ -59,7 +59,7 @@
     /// The remaining time that the proxy passed on to the backend, if it did.
     pub told: Option<Micros>,
     /// How it ended at the backend, if it has.
-    pub ran: Option<Ran>,
+    pub ran: Option<AttemptEnd>,
 }
 
 /// Everything observed of one request.
@@ -91,7 +91,7 @@
 
 impl ProxyHistory {
     /// A proxy was told whether a backend may receive new requests.
-    pub fn told(&mut self, proxy: u16, backend: u16, up: bool, at: Micros) {
+    pub fn health_told(&mut self, proxy: u16, backend: u16, up: bool, at: Micros) {
         let all = self.told.entry((proxy, backend)).or_default();
         if all.last().is_none_or(|l| l.1 != up) {
             all.push((at, up));
@@ -147,7 +147,7 @@
     }
 
     /// A cold backend failed from overload.
-    pub fn fell(&mut self, backend: u16, at: Micros) {
+    pub fn backend_overloaded(&mut self, backend: u16, at: Micros) {
         let what = format!("backend {backend} was overloaded while cold at {:.3} s", at as f64 / 1e6);
         self.verdict.broken(Rule::NoColdPushedOver, None, what);
     }
@@ -229,7 +229,7 @@
             End::Refused => g.refused += 1,
             End::Failed => g.failed += 1,
             End::Left => g.left += 1,
-            End::Broken | End::Silent | End::Crossed => {}
+            End::Broken | End::NoResponse | End::ClosedBeforeResponse => {}
         }
         let breach = match end {
             End::Served(_) | End::Refused | End::Failed if late => {
@@ -238,21 +238,21 @@
             }
             End::Served(stamp) => {
                 self.latencies.add(at - a.at);
-                let made_by = |s: &Sent| Some(s.number) == stamp && s.ran == Some(Ran::Answered);
+                let made_by = |s: &Sent| Some(s.number) == stamp && s.ran == Some(AttemptEnd::Answered);
                 if h.sent.iter().any(made_by) {
                     return;
                 }
                 lost("served with a response that no backend made for it")
             }
-            End::Broken | End::Silent
+            End::Broken | End::NoResponse
                 if self.was_killed(a) || self.unavailable_time(a.proxy, a.at, at) > 0 =>
             {
                 self.verdict.figures.excused += 1;
                 return;
             }
             End::Broken => lost("its connection ended without a response"),
-            End::Silent => lost("no response"),
-            End::Crossed => {
+            End::NoResponse => lost("no response"),
+            End::ClosedBeforeResponse => {
                 // If a backend received the request, the proxy had read it and has lost it.
                 let until = next.unwrap_or(at);
                 let read = |s: &Sent| s.proxy == a.proxy && s.first >= a.at && s.first < until;
@@ -303,7 +303,7 @@
             submission.filter(|a| self.was_killed(a)).map(|a| a.at)
         };
         let mut groups: BTreeMap<Option<Micros>, Vec<&Sent>> = BTreeMap::new();
-        let ran = sent.iter().filter(|s| s.ran != Some(Ran::Never));
+        let ran = sent.iter().filter(|s| s.ran != Some(AttemptEnd::NotProcessed));
         ran.for_each(|s| groups.entry(killed_submission(s)).or_default().push(s));
         let own = groups.get(&None).is_some_and(|g| !g.is_empty());
         if refused && h.effect != Effect::Safe && own {
--- a/crates/sandgap-rules/src/ledger.rs
+++ b/crates/sandgap-rules/src/ledger.rs
@@ -115,11 +115,11 @@
                 None => verdict.incomplete(format!("attempt {attempt} ended and was never received")),
             },
             Record::HealthTold { proxy, backend, up, at } => {
-                self.checker.proxies.told(proxy, backend, up, at)
+                self.checker.proxies.health_told(proxy, backend, up, at)
             }
             Record::ProxyKilled { proxy, at } => self.checker.proxies.killed(proxy, at),
             Record::ProxyPaused { proxy, from, to } => self.checker.proxies.paused(proxy, from, to),
-            Record::BackendOverloaded { backend, at } => self.checker.fell(backend, at),
+            Record::BackendOverloaded { backend, at } => self.checker.backend_overloaded(backend, at),
         }
     }
 }
--- a/crates/sandgap-rules/src/ledger/tests.rs
+++ b/crates/sandgap-rules/src/ledger/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::Micros;
-use crate::record::{End, Ran};
+use crate::record::{AttemptEnd, End};
 
 const MS: Micros = 1000;
 
@@ -37,7 +37,7 @@
         self.put(Writer::Clients, Record::Finished { request, at, end });
     }
 
-    fn received(&mut self, attempt: u32, request: u32, backend: u16, at: Micros, ran: Option<Ran>) {
+    fn received(&mut self, attempt: u32, request: u32, backend: u16, at: Micros, ran: Option<AttemptEnd>) {
         let cell = backend / 2;
         let request = Some(request);
         let received = Record::AttemptReceived {
@@ -78,7 +78,7 @@
 const KEYED: Effect = Effect::Keyed(2500 * MS);
 
 /// One request, with its first attempt at backend 0 at 10 ms.
-fn one(effect: Effect, ran: Ran) -> Case {
+fn one(effect: Effect, ran: AttemptEnd) -> Case {
     let mut case = Case::new(&[effect]);
     case.submit(0, 0);
     case.received(0, 0, 0, 10 * MS, Some(ran));
@@ -87,7 +87,7 @@
 
 #[test]
 fn a_request_served_in_time_with_a_response_of_a_backend_breaks_no_rule() {
-    let mut case = one(Effect::Unsafe, Ran::Answered);
+    let mut case = one(Effect::Unsafe, AttemptEnd::Answered);
     case.finished(0, 1050 * MS, End::Served(Some(0)));
     let verdict = case.check();
     assert!(verdict.passes() && verdict.figures.served == 1, "{verdict}");
@@ -101,19 +101,19 @@
         (20 * MS, End::Served(None)),
         (20 * MS, End::Served(Some(7))),
         (20 * MS, End::Broken),
-        (2000 * MS, End::Silent),
-        (20 * MS, End::Crossed), // the proxy had read the request
+        (2000 * MS, End::NoResponse),
+        (20 * MS, End::ClosedBeforeResponse), // the proxy had read the request
     ] {
-        let mut case = one(Effect::Safe, Ran::Answered);
+        let mut case = one(Effect::Safe, AttemptEnd::Answered);
         case.finished(0, at, end);
         assert_eq!(case.broken(), [Rule::NoRequestLost], "{end:?} at {at}");
     }
-    let mut case = one(Effect::Safe, Ran::Answered);
+    let mut case = one(Effect::Safe, AttemptEnd::Answered);
     case.finished(0, 20 * MS, End::Served(Some(0)));
     case.finished(0, 30 * MS, End::Served(Some(0)));
     assert_eq!(case.broken(), [Rule::NoRequestLost]);
     // A part of an answer is not a response that a backend made.
-    let mut case = one(Effect::Safe, Ran::Perhaps);
+    let mut case = one(Effect::Safe, AttemptEnd::MayHaveRun);
     case.finished(0, 20 * MS, End::Served(Some(0)));
     assert_eq!(case.broken(), [Rule::NoRequestLost]);
 }
@@ -121,9 +121,9 @@
 #[test]
 fn no_attempt_may_start_after_the_answer() {
     for (at, broken) in [(80 * MS, false), (81 * MS + 1, true)] {
-        let mut case = one(Effect::Safe, Ran::Answered);
+        let mut case = one(Effect::Safe, AttemptEnd::Answered);
         case.finished(0, 31 * MS, End::Served(Some(0)));
-        case.received(1, 0, 1, at, Some(Ran::Answered));
+        case.received(1, 0, 1, at, Some(AttemptEnd::Answered));
         assert_eq!(!case.broken().is_empty(), broken, "{at}");
     }
 }
@@ -131,9 +131,9 @@
 #[test]
 fn no_attempt_may_start_after_the_client_has_left() {
     for (at, broken) in [(170 * MS, false), (171 * MS, true)] {
-        let mut case = one(Effect::Safe, Ran::Never);
+        let mut case = one(Effect::Safe, AttemptEnd::NotProcessed);
         case.finished(0, 20 * MS, End::Left);
-        case.received(1, 0, 1, at, Some(Ran::Answered));
+        case.received(1, 0, 1, at, Some(AttemptEnd::Answered));
         assert_eq!(case.broken() == [Rule::NoRequestLost], broken, "{at}");
     }
 }
@@ -145,7 +145,7 @@
         case.told(0, false, 100 * MS);
         case.put(Writer::Runner, Record::ProxyPaused { proxy: 0, from: 90 * MS, to: 1500 * MS });
         case.submit(0, 800 * MS);
-        case.received(0, 0, 0, at, Some(Ran::Answered));
+        case.received(0, 0, 0, at, Some(AttemptEnd::Answered));
         case.finished(0, at + 10 * MS, End::Served(Some(0)));
         assert_eq!(case.broken() == [Rule::DrainsKept], broken, "{at}");
     }
@@ -154,16 +154,16 @@
 #[test]
 fn a_request_that_may_have_run_is_repeated_only_as_its_class_allows() {
     for (effect, first, backend, at, broken) in [
-        (Effect::Safe, Ran::Perhaps, 3, 100 * MS, false),
-        (Effect::Unsafe, Ran::Never, 3, 100 * MS, false),
-        (Effect::Unsafe, Ran::Perhaps, 3, 100 * MS, true),
-        (KEYED, Ran::Perhaps, 1, 100 * MS, false),
-        (KEYED, Ran::Perhaps, 2, 100 * MS, true),
-        (KEYED, Ran::Never, 2, 100 * MS, false),
-        (KEYED, Ran::Perhaps, 1, 2600 * MS, true),
+        (Effect::Safe, AttemptEnd::MayHaveRun, 3, 100 * MS, false),
+        (Effect::Unsafe, AttemptEnd::NotProcessed, 3, 100 * MS, false),
+        (Effect::Unsafe, AttemptEnd::MayHaveRun, 3, 100 * MS, true),
+        (KEYED, AttemptEnd::MayHaveRun, 1, 100 * MS, false),
+        (KEYED, AttemptEnd::MayHaveRun, 2, 100 * MS, true),
+        (KEYED, AttemptEnd::NotProcessed, 2, 100 * MS, false),
+        (KEYED, AttemptEnd::MayHaveRun, 1, 2600 * MS, true),
     ] {
         let mut case = one(effect, first);
-        case.received(1, 0, backend, at, Some(Ran::Answered));
+        case.received(1, 0, backend, at, Some(AttemptEnd::Answered));
         case.finished(0, 120 * MS, End::Left);
         assert_eq!(!case.broken().is_empty(), broken, "{effect:?} {first:?} {backend} {at}");
     }
@@ -172,10 +172,10 @@
 #[test]
 fn a_refused_request_must_not_have_run_unless_it_is_safe() {
     for (effect, ran, broken) in [
-        (Effect::Safe, Ran::Perhaps, false),
-        (Effect::Unsafe, Ran::Never, false),
-        (Effect::Unsafe, Ran::Perhaps, true),
-        (KEYED, Ran::Perhaps, true),
+        (Effect::Safe, AttemptEnd::MayHaveRun, false),
+        (Effect::Unsafe, AttemptEnd::NotProcessed, false),
+        (Effect::Unsafe, AttemptEnd::MayHaveRun, true),
+        (KEYED, AttemptEnd::MayHaveRun, true),
     ] {
         let mut case = one(effect, ran);
         case.finished(0, 50 * MS, End::Refused);
@@ -195,7 +195,7 @@
         case.told(0, false, 900 * MS); // a repeated drain does not restart the grace
         case.told(0, true, 2000 * MS);
         case.submit(0, at * MS);
-        case.received(0, 0, 0, at * MS, Some(Ran::Answered));
+        case.received(0, 0, 0, at * MS, Some(AttemptEnd::Answered));
         case.finished(0, (at + 10) * MS, End::Served(Some(0)));
         assert_eq!(case.broken(), if broken { vec![Rule::DrainsKept] } else { vec![] }, "{at}");
     }
@@ -205,7 +205,7 @@
 fn a_proxy_must_not_send_to_a_backend_that_it_was_never_told_of() {
     let mut case = Case::new(&[Effect::Safe]);
     case.submit(0, 0);
-    case.received(0, 0, 9, 10 * MS, Some(Ran::Answered));
+    case.received(0, 0, 9, 10 * MS, Some(AttemptEnd::Answered));
     case.finished(0, 20 * MS, End::Served(Some(0)));
     assert_eq!(case.broken(), [Rule::DrainsKept]);
 }
@@ -213,11 +213,11 @@
 #[test]
 fn requests_held_by_a_killed_proxy_are_excused() {
     // The kill and the response race: whichever comes first, the proxy has broken no rule.
-    for end in [End::Broken, End::Crossed, End::Served(Some(0))] {
-        let mut case = one(Effect::Unsafe, Ran::Answered);
+    for end in [End::Broken, End::ClosedBeforeResponse, End::Served(Some(0))] {
+        let mut case = one(Effect::Unsafe, AttemptEnd::Answered);
         case.put(Writer::Runner, Record::ProxyKilled { proxy: 0, at: 15 * MS });
         case.finished(0, 16 * MS, end);
-        if end == End::Crossed {
+        if end == End::ClosedBeforeResponse {
             case.put(
                 Writer::Clients,
                 Record::Submitted { request: 0, proxy: 1, at: 17 * MS, deadline: 1000 * MS },
@@ -235,13 +235,13 @@
             };
             case.put(Writer::Discovery, Record::HealthTold { proxy: 1, backend: 2, up: true, at: 0 });
             case.put(Writer::Backends, received);
-            case.put(Writer::Backends, Record::AttemptEnded { attempt: 1, ran: Ran::Answered });
+            case.put(Writer::Backends, Record::AttemptEnded { attempt: 1, ran: AttemptEnd::Answered });
             case.finished(0, 30 * MS, End::Served(Some(1)));
         }
         assert_eq!(case.broken(), [], "{end:?}");
     }
     // Without a kill the same end is a lost request.
-    let mut case = one(Effect::Unsafe, Ran::Answered);
+    let mut case = one(Effect::Unsafe, AttemptEnd::Answered);
     case.finished(0, 16 * MS, End::Broken);
     assert_eq!(case.broken(), [Rule::NoRequestLost]);
     // A process that started after the kill is not excused by it.
@@ -255,7 +255,7 @@
 #[test]
 fn pauses_and_stalls_extend_time_limits_by_no_more_than_they_took() {
     for (length, broken) in [(300, false), (100, true)] {
-        let mut case = one(Effect::Safe, Ran::Answered);
+        let mut case = one(Effect::Safe, AttemptEnd::Answered);
         case.put(Writer::Runner, Record::ProxyPaused { proxy: 0, from: 500 * MS, to: (500 + length) * MS });
         case.finished(0, 1300 * MS, End::Failed);
         assert_eq!(!case.broken().is_empty(), broken, "{length}");
@@ -269,7 +269,7 @@
         case.ledger.lose_every = lose_every;
         for r in 0..50 {
             case.submit(r, 0);
-            case.received(r, r, 0, 10 * MS, Some(Ran::Answered));
+            case.received(r, r, 0, 10 * MS, Some(AttemptEnd::Answered));
             case.finished(r, 20 * MS, End::Served(Some(r)));
         }
         case.check()
@@ -297,6 +297,6 @@
     case.put(Writer::Backends, Record::BackendOverloaded { backend: 3, at: 7 });
     assert_eq!(case.broken(), [Rule::NoColdPushedOver]);
     let mut case = Case::new(&[Effect::Safe]);
-    case.received(0, 0, 0, 10 * MS, Some(Ran::Answered));
+    case.received(0, 0, 0, 10 * MS, Some(AttemptEnd::Answered));
     assert_eq!(case.broken(), [Rule::NoRequestLost]);
 }
--- a/crates/sandgap-rules/src/record.rs
+++ b/crates/sandgap-rules/src/record.rs
@@ -31,22 +31,22 @@
     /// The connection ended without a response or within one.
     Broken,
     /// No response had arrived when the client stopped waiting, well past its deadline.
-    Silent,
+    NoResponse,
     /// The client left before the response.
     Left,
     /// A reused connection was closed before a byte of the response arrived: the client may send the request again.
-    Crossed,
+    ClosedBeforeResponse,
 }
 
 /// How an attempt ended at its backend.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ran {
+pub enum AttemptEnd {
     /// The whole response was written.
     Answered,
     /// It ran, or has to be assumed to have run: failed, cut off, reset or hung.
-    Perhaps,
+    MayHaveRun,
     /// Rejected without processing, with a response that says so.
-    Never,
+    NotProcessed,
 }
 
 /// An observation.
@@ -96,7 +96,7 @@
         /// The attempt.
         attempt: u32,
         /// Whether it ran.
-        ran: Ran,
+        ran: AttemptEnd,
     },
     /// Discovery has told a proxy the health of a backend.
     HealthTold {
--- a/crates/sandgap-rules/src/streaming_checker.rs
+++ b/crates/sandgap-rules/src/streaming_checker.rs
@@ -8,14 +8,14 @@
 use crate::Micros;
 use crate::checker::{Checker, History, Sent, Submission, Terms};
 use crate::limits::{CHECK_DELAY, CHECK_DELAY_UNANSWERED, EVENT_RETENTION, MAX_OPEN_REQUESTS};
-use crate::record::{Effect, End, Ran, Rule, Verdict};
+use crate::record::{AttemptEnd, Effect, End, Rule, Verdict};
 
 /// Interval between removals of superseded events.
 const CLEANUP_INTERVAL: Micros = EVENT_RETENTION / 4;
 
 /// Checks a run while it is in progress.
 #[derive(Clone, Debug)]
-pub struct Stream {
+pub struct StreamingChecker {
     checker: Checker,
     open: FxHashMap<u32, History>,
     /// Requests whose history was complete, with the time of their check: those with a response, and the others.
@@ -24,15 +24,15 @@
     now: Micros,
 }
 
-impl Stream {
+impl StreamingChecker {
     /// A stream without records.
     pub fn new(terms: Terms) -> Self {
         let (open, ended) = (FxHashMap::default(), Default::default());
-        Stream { checker: Checker::new(terms), open, ended, cleaned: 0, now: 0 }
+        StreamingChecker { checker: Checker::new(terms), open, ended, cleaned: 0, now: 0 }
     }
 
     /// A client has sent a request to a proxy. Request numbers are never reused.
-    pub fn asked(&mut self, request: u32, effect: Effect, proxy: u16, at: Micros, deadline: Micros) {
+    pub fn submitted(&mut self, request: u32, effect: Effect, proxy: u16, at: Micros, deadline: Micros) {
         self.advance_to(at);
         if self.open.len() >= MAX_OPEN_REQUESTS {
             return self
@@ -45,7 +45,7 @@
     }
 
     /// The client's last submission of a request has ended.
-    pub fn got(&mut self, request: u32, at: Micros, end: End) {
+    pub fn finished(&mut self, request: u32, at: Micros, end: End) {
         self.advance_to(at);
         match self.open.get_mut(&request).and_then(|h| h.submissions.last_mut()) {
             Some(last) if last.end.is_none() => last.end = Some((at, end)),
@@ -58,7 +58,7 @@
     }
 
     /// An attempt has arrived at a backend.
-    pub fn came(&mut self, request: u32, sent: Sent) {
+    pub fn attempt_received(&mut self, request: u32, sent: Sent) {
         self.advance_to(sent.first);
         match self.open.get_mut(&request) {
             Some(h) => h.sent.push(sent),
@@ -70,7 +70,7 @@
     }
 
     /// An attempt has ended at its backend.
-    pub fn over(&mut self, request: u32, number: u32, at: Micros, ran: Ran) {
+    pub fn attempt_ended(&mut self, request: u32, number: u32, at: Micros, ran: AttemptEnd) {
         self.advance_to(at);
         let Some(h) = self.open.get_mut(&request) else { return };
         if let Some(s) = h.sent.iter_mut().find(|s| s.number == number) {
@@ -80,9 +80,9 @@
     }
 
     /// A proxy was told whether a backend may receive new requests.
-    pub fn told(&mut self, proxy: u16, backend: u16, up: bool, at: Micros) {
+    pub fn health_told(&mut self, proxy: u16, backend: u16, up: bool, at: Micros) {
         self.advance_to(at);
-        self.checker.proxies.told(proxy, backend, up, at);
+        self.checker.proxies.health_told(proxy, backend, up, at);
     }
 
     /// A proxy's process was killed.
@@ -96,8 +96,8 @@
     }
 
     /// A cold backend failed from overload.
-    pub fn fell(&mut self, backend: u16, at: Micros) {
-        self.checker.fell(backend, at);
+    pub fn backend_overloaded(&mut self, backend: u16, at: Micros) {
+        self.checker.backend_overloaded(backend, at);
     }
 
     /// Number of requests that are not checked yet.
@@ -153,15 +153,15 @@
 
     const MS: Micros = 1000;
 
-    fn stream() -> Stream {
-        let mut s = Stream::new(Terms {
+    fn stream() -> StreamingChecker {
+        let mut s = StreamingChecker::new(Terms {
             grace: 500 * MS,
             slack: 0,
             stalls: Vec::new(),
             after_leaving: None,
             pauses_excuse: true,
         });
-        (0..4).for_each(|b| s.told(0, b, true, 0));
+        (0..4).for_each(|b| s.health_told(0, b, true, 0));
         s
     }
 
@@ -174,10 +174,10 @@
         let mut s = stream();
         for r in 0..100_000u32 {
             let at = Micros::from(r) * MS;
-            s.asked(r, Effect::Unsafe, 0, at, at + 100 * MS);
-            s.came(r, sent(r, 1, at));
-            s.over(r, r, at + 5 * MS, Ran::Answered);
-            s.got(r, at + 5 * MS, End::Served(Some(r)));
+            s.submitted(r, Effect::Unsafe, 0, at, at + 100 * MS);
+            s.attempt_received(r, sent(r, 1, at));
+            s.attempt_ended(r, r, at + 5 * MS, AttemptEnd::Answered);
+            s.finished(r, at + 5 * MS, End::Served(Some(r)));
             assert!(s.open() < 1100);
         }
         let verdict = s.verdict();
@@ -188,12 +188,12 @@
     fn an_attempt_after_the_answer_is_found_shortly_and_long_after_it() {
         for after in [200 * MS, 5000 * MS] {
             let mut s = stream();
-            s.asked(0, Effect::Safe, 0, 0, 100 * MS);
-            s.came(0, sent(0, 1, 0));
-            s.over(0, 0, 5 * MS, Ran::Answered);
-            s.got(0, 5 * MS, End::Served(Some(0)));
-            s.came(0, sent(1, 2, after));
-            s.over(0, 1, after + MS, Ran::Answered);
+            s.submitted(0, Effect::Safe, 0, 0, 100 * MS);
+            s.attempt_received(0, sent(0, 1, 0));
+            s.attempt_ended(0, 0, 5 * MS, AttemptEnd::Answered);
+            s.finished(0, 5 * MS, End::Served(Some(0)));
+            s.attempt_received(0, sent(1, 2, after));
+            s.attempt_ended(0, 1, after + MS, AttemptEnd::Answered);
             let verdict = s.verdict();
             assert_eq!(verdict.counts.keys().collect::<Vec<_>>(), [&Rule::NoRequestLost], "{after}");
         }
@@ -203,10 +203,10 @@
     fn attempts_after_the_client_left_are_allowed_where_proxies_cannot_always_learn_of_it() {
         // For sockets the limit applies, see the tests of the ledger.
         let mut s = stream();
-        s.asked(0, Effect::Safe, 0, 0, 100 * MS);
-        s.got(0, 5 * MS, End::Left);
-        s.came(0, sent(0, 1, 3000 * MS));
-        s.over(0, 0, 3001 * MS, Ran::Answered);
+        s.submitted(0, Effect::Safe, 0, 0, 100 * MS);
+        s.finished(0, 5 * MS, End::Left);
+        s.attempt_received(0, sent(0, 1, 3000 * MS));
+        s.attempt_ended(0, 0, 3001 * MS, AttemptEnd::Answered);
         let verdict = s.verdict();
         assert!(verdict.passes(), "{verdict}");
     }
@@ -214,12 +214,12 @@
     #[test]
     fn an_old_drain_still_applies_after_older_events_are_dropped() {
         let mut s = stream();
-        s.told(0, 1, false, 10 * MS);
+        s.health_told(0, 1, false, 10 * MS);
         let late = 10 * EVENT_RETENTION;
-        s.asked(0, Effect::Safe, 0, late, late + 100 * MS);
-        s.came(0, sent(0, 1, late));
-        s.over(0, 0, late, Ran::Answered);
-        s.got(0, late, End::Served(Some(0)));
+        s.submitted(0, Effect::Safe, 0, late, late + 100 * MS);
+        s.attempt_received(0, sent(0, 1, late));
+        s.attempt_ended(0, 0, late, AttemptEnd::Answered);
+        s.finished(0, late, End::Served(Some(0)));
         assert_eq!(s.verdict().counts.keys().collect::<Vec<_>>(), [&Rule::DrainsKept]);
     }
 }
