Long answers and large requests are traced from begin to end, with the reason of the end

Change: trace lines stream_begun (what was known of the length, bytes gathered, time left) and stream_ended (reason, bytes passed on, silence), upload_given_up (reason, bytes read, length), each with request, attempt and backend; counters stream, stream_end and upload_end. The watch over a long answer moves from attempt.rs into a module of its own, with a typed end. No decision changes.

--- a/crates/sandgap/src/body/answer.rs
+++ b/crates/sandgap/src/body/answer.rs
@@ -24,6 +24,8 @@
     is_declared_long: bool,
     /// Bytes passed on to the client.
     passed: Cell<u64>,
+    /// Bytes that had been received when the answer began.
+    gathered: usize,
     /// When the answer began.
     began: Instant,
 }
@@ -44,6 +46,30 @@
         !self.is_declared_long && self.passed.get() <= MAX_BUFFERED_BODY as u64
     }
 
+    /// Bytes passed on to the client.
+    pub fn passed(&self) -> u64 {
+        self.passed.get()
+    }
+
+    /// Bytes that had been received when the answer began.
+    pub fn gathered(&self) -> usize {
+        self.gathered
+    }
+
+    /// Time since the answer began.
+    pub fn age(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Name of the kind of answer in counters.
+    pub fn kind(&self) -> &'static str {
+        match (self.is_declared_long, self.gathered > MAX_BUFFERED_BODY) {
+            (true, _) => "declared_long",
+            (false, true) => "over_64_kib",
+            (false, false) => "may_be_short",
+        }
+    }
+
     /// Whether the next bytes are awaited from the backend, rather than held up by the client.
     pub fn waits_for_backend(&self) -> bool {
         self.awaits_backend.get()
@@ -74,6 +100,7 @@
             awaits_backend: Cell::new(false),
             is_declared_long: left.is_some_and(|length| length > MAX_BUFFERED_BODY as u64),
             passed: Cell::new(0),
+            gathered: first.len(),
             began: Instant::now(),
         });
         let (end, ended) = oneshot::channel();
--- a/crates/sandgap/src/body/upload.rs
+++ b/crates/sandgap/src/body/upload.rs
@@ -279,6 +279,11 @@
         self.awaits_client.get() && !self.is_read()
     }
 
+    /// Number of bytes that have been read from the client.
+    pub fn bytes_read(&self) -> u64 {
+        self.pace.get().passed()
+    }
+
     /// Declared total length, if any.
     pub fn length(&self) -> Option<u64> {
         self.length
--- a/crates/sandgap/src/diagnostics.rs
+++ b/crates/sandgap/src/diagnostics.rs
@@ -44,6 +44,12 @@
     Upstream,
     /// A backend has sent bytes that no request asked for.
     Unsolicited,
+    /// The first bytes of a long answer were passed on, by what was known of its length.
+    Stream,
+    /// A long answer has ended, by the reason.
+    StreamEnd,
+    /// A long request was given up while it was sent, by the reason.
+    UploadEnd,
 }
 
 impl Event {
@@ -61,6 +67,9 @@
             Event::Standstill => "standstill",
             Event::Upstream => "upstream",
             Event::Unsolicited => "unsolicited",
+            Event::Stream => "stream",
+            Event::StreamEnd => "stream_end",
+            Event::UploadEnd => "upload_end",
         }
     }
 }
--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -2,33 +2,22 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
 
 use sandgap_driver::permit::Denial;
 use sandgap_driver::reuse::{Exchange, Verdict};
 use serde_json::json;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use wharfhitch::Outcome;
 
-use super::progress::{Lateness, SendPrecondition, WriteProgress};
+use super::progress::{Lateness, SendPrecondition, UploadHeldUp, WriteProgress};
 use super::response::{ResponsePart, exchange};
+use super::stream::{StreamId, follow};
 use super::{Outgoing, Payload, Upstreams};
-use crate::body::{AnswerEnd, AnswerProgress, BodyError, Upload};
+use crate::body::{BodyError, Upload};
 use crate::diagnostics::Event;
 use crate::event::{self, AnswerBy, Attempt};
 use crate::retry;
 
-/// Idle time after which a stream that nobody ends is closed: a peer that has vanished without a word would hold its
-/// connection forever.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
-/// Lowest mean rate, in bytes a second, of an answer that may be long and has not passed 64 KiB by its client's deadline.
-const MIN_RATE: f64 = 4096.0;
-/// Interval between checks of a long answer.
-const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// The same for an answer that may still be short and whose deadline has passed, while its client has not read what has
-/// arrived of it.
-const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 impl Upstreams {
     /// Makes one attempt and reports its outcome before the connection is returned to the pool.
     pub(super) async fn attempt(&self, message: &Outgoing, attempt: Attempt) {
@@ -79,7 +68,16 @@
                         Lateness::Paused => report.paused(),
                     },
                     () = sleep_until(until), if uploads.is_none() => break None,
-                    () = held_up(&write_progress, &answer_by, message, uploads) => break None,
+                    reason = held_up(&write_progress, &answer_by, message, uploads) => {
+                        self.diagnostics.count(Event::UploadEnd, reason.name());
+                        self.diagnostics.trace("upload_given_up", || {
+                            json!({"request": request_number.0, "attempt": report.attempt(),
+                                "backend": endpoint.address, "reason": reason.name(),
+                                "read": uploads.map_or(0, |upload| upload.bytes_read()),
+                                "length": uploads.and_then(|upload| upload.length())})
+                        });
+                        break None;
+                    }
                     // Its last byte would arrive when the backend no longer drops a duplicate.
                     () = sleep_until(before.unwrap_or(until)), if uploads.is_some() && before.is_some() => break None,
                 }
@@ -126,10 +124,17 @@
             Some(Ok(ResponsePart::Long(reply, progress, end))) => {
                 report.started(Box::new(reply));
                 write_progress.precondition.replace(None);
-                let (outcome, keep) = follow(&progress, end, &answer_by).await;
+                let id = StreamId {
+                    request: request_number,
+                    attempt: report.attempt(),
+                    backend: endpoint.address,
+                    diagnostics: &self.diagnostics,
+                };
+                let end = follow(id, &progress, end, &answer_by).await;
                 self.reuse.answer_ended(&exchanges);
-                report.finish(outcome, None);
-                self.keep(&endpoint, connection, keep && write_progress.is_complete()).await;
+                report.finish(end.outcome(), None);
+                let keep = end.is_reusable() && write_progress.is_complete();
+                self.keep(&endpoint, connection, keep).await;
             }
             Some(Err(_)) if write_progress.denied.get().is_some() && !write_progress.has_begun.get() => {
                 let reason = write_progress.denied.get().map_or("", Denial::name);
@@ -156,7 +161,7 @@
 /// Waits until a long request that is being written is held up; see [`WriteProgress::held_up`].
 async fn held_up(
     write_progress: &WriteProgress, answer_by: &AnswerBy, message: &Outgoing, upload: Option<&Rc<Upload>>,
-) {
+) -> UploadHeldUp {
     match upload {
         Some(upload) => write_progress.held_up(answer_by, message.patience, upload).await,
         None => std::future::pending().await,
@@ -172,35 +177,3 @@
         None => "no answer in time".into(),
     }
 }
-
-/// Waits for the end of a long answer; the flag tells whether its connection may be reused. A client that disconnects or
-/// reads nothing is not the backend's fault. An answer that may still be short is cut off after the client's deadline once its
-/// backend has been silent for as long as it had until then, or if it trickles: it may be a long one that is written slowly.
-async fn follow(progress: &AnswerProgress, mut end: AnswerEnd, answer_by: &AnswerBy) -> (Outcome, bool) {
-    let began = Instant::now();
-    loop {
-        let left = answer_by.instant().saturating_duration_since(Instant::now());
-        let wait = match progress.may_be_short() {
-            true if left.is_zero() => OVERDUE_CHECK_INTERVAL,
-            true => left.min(CHECK_INTERVAL),
-            false => CHECK_INTERVAL,
-        };
-        tokio::select! {
-            biased;
-            end = &mut end => return match end {
-                Ok(true) => (Outcome::Served, true),
-                Ok(false) => (Outcome::Reset, false),
-                Err(_) => (Outcome::Served, false),
-            },
-            () = sleep(wait) => {
-                let is_overdue = progress.may_be_short() && Instant::now() >= answer_by.instant();
-                let available = answer_by.instant().saturating_duration_since(began);
-                let has_stalled = progress.silence() >= available || progress.rate() < MIN_RATE;
-                let is_given_up = is_overdue && progress.waits_for_backend() && has_stalled;
-                if progress.silence() >= STREAM_IDLE_TIMEOUT || is_given_up {
-                    return (Outcome::Reset, false); // the connection is closed, and the client sees a truncated answer
-                }
-            }
-        }
-    }
-}
--- a/crates/sandgap/src/upstream/progress.rs
+++ b/crates/sandgap/src/upstream/progress.rs
@@ -99,6 +99,28 @@
     Paused,
 }
 
+/// Why a long request is given up while it is being sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UploadHeldUp {
+    /// The client's deadline, or that of the shutdown, has passed.
+    Deadline,
+    /// The client's deadline may have passed, as its last byte may have been written and not been read.
+    MayBeOverdue,
+    /// The backend has accepted no bytes for as long as the client waits.
+    BackendBlocked,
+}
+
+impl UploadHeldUp {
+    /// Name in logs and counters.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            UploadHeldUp::Deadline => "deadline",
+            UploadHeldUp::MayBeOverdue => "may_be_overdue",
+            UploadHeldUp::BackendBlocked => "backend_blocked",
+        }
+    }
+}
+
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const LAST_CHUNK: [u8; 5] = *b"0\r\n\r\n";
 
@@ -150,15 +172,25 @@
         }
     }
 
-    /// Waits until a long request's client deadline has passed or may have passed, as its last byte may have arrived unread
-    /// `patience` ago, or until its backend has accepted no bytes for as long.
-    pub(super) async fn held_up(&self, answer_by: &AnswerBy, patience: Duration, upload: &Upload) {
+    /// Waits until a long request is held up that is being sent, and returns why.
+    pub(super) async fn held_up(
+        &self, answer_by: &AnswerBy, patience: Duration, upload: &Upload,
+    ) -> UploadHeldUp {
         let is_blocked = || self.blocked_since.get().is_some_and(|since| since.elapsed() >= patience);
         let is_overdue = || {
             let waited = upload.unread_since().map_or(Duration::ZERO, |since| since.elapsed());
             waited + HELD_UP_CHECK_INTERVAL >= patience
         };
-        while Instant::now() < answer_by.instant() && !is_blocked() && !is_overdue() {
+        loop {
+            if Instant::now() >= answer_by.instant() {
+                return UploadHeldUp::Deadline;
+            }
+            if is_blocked() {
+                return UploadHeldUp::BackendBlocked;
+            }
+            if is_overdue() {
+                return UploadHeldUp::MayBeOverdue;
+            }
             sleep(HELD_UP_CHECK_INTERVAL).await;
         }
     }
