A client that reads nothing for a while keeps its answer for 300 s instead of 30

Cause: READER_TIMEOUT, as TCP user timeout. Change: it is the idle time-out of streams, one constant for both directions. It stays, as a client that vanished without a word would hold its connection for ever. What such clients hold is bounded as before, by the share of sockets that may have requests and by backpressure.

--- a/crates/sandgap/src/body/mod.rs
+++ b/crates/sandgap/src/body/mod.rs
@@ -1,6 +1,8 @@
 //! Streaming of message bodies. The next chunk is read from one side only when the other side has taken the previous
 //! one (backpressure), so that a long body needs no more memory than a short one.
 
+use std::time::Duration;
+
 mod answer;
 mod buffer;
 mod pace;
@@ -19,5 +21,9 @@
 /// answer of unknown length may have any, as it is not ended once it has begun.
 pub const MAX_ANSWER_BODY: u64 = 64 << 20;
 
+/// Idle time after which a stream that nobody ends is closed, in either direction: a peer that has vanished without a word
+/// would hold its connection forever.
+pub const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+
 /// Why a body was not transferred completely.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/sandgap/src/front/limits.rs
+++ b/crates/sandgap/src/front/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::body::STREAM_IDLE_TIMEOUT;
+
 /// Maximum size of a request head: enough for any client of the protocol, and small enough for all connections at once.
 pub(super) const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Length of the accept queue.
@@ -9,8 +11,8 @@
 /// Time for a complete head, from its first byte; for the first head, from the accept. A client may take 2 s, and one
 /// that sends nothing useful must be closed within 3 s. For bodies see [`crate::body::Pace`].
 pub(super) const HEAD_TIMEOUT: Duration = Duration::from_millis(2200);
-/// A client that reads nothing of a long answer for this long is treated as disconnected.
-pub(super) const READER_TIMEOUT: Duration = Duration::from_secs(30);
+/// A client that reads nothing of an answer for this long is treated as disconnected: the idle time-out of streams.
+pub(super) const READER_TIMEOUT: Duration = STREAM_IDLE_TIMEOUT;
 /// Minimum idle time before a connection is closed when descriptors run short; the protocol allows it after 2 s.
 pub(super) const MIN_IDLE: Duration = Duration::from_millis(2050);
 /// Idle time after which a connection is always closed: some clients send one request and never close.
--- a/crates/sandgap/src/upstream/stream.rs
+++ b/crates/sandgap/src/upstream/stream.rs
@@ -8,13 +8,10 @@
 use tokio::time::{Instant, sleep};
 use wharfhitch::{Outcome, RequestId};
 
-use crate::body::{AnswerEnd, AnswerProgress};
+use crate::body::{AnswerEnd, AnswerProgress, STREAM_IDLE_TIMEOUT};
 use crate::diagnostics::{Diagnostics, Event};
 use crate::event::AnswerBy;
 
-/// Idle time after which a stream that nobody ends is closed: a peer that has vanished without a word would hold its
-/// connection forever.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 /// Lowest mean rate, in bytes a second, of an answer that may be short and that a process waits for which is told to end.
 const MIN_RATE_AT_SHUTDOWN: f64 = 4096.0;
 /// Interval between checks of a long answer.
--- a/crates/sandgap/tests/answers_in_lumps.rs
+++ b/crates/sandgap/tests/answers_in_lumps.rs
@@ -255,3 +255,22 @@
         assert!(answer.looks_whole() && answer.body == LARGE, "{form:?}: {answer:?}");
     }
 }
+
+/// A client may take longer than most do to read; only its leaving ends its answer.
+#[test]
+fn a_long_answer_that_its_client_does_not_read_for_half_a_minute_is_not_cut_off() {
+    const BYTES: usize = 40 << 20; // more than the buffers of both machines hold
+    let address = serve(move |mut reader, mut stream| {
+        while read_message(&mut reader).is_some() {
+            let _ = stream.write_all(Form::Length.head(BYTES).as_bytes());
+            let _ = stream.write_all(&Form::Length.part(BYTES));
+        }
+    });
+    let discovery = Discovery::new();
+    discovery.publish(&list(1, true, &[host("s-0", address, "up", 0)]));
+    let proxy = Proxy::up(&discovery, &Setup::default());
+    let mut reader = AnswerReader::ask(proxy.address, &submit("r-1", "5", "x"));
+    thread::sleep(Duration::from_secs(34));
+    let answer = reader.read();
+    assert!(answer.looks_whole() && answer.body == BYTES, "{answer:?}");
+}
