A large request's time counts the pauses in reading, not a guess of its client's send buffer

Cause: reading pauses where neither the backend nor memory takes more, and the client's last byte may then stand unread. Since when that may be so rested on MAX_SEND_BUFFER_BYTES, 4 MB "by the usual system settings": a client with a larger send buffer had written all long before. DELIVERY_TIME was a second guess: 200 ms without a pause cleared the mark while such a buffer was still being read. The class: a client's clock is inferred from a constant about somebody else's machine. Ruled out: the backend's blocked socket, the deadline told to the backend, memory: upload_given_up names may_be_overdue.

Change: ReadDelay adds up the time for which bytes may have stood unread. Had the proxy never paused, the last byte would have come that much earlier at most, whatever the buffers hold: so that is what the client may have waited. The sum is cleared once the client has been awaited, with everything read, for 200 ms more than reading has paused: what it had written would have come. X-Timeout allows for it as well. A client that is still writing when the sum reaches its time is given up, as one whose length was unknown was before: the two can't be told apart, and an answer that comes too late is lost, while a 502 has failed. The count of unread bytes (FIONREAD) goes.

--- a/crates/sandgap-socket/src/lib.rs
+++ b/crates/sandgap-socket/src/lib.rs
@@ -8,7 +8,7 @@
 use std::io::{self, IoSlice};
 use std::ops::Deref;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -89,13 +89,6 @@
     }
 }
 
-impl<S> SharedStream<S> {
-    /// A reference that does not keep the socket open.
-    pub fn downgrade(&self) -> Weak<S> {
-        Rc::downgrade(&self.0)
-    }
-}
-
 impl<S: StreamSocket> SharedStream<S> {
     /// Reads available bytes into `buf`, or waits until there are some.
     ///
--- a/crates/sandgap/src/body/mod.rs
+++ b/crates/sandgap/src/body/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod buffer;
 mod pace;
+mod read_delay;
 mod upload;
 
 pub use answer::{AnswerBody, AnswerEnd, AnswerProgress, AnswerStream};
--- a/crates/sandgap/src/body/upload.rs
+++ b/crates/sandgap/src/body/upload.rs
@@ -11,9 +11,9 @@
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
+use super::read_delay::ReadDelay;
 use super::{BodyError, BufferedBody, MAX_REQUEST_BODY, Pace};
 use crate::memory::{MemoryGauge, Step};
-use crate::socket::ReceiveQueue;
 use crate::view::View;
 
 /// Why a request's body could not be received.
@@ -33,11 +33,6 @@
 
 /// Size of a read-ahead buffer in bytes.
 const BUFFER_BYTES: usize = 64 << 10;
-/// Maximum bytes in a client's send buffer by the usual system settings (tcp(7), tcp_wmem). If more than that has not even
-/// arrived, the client can't have written its last byte.
-const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
-/// Time in which a client's send buffer arrives once the proxy reads again. What comes later was written later.
-const DELIVERY_TIME: Duration = Duration::from_millis(200);
 /// Interval between checks for a client that has stopped sending.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum size of a part of a body that is received at once: the size of the parser's buffer.
@@ -149,8 +144,6 @@
     first: RefCell<BufferedBody>,
     ahead: RefCell<ReadAhead>,
     rest: RefCell<Incoming>,
-    /// What has arrived of it and is unread.
-    receive_queue: ReceiveQueue,
     /// Gives the earliest time at which bytes read now may have arrived.
     view: Rc<View>,
     pace: Cell<Pace>,
@@ -161,12 +154,8 @@
     is_end_read: Cell<bool>,
     /// Latest time at which the last byte may have arrived from the client.
     received_at: Cell<Option<Instant>>,
-    /// Everything received has been read, and more is awaited.
-    awaits_client: Cell<bool>,
-    /// Since when its last byte may have been unread for lack of read-ahead memory.
-    unread_since: Cell<Option<Instant>>,
-    /// When everything that had arrived was first read again after reading had paused.
-    caught_up_at: Cell<Option<Instant>>,
+    /// For how long its last byte may have waited unread.
+    read_delay: Cell<ReadDelay>,
     /// Called once when the last byte has arrived.
     on_received: RefCell<Option<OnReceived>>,
     /// More than the kept first part has been sent, or the body has failed.
@@ -177,26 +166,23 @@
 }
 
 impl Upload {
-    /// Creates a body of which `first` has been received, at that pace; `rest` arrives in `receive_queue`, and `length` is
-    /// the declared total length.
+    /// Creates a body of which `first` has been received, at that pace, and `rest` arrives; `length` is the declared total
+    /// length.
     pub fn new(
-        first: BufferedBody, (rest, receive_queue): (Incoming, ReceiveQueue), pace: Pace,
-        length: Option<u64>, budget: Rc<ReadAheadBudget>, view: Rc<View>,
+        first: BufferedBody, rest: Incoming, pace: Pace, length: Option<u64>, budget: Rc<ReadAheadBudget>,
+        view: Rc<View>,
     ) -> Rc<Self> {
         Rc::new(Upload {
             first: RefCell::new(first),
             ahead: RefCell::new(ReadAhead { buffers: VecDeque::new(), budget }),
             rest: RefCell::new(rest),
-            receive_queue,
             view,
             pace: Cell::new(pace),
             length,
             is_requested: Cell::new(false),
             is_end_read: Cell::new(false),
             received_at: Cell::default(),
-            awaits_client: Cell::default(),
-            unread_since: Cell::default(),
-            caught_up_at: Cell::default(),
+            read_delay: Cell::new(ReadDelay::new(Instant::now())),
             on_received: RefCell::default(),
             is_spent: Cell::new(false),
             has_ended: Cell::new(false),
@@ -224,11 +210,12 @@
         self.received_at.get()
     }
 
-    /// Since when its last byte may have arrived without having been read, for lack of memory to read ahead.
-    pub fn unread_since(&self) -> Option<Instant> {
-        self.check_unread();
-        self.check_delivered();
-        self.unread_since.get().filter(|_| self.received_at.get().is_none())
+    /// For how long its last byte, if the client has written it, may have waited unread; zero once it has been read.
+    pub fn read_delay(&self) -> Duration {
+        match self.received_at.get() {
+            Some(_) => Duration::ZERO,
+            None => self.read_delay.get().get(Instant::now()),
+        }
     }
 
     /// Records that its last byte arrived at `at`; only the first call counts.
@@ -249,34 +236,29 @@
         }
     }
 
-    /// Reading stops for lack of memory: from now on the last byte may have arrived unread.
+    /// From now on the last byte may arrive unread.
     fn pause(&self) {
-        self.awaits_client.set(false);
-        self.caught_up_at.set(None);
-        self.check_unread();
+        let mut read_delay = self.read_delay.get();
+        read_delay.pause(Instant::now());
+        self.read_delay.set(read_delay);
     }
 
-    /// Forgets that the last byte may have arrived unread, once a client that had written it would have delivered it.
-    fn check_delivered(&self) {
-        if self.caught_up_at.get().is_some_and(|at| at.elapsed() >= DELIVERY_TIME) {
-            self.unread_since.set(None);
-        }
+    /// Everything that has arrived is read, and the client is awaited.
+    fn wait(&self) {
+        let mut read_delay = self.read_delay.get();
+        read_delay.wait(Instant::now());
+        self.read_delay.set(read_delay);
     }
 
-    /// Records whether the last byte may have been written by now, while reading is paused.
-    fn check_unread(&self) {
-        if self.unread_since.get().is_some() || self.awaits_client.get() || self.is_read() {
-            return;
-        }
-        let left = self.length.map_or(0, |length| length.saturating_sub(self.pace.get().passed()));
-        if left <= self.receive_queue.len() + MAX_SEND_BUFFER_BYTES {
-            self.unread_since.set(Some(Instant::now()));
-        }
+    /// Records that the last byte has been read.
+    fn end_received(&self) {
+        let arrived_at = self.view.arrived_at();
+        self.set_received(arrived_at.checked_sub(self.read_delay()).unwrap_or(arrived_at));
     }
 
     /// Whether everything received has been read, and more is awaited from the client.
     pub fn awaits_client(&self) -> bool {
-        self.awaits_client.get() && !self.is_read()
+        self.read_delay.get().awaits_client() && !self.is_read()
     }
 
     /// Number of bytes that have been read from the client.
@@ -311,15 +293,13 @@
     fn poll_part(&self, cx: &mut Context) -> Poll<Result<Option<Bytes>, BodyFault>> {
         loop {
             let Poll::Ready(frame) = Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx) else {
-                self.caught_up_at.set(self.caught_up_at.get().or_else(|| Some(Instant::now())));
-                self.awaits_client.set(true);
+                self.wait();
                 self.start_wait();
                 return Poll::Pending;
             };
             let Some(frame) = frame else {
-                self.check_delivered();
                 self.is_end_read.set(true);
-                self.set_received(self.unread_since.get().unwrap_or_else(|| self.view.arrived_at()));
+                self.end_received();
                 return Poll::Ready(Ok(None));
             };
             let Ok(frame) = frame else { return Poll::Ready(Err(BodyFault::Malformed)) };
@@ -327,10 +307,9 @@
             let mut pace = self.pace.get();
             pace.received(Instant::now(), data.len());
             self.pace.set(pace);
-            self.check_delivered();
-            self.awaits_client.set(false);
+            self.pause(); // until the next part is read or awaited
             if self.is_read() {
-                self.set_received(self.unread_since.get().unwrap_or_else(|| self.view.arrived_at()));
+                self.end_received();
             }
             let fits = pace.passed() <= MAX_REQUEST_BODY;
             return Poll::Ready(if fits { Ok(Some(data)) } else { Err(BodyFault::TooLong) });
--- a/crates/sandgap/src/front/answer.rs
+++ b/crates/sandgap/src/front/answer.rs
@@ -21,13 +21,12 @@
 use crate::body::{self, AnswerBody, BodyFault, Upload};
 use crate::event::{Answer, Arrival, Input, InputSender};
 use crate::memory::Step;
-use crate::socket::Socket;
 use crate::upstream::{Forwarded, Outgoing, Payload, Reply, strip};
 
 impl Frontend {
     /// Answers a request whose head arrived at `arrived`.
     pub(super) async fn respond(
-        self: &Rc<Self>, request: Request<Incoming>, arrived: Instant, client: &Rc<Client>, stream: &Socket,
+        self: &Rc<Self>, request: Request<Incoming>, arrived: Instant, client: &Rc<Client>,
     ) -> Response<AnswerBody> {
         if request.uri().path() == "/up" {
             let up = self.serving.is_up();
@@ -61,7 +60,6 @@
         let receiving_guard = (!body.is_end_stream()).then(|| self.receiving.add(client));
         let receiver = Receiver {
             client,
-            stream,
             memory: &self.memory,
             receiving: &self.receiving,
             view: self.upstreams.view(),
--- a/crates/sandgap/src/front/connection.rs
+++ b/crates/sandgap/src/front/connection.rs
@@ -124,7 +124,7 @@
     /// Serves the requests of a connection, up to the last answer.
     async fn serve_requests(self: &Rc<Self>, stream: &Socket, client: &Rc<Client>) -> RequestsEnd {
         let service = service_fn(|request| {
-            let (front, client, stream) = (self.clone(), client.clone(), stream.clone());
+            let (front, client) = (self.clone(), client.clone());
             async move {
                 if client.stage.get() == Stage::Idle {
                     // Its head arrived together with the previous request.
@@ -144,7 +144,7 @@
                 let mut response = if is_over_limit {
                     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
                 } else {
-                    front.respond(request, arrived, &client, &stream).await
+                    front.respond(request, arrived, &client).await
                 };
                 drop(client.head.take());
                 if let Some(Reason(reason)) = response.extensions().get() {
--- a/crates/sandgap/src/front/receive.rs
+++ b/crates/sandgap/src/front/receive.rs
@@ -12,7 +12,6 @@
 use super::receiving::Receiving;
 use crate::body::{self, BodyBuffer, BodyFault, Pace, Unbuffered, Upload};
 use crate::memory::{Memory, Step};
-use crate::socket::Socket;
 use crate::upstream::Payload;
 use crate::view::View;
 
@@ -40,7 +39,6 @@
 /// What the bodies of a connection's requests are received with.
 pub(super) struct Receiver<'a> {
     pub(super) client: &'a Client,
-    pub(super) stream: &'a Socket,
     pub(super) memory: &'a Memory,
     pub(super) receiving: &'a Receiving,
     pub(super) view: &'a Rc<View>,
@@ -81,14 +79,7 @@
             // `passed` is the number of bytes received so far.
             if pace.passed() > body::MAX_BUFFERED_BODY as u64 {
                 let (budget, view) = (self.memory.read_ahead.clone(), self.view.clone());
-                let upload = Upload::new(
-                    buffer.finish(),
-                    (incoming, self.stream.receive_queue()),
-                    pace,
-                    length,
-                    budget,
-                    view,
-                );
+                let upload = Upload::new(buffer.finish(), incoming, pace, length, budget, view);
                 return Ok(Received { body: Payload::Long(upload), has_waited: pace.has_waited() });
             }
         }
--- a/crates/sandgap/src/socket.rs
+++ b/crates/sandgap/src/socket.rs
@@ -5,7 +5,6 @@
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
-use std::rc::Weak;
 use std::task::{Context, Poll};
 
 use sandgap_socket::SharedStream;
@@ -42,21 +41,6 @@
 #[derive(Clone)]
 pub struct Socket(SharedStream<TcpStream>);
 
-/// The bytes of a connection that have arrived and are unread.
-pub struct ReceiveQueue(Weak<TcpStream>);
-
-impl ReceiveQueue {
-    /// Number of unread bytes; 0 once the connection has been closed.
-    pub fn len(&self) -> u64 {
-        self.0.upgrade().and_then(|stream| rustix::io::ioctl_fionread(&*stream).ok()).unwrap_or(0)
-    }
-
-    /// Whether there are no unread bytes.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-}
-
 impl Socket {
     /// Wraps a connection and disables Nagle's algorithm, so that small writes are sent at once.
     pub fn new(stream: TcpStream) -> Self {
@@ -120,11 +104,6 @@
         }
     }
 
-    /// A view of the receive queue that does not keep the socket open.
-    pub fn receive_queue(&self) -> ReceiveQueue {
-        ReceiveQueue(self.0.downgrade())
-    }
-
     /// Whether the peer has neither closed the connection nor sent unread bytes.
     pub fn is_quiet(&self) -> bool {
         self.received() == Received::Nothing
--- a/crates/sandgap/src/upstream/mod.rs
+++ b/crates/sandgap/src/upstream/mod.rs
@@ -127,9 +127,11 @@
         matches!(&self.body, Payload::Long(upload) if upload.fault().is_some())
     }
 
-    /// When the client of a long request stops waiting; assumes that its last byte arrives now if it has not yet.
+    /// When the client of a long request stops waiting at the earliest; assumes that its last byte arrives now if it has not
+    /// yet been read.
     pub(super) fn patience_ends(&self, upload: &Upload) -> Instant {
-        upload.received_at().unwrap_or_else(Instant::now) + self.patience
+        let waiting = self.patience.saturating_sub(upload.read_delay());
+        upload.received_at().map_or_else(|| Instant::now() + waiting, |at| at + self.patience)
     }
 
     /// Builds the request for one attempt; `X-Timeout` gives how long this proxy will wait.
--- a/crates/sandgap/src/upstream/progress.rs
+++ b/crates/sandgap/src/upstream/progress.rs
@@ -177,10 +177,7 @@
         &self, answer_by: &AnswerBy, patience: Duration, upload: &Upload,
     ) -> UploadHeldUp {
         let is_blocked = || self.blocked_since.get().is_some_and(|since| since.elapsed() >= patience);
-        let is_overdue = || {
-            let waited = upload.unread_since().map_or(Duration::ZERO, |since| since.elapsed());
-            waited + HELD_UP_CHECK_INTERVAL >= patience
-        };
+        let is_overdue = || upload.read_delay() + HELD_UP_CHECK_INTERVAL >= patience;
         loop {
             if Instant::now() >= answer_by.instant() {
                 return UploadHeldUp::Deadline;
