--- a/crates/sandgap/tests/sockets/answers.rs
+++ b/crates/sandgap/tests/sockets/answers.rs
@@ -101,12 +101,16 @@
 impl AnswerReader {
     /// Sends a request on a connection of its own, which closes after the answer.
     pub fn ask(proxy: SocketAddr, request: &str) -> Self {
-        let mut stream = TcpStream::connect(proxy).expect("the proxy accepts");
+        AnswerReader::on(TcpStream::connect(proxy).expect("the proxy accepts"), request)
+    }
+
+    /// Sends a request on a new connection, which closes after the answer.
+    pub fn on(mut stream: TcpStream, request: &str) -> Self {
         let request = match request.contains("Connection: close") {
             true => request.to_owned(),
             false => request.replace("Host: x", "Host: x\r\nConnection: close"),
         };
-        stream.write_all(request.as_bytes()).expect("taken");
+        let _ = stream.write_all(request.as_bytes()); // a closed connection is noticed when the answer is read
         AnswerReader {
             stream,
             asked: Instant::now(),
@@ -116,6 +120,11 @@
         }
     }
 
+    /// When the request was sent.
+    pub fn asked(&self) -> Instant {
+        self.asked
+    }
+
     /// Reads until the connection ends or nothing has come for long.
     pub fn read(&mut self) -> Received {
         self.read_until(None)
