A client that leaves a stalled answer is noticed with a next request sent behind it

Cause: while an answer is written the end of a client is seen only by reading, and the parser reads nothing while bytes of a next request wait. Change: the system's word of its end is listened to while a long answer is written, as it is for a large request that stands unread.

Result: a_client_that_leaves_a_stalled_answer_frees_its_backend_at_once, now with bytes behind the request: within 1 s; it timed out before. client_disconnects, proxy, graceful_shutdown, sigterm_connections, upgrade pass.

--- a/crates/sandgap/src/front/admission.rs
+++ b/crates/sandgap/src/front/admission.rs
@@ -165,7 +165,7 @@
         self.close.notify_one();
     }
 
-    /// Waits until the client disconnects while its answer is awaited.
+    /// Waits until the client disconnects while its answer is awaited or a long one is written.
     pub(super) async fn disconnected(&self, stream: &Socket, view: &View) {
         let mut peer_closed = None;
         poll_fn(|cx| self.poll_disconnected(stream, view, &mut peer_closed, cx)).await;
@@ -181,10 +181,7 @@
         let mut bytes = [MaybeUninit::uninit(); MAX_READ_AHEAD];
         while self.awaits_answer.get() {
             if self.is_upload_unread(cx) {
-                let peer_closed = peer_closed.get_or_insert_with(|| Box::pin(stream.peer_closed()));
-                std::task::ready!(peer_closed.as_mut().poll(cx));
-                self.is_read_closed.set(true);
-                return Poll::Ready(());
+                return self.poll_peer_closed(stream, peer_closed, cx);
             }
             let mut buf = ReadBuf::uninit(&mut bytes);
             let is_ok = std::task::ready!(stream.poll_read(cx, &mut buf)).is_ok();
@@ -198,9 +195,22 @@
             self.read_ahead_at.set(view.arrived_at());
             self.read_ahead_overflowed.set(self.read_ahead_overflowed.get() || kept < buf.filled().len());
         }
+        if self.long_answer.borrow().is_some() {
+            return self.poll_peer_closed(stream, peer_closed, cx);
+        }
         Poll::Pending
     }
 
+    /// Waits until the system reports that the client has closed, without reading.
+    fn poll_peer_closed<'a>(
+        &self, stream: &'a Socket, peer_closed: &mut Option<PeerClosed<'a>>, cx: &mut Context,
+    ) -> Poll<()> {
+        let peer_closed = peer_closed.get_or_insert_with(|| Box::pin(stream.peer_closed()));
+        std::task::ready!(peer_closed.as_mut().poll(cx));
+        self.is_read_closed.set(true);
+        Poll::Ready(())
+    }
+
     /// Reads ahead in a long request within its budget, and returns whether more of it is to come.
     fn is_upload_unread(&self, cx: &mut Context) -> bool {
         let upload = self.pending_upload.borrow();
--- a/crates/sandgap/tests/stalled_answers.rs
+++ b/crates/sandgap/tests/stalled_answers.rs
@@ -161,11 +161,12 @@
             let _ = freed.lock().expect("no panic").send(is_freed); // the test may have ended
         });
         let (_discovery, proxy) = up(address, DEADLINE);
-        for (_, request) in requests("r-1") {
-            let mut reader = AnswerReader::ask(proxy.address, &request);
+        // A client may have sent its next request behind the first.
+        for (next, (_, request)) in ["", "GET /page"].iter().flat_map(|n| requests("r-1").map(|r| (n, r))) {
+            let mut reader = AnswerReader::ask(proxy.address, &(request + next));
             assert_eq!(reader.read_for(2 * DEADLINE).body, size);
             drop(reader);
-            assert_eq!(was_freed.recv_timeout(PROMPT), Ok(true), "{form:?} {size}");
+            assert_eq!(was_freed.recv_timeout(PROMPT), Ok(true), "{form:?} {size} {next:?}");
         }
     }
 }
