A process that was told to end closes its listening socket, also where upgrades are enabled

What a client of the soak saw: it connected 0.7 s and more after SIGTERM, sent its request and got nothing until the process ended. A request whose last byte is written to a connection that the machine accepted counts as taken, so it is lost.

Cause: Upgrade keeps a copy of the listening socket for newer processes, so that Frontend::serve's drop of its own left the socket listening until the end of the process (3.7 s and more beside open answers), and the system went on accepting. A process that starts beside it would have shared its connections with a queue that nobody serves.

Change: Upgrade closes its copy once the process is told to end; a newer process has one of its own, and a stopping process hands over nothing anyway.

Result: connections are refused within 2 s of SIGTERM while an answer is open (upgrade.rs); refused only at the process's end before.

--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon: runs one proxy from its configuration to the end of its shutdown.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -283,7 +284,8 @@
     if let Some(directory) = config.upgrade {
         let path = handover::path(&directory, address);
         let front = front.clone();
-        let upgrade = Upgrade { path, listener: shared, serving, input_sender, peers, front, budget };
+        let listener = RefCell::new(Some(shared));
+        let upgrade = Upgrade { path, listener, serving, input_sender, peers, front, budget };
         spawn_local(upgrade.run(older));
     }
     let rules = fleet.map(|fleet| {
--- a/crates/sandgap/src/handover.rs
+++ b/crates/sandgap/src/handover.rs
@@ -8,6 +8,7 @@
 //! alone. Over a socket of its own the processes tell each other the ids of their open requests, see
 //! [`crate::front::RequestIds`]. If any step fails, the new process starts independently beside the old one, see [`crate::front::listen`].
 
+use std::cell::RefCell;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener as StdListener, UdpSocket as StdUdp};
@@ -136,8 +137,8 @@
 pub struct Upgrade {
     /// Where a newer process finds this one.
     pub path: PathBuf,
-    /// The listening socket for clients.
-    pub listener: StdListener,
+    /// The listening socket for clients, until this process is told to end.
+    pub listener: RefCell<Option<StdListener>>,
     /// Whether clients are taken.
     pub serving: Rc<Serving>,
     /// Receives relayed datagrams.
@@ -153,10 +154,22 @@
 impl Upgrade {
     /// Replaces the older process if `taken` leads to one, and waits for newer processes.
     pub async fn run(self, taken: Option<HandoverStream>) {
-        match taken {
-            Some(stream) => drop(tokio::join!(self.replace_older(stream), self.wait_for_newer())),
-            None => self.wait_for_newer().await,
+        let replace_older = async {
+            if let Some(stream) = taken {
+                self.replace_older(stream).await;
+            }
+        };
+        tokio::join!(replace_older, self.wait_for_newer(), self.close_listener());
+    }
+
+    /// Closes this process's handle of the listening socket once it is told to end. Otherwise the system would go on accepting
+    /// connections that nobody serves.
+    async fn close_listener(&self) {
+        let mut changes = self.serving.changes();
+        while !self.serving.is_stopping() {
+            let _ = changes.changed().await; // can't fail: `self.serving` owns the sender
         }
+        drop(self.listener.take());
     }
 
     /// Notifies the older process once this one serves, and exchanges frames until it ends.
@@ -214,9 +227,7 @@
                 "the newer process speaks another version, or this process is stopping",
             ));
         }
-        let mut descriptors = vec![self.listener.as_fd()];
-        descriptors.extend(self.peers.as_ref().map(|p| p.socket().as_fd()));
-        stream.async_io(Interest::WRITABLE, || send_descriptors(&stream, &descriptors)).await?;
+        stream.async_io(Interest::WRITABLE, || self.send_sockets(&stream)).await?;
         note!("upgrade: a newer process has come");
         self.link_ids(ids).await;
         self.front.set_budget(self.budget / PROCESSES, PROCESSES, process_id(&stream));
@@ -233,6 +244,15 @@
         Ok(())
     }
 
+    /// Sends the sockets that a newer process takes over.
+    fn send_sockets(&self, stream: &HandoverStream) -> io::Result<()> {
+        let listener = self.listener.borrow();
+        let listener = listener.as_ref().ok_or_else(|| io::Error::other("this process is stopping"))?;
+        let mut descriptors = vec![listener.as_fd()];
+        descriptors.extend(self.peers.as_ref().map(|p| p.socket().as_fd()));
+        send_descriptors(stream, &descriptors)
+    }
+
     /// Links the newer process, which connects at once unless it is of an older release.
     async fn link_ids(&self, ids: Option<&Published>) {
         let Some(ids) = ids else { return };
--- a/crates/sandgap/src/serving.rs
+++ b/crates/sandgap/src/serving.rs
@@ -93,6 +93,11 @@
         self.listed.get() && !self.stopping.get()
     }
 
+    /// Whether the process has been told to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
     /// Whether connections are closed with their next answer.
     pub fn sends_away(&self) -> bool {
         matches!(self.state(), State::Drained | State::Stopping | State::HandedOver)
--- a/crates/sandgap/tests/upgrade.rs
+++ b/crates/sandgap/tests/upgrade.rs
@@ -4,13 +4,13 @@
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sockets::*;
 
@@ -230,3 +230,26 @@
     assert_eq!(backend.requests().len(), 1);
     assert_eq!(status(Client::new(&new).request(&submit("r-other", "5", "x"))), 200);
 }
+
+/// A connection that the system accepts counts as taken, and a process that ends reads no new ones.
+#[test]
+fn after_sigterm_no_connections_are_accepted_that_nobody_serves() {
+    let directory = Directory::new("stopping");
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |_| Action::Hold(held.clone(), ok("served")));
+    let discovery = Discovery::new();
+    discovery.publish(&list_all_up(&[&backend]));
+    let mut proxy = Proxy::up(&discovery, &Setup { deadline: 25_000, ..setup(&directory, None) });
+    let mut client = Client::new(&proxy);
+    client.send(&submit("r-held", "25", "x"));
+    wait_for("the request", || !backend.requests().is_empty());
+    proxy.terminate();
+    let told_at = Instant::now();
+    wait_for("the listener to be closed", || TcpStream::connect(proxy.address).is_err());
+    assert!(told_at.elapsed() < Duration::from_secs(2), "{:?}", told_at.elapsed());
+    assert!(proxy.is_running());
+    gate.open();
+    assert_eq!(client.answer().expect("an answer").text(), "served");
+    assert!(proxy.wait().success());
+}
