An attempt that waits for a socket gets the one that was freed for it

Cause, by a trace: at the limit of sockets to backends an attempt closed the connection that had been idle longest, gave up its turn and then queued for the socket (`Upstreams::open`). An attempt that came meanwhile found the socket free and took it without closing one, so the first one waited with 248 idle connections beside it. Likewise one that began to wait while all connections were busy: they were returned to the pool and kept there. After the dial time-out both ended as a failed connect and were held against the backend.

--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use sandgap_driver::stream_admission::StreamAdmission;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -34,6 +34,8 @@
     dial_timeout: Cell<Duration>,
     idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
+    /// Attempts that wait for a socket.
+    waiting: Cell<usize>,
     /// Maximum number of sockets to backends.
     max_sockets: usize,
     /// Sockets currently available to backends, see [`Upstreams::set_available`].
@@ -63,6 +65,7 @@
             dial_timeout: Cell::default(),
             idle_limit: Cell::default(),
             sockets: Arc::new(Semaphore::new(sockets)),
+            waiting: Cell::default(),
             max_sockets: sockets,
             available: Cell::new(sockets),
             memory,
@@ -138,8 +141,9 @@
             self.diagnostics.count(Event::Upstream, if is_quiet { "reused_quiet" } else { "reused_soon" });
             return Ok(idle.connection);
         }
-        // Boxed, so that the many attempts that reuse a connection don't reserve memory for this future.
-        Box::pin(timeout(self.dial_timeout.get(), self.open(endpoint))).await?
+        // Boxed, so that the many attempts that reuse a connection don't reserve memory for these futures.
+        let permit = Box::pin(self.socket_permit()).await?;
+        Box::pin(timeout(self.dial_timeout.get(), self.open(endpoint, permit))).await?
     }
 
     /// Whether a pooled connection may carry another request.
@@ -151,15 +155,28 @@
         liveness == Liveness::Alive
     }
 
-    async fn open(&self, endpoint: &Rc<Endpoint>) -> io::Result<Connection> {
-        if self.sockets.available_permits() == 0 || self.in_use() >= self.available.get() {
+    /// Waits for a socket, for as long as a connection may take to be established. An idle connection is closed for it.
+    ///
+    /// # Errors
+    /// `QuotaExceeded`: there is none, which is not the backend's fault.
+    async fn socket_permit(&self) -> io::Result<OwnedSemaphorePermit> {
+        if self.sockets.available_permits() == 0 {
+            self.close_idle();
+        } else if self.in_use() >= self.available.get() {
             self.close_idle();
             yield_now().await; // lets the connection's task release the socket
         }
-        let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
+        // Without another turn before this, so that no later attempt takes the socket of the connection that was closed.
+        let _waiting = Waiting::new(&self.waiting);
+        let permit = timeout(self.dial_timeout.get(), self.sockets.clone().acquire_owned()).await;
+        let permit = permit.map_err(|_| io::ErrorKind::QuotaExceeded)?.map_err(io::Error::other)?;
         if self.in_use() > self.available.get() {
             return Err(io::ErrorKind::QuotaExceeded.into());
         }
+        Ok(permit)
+    }
+
+    async fn open(&self, endpoint: &Rc<Endpoint>, permit: OwnedSemaphorePermit) -> io::Result<Connection> {
         let number = self.opened.get() + 1;
         self.opened.set(number);
         let (reuse, from) = (Rc::downgrade(&self.reuse), endpoint.clone());
@@ -174,14 +191,34 @@
         Ok(opened)
     }
 
-    /// Returns a connection to the pool once it is ready for another request.
+    /// Returns a connection to the pool once it is ready for another request. If an attempt waits for a socket, the connection
+    /// that has been idle longest is closed for it.
     pub(super) async fn keep(&self, endpoint: &Endpoint, mut connection: Connection, keep: bool) {
         if keep && matches!(timeout(READY_TIMEOUT, connection.sender.ready()).await, Ok(Ok(()))) {
             self.reuse.keep(endpoint, connection);
+            if self.waiting.get() > 0 {
+                self.close_idle();
+            }
         }
     }
 }
 
+/// Counts an attempt that waits for a socket while this exists.
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Waiting(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl BackendPool for Upstreams {
     fn retire(&self, endpoint: &Endpoint) {
         self.reuse.idle.close(endpoint.number);
