An attempt that was not sent does not count against its server, nor as a retry

Cause: an attempt is held back if its process stood still between the head of the request and the write (head_outdated, 50 ms), and is then tried again. may_receive() excludes each server that the request has been tried at, also where nothing was sent. With three backends a request that was held back three times had no server left and waited until its time was over. One backend is enough for one standstill. Each such attempt also took one of the budget of retries (0.15 an arrival), so that many requests held back at once were refused.

Change: Attempt::was_not_sent; such an attempt leaves its server untried and costs no retry, as it adds nothing to the load. The number of attempts still bounds them.

--- a/crates/sandgap/tests/rude/mod.rs
+++ b/crates/sandgap/tests/rude/mod.rs
@@ -328,9 +328,20 @@
                 self.served.fetch_add(1, Ordering::SeqCst);
                 let is_late = began.elapsed() > Duration::from_millis(500);
                 self.late.fetch_add(usize::from(is_late), Ordering::SeqCst);
+                if is_late {
+                    println!("{id}-{attempt} was served late: {:?}, {attempt} refusals", began.elapsed());
+                }
                 return;
             }
             self.refused.fetch_add(1, Ordering::SeqCst);
+            if began.elapsed() > Duration::from_millis(500) {
+                println!(
+                    "{id}-{attempt} was refused late: {} {:?}, {:?}",
+                    answer.status(),
+                    answer.text(),
+                    began.elapsed()
+                );
+            }
             thread::sleep(RETRY_DELAY);
         }
     }
--- a/crates/sandgap/tests/suspended_process.rs
+++ b/crates/sandgap/tests/suspended_process.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use sockets::random::Random;
 use sockets::*;
 
 /// Processes in a run, each with an agent and backends of its own, and each stopped separately.
@@ -233,3 +234,52 @@
     println!("{times:?}");
     assert!(times.len() == PROXIES && times.iter().all(|t| *t < SIGKILL_DELAY), "{times:?}");
 }
+
+/// Longest time until an answer of an idle backend, beside stops of a tenth of a second; the clients wait for 5 s.
+const LONGEST_ANSWER: Duration = Duration::from_millis(1500);
+
+#[test]
+fn requests_held_back_as_the_process_stood_still_are_sent_and_do_not_wait_until_their_time_is_over() {
+    let seed = 7401;
+    println!("seed {seed}");
+    let backend = Backend::new(Action::Write(ok("well")));
+    let discovery = Discovery::new();
+    discovery.publish(&list_all_up(&[&backend]).replace("\"share\":4.0", "\"share\":100.0"));
+    let proxy = Arc::new(Proxy::up(&discovery, &Setup { sockets: 1024, ..Setup::default() }));
+    let stop = Arc::new(AtomicBool::new(false));
+    let client = |c: usize| {
+        let (proxy, stop) = (proxy.clone(), stop.clone());
+        thread::spawn(move || slow_answers(&stop, &proxy, c))
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(client).collect();
+    let mut random = Random(seed);
+    for _ in 0..20 {
+        thread::sleep(Duration::from_millis(random.below(60)));
+        proxy.signal("-STOP");
+        thread::sleep(Duration::from_millis(60 + random.below(60)));
+        proxy.signal("-CONT");
+    }
+    stop.store(true, Ordering::SeqCst);
+    let slow: Vec<_> = clients.into_iter().flat_map(|c| c.join().expect("no panic")).collect();
+    proxy.terminate();
+    wait_for("the counters", || proxy.log_contains("events:"));
+    assert!(proxy.log_contains("denial.head_outdated="), "no request was held back");
+    assert!(slow.is_empty(), "{} answers: {slow:?}", slow.len());
+}
+
+/// Sends one request after another; returns those that were answered too late, or by anything but the backend.
+fn slow_answers(stop: &AtomicBool, proxy: &Proxy, number: usize) -> Vec<(String, u16, Duration)> {
+    let mut slow = Vec::new();
+    let mut client = Client::new(proxy);
+    for n in 0.. {
+        let (id, began) = (format!("c{number}-{n}"), Instant::now());
+        let status = status(client.request(&page(&id)));
+        if status != 200 || began.elapsed() > LONGEST_ANSWER {
+            slow.push((id, status, began.elapsed()));
+        }
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+    }
+    slow
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -469,6 +469,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.ended) else { return };
         (a.ended, a.may_have_run) = (true, outcome.may_have_run());
+        a.was_not_sent = outcome == Outcome::NotSent;
         let (k, found_idle, silent, sent, held) =
             (a.server, a.found_idle, a.silent, a.sent, f64::from(a.held));
         let responded_after = a.responded_after;
--- a/src/long.rs
+++ b/src/long.rs
@@ -95,10 +95,12 @@
     pub(crate) fn retry(&mut self, now: Millis, id: RequestId) -> bool {
         let r = &self.requests[&id];
         let time = now + self.expected_latency(r) < r.due_at - ANSWER_MARGIN_MS;
-        if !time || !self.may_repeat(r, now) || self.retry_budget < 1.0 {
+        // Nothing has been sent of it, so that another attempt adds nothing to the load.
+        let cost = if r.attempts.last().is_some_and(|a| a.was_not_sent) { 0.0 } else { 1.0 };
+        if !time || !self.may_repeat(r, now) || self.retry_budget < cost {
             return false;
         }
-        self.retry_budget -= 1.0;
+        self.retry_budget -= cost;
         self.enqueue(id, true);
         true
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,6 +153,7 @@
     pub held: u32,                       // requests at the server when it was sent, including itself
     pub silent: bool, // no longer counted at its server: unanswered for too long, still uploading, or answer begun
     pub may_have_run: bool, // it runs or may have run
+    pub was_not_sent: bool, // it ended before anything of it was sent
     pub responded_after: Option<Millis>, // time from the send to the head of its answer, if the body came later
 }
 
@@ -187,8 +188,13 @@
         self.attempts.iter().any(|a| a.may_have_run)
     }
 
+    /// Whether a server has got the request or has failed to take it. An attempt that was not sent tells nothing about its server.
     pub fn tried(&self, server: usize) -> bool {
-        self.attempts.iter().any(|a| a.server == server)
+        self.tried_servers().any(|tried| tried == server)
+    }
+
+    fn tried_servers(&self) -> impl Iterator<Item = usize> {
+        self.attempts.iter().filter(|a| !a.was_not_sent).map(|a| a.server)
     }
 }
 
@@ -221,7 +227,7 @@
 
     /// Slots of the servers in a band that a request has not tried.
     pub fn untried_slots(&self, band: usize, servers: &[Server], request: &Request) -> f64 {
-        let mut tried: Vec<usize> = request.attempts.iter().map(|attempt| attempt.server).collect();
+        let mut tried: Vec<usize> = request.tried_servers().collect();
         tried.sort_unstable();
         tried.dedup();
         let in_band = tried.iter().map(|k| &servers[*k]).filter(|s| s.slot_band == band);
@@ -434,6 +440,7 @@
             sent: now,
             ended: false,
             may_have_run: true,
+            was_not_sent: false,
             found_idle,
             held,
             silent: false,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -508,3 +508,44 @@
         );
     }
 }
+
+#[test]
+fn a_request_that_was_not_sent_to_any_server_is_sent_and_does_not_wait_until_its_time_is_over() {
+    for servers in 1..=4 {
+        for not_sent in 1..=3 {
+            for class in 0..3 {
+                let up = (1..=servers).map(|id| Backend { rating: 4.0, ..server(id) }).collect();
+                let mut harness = Harness::new(settings(1), up);
+                harness.train(100, 60, |_| 2.0);
+                let mut sent = sends(&harness.give(request(1, class, 2000.0)));
+                for attempt in 0..not_sent {
+                    assert_eq!(sent.len(), 1, "{servers} servers, class {class}, attempt {attempt}");
+                    harness.pass(1.0);
+                    sent = sends(&harness.give(ended(1, attempt, 1.0, Outcome::NotSent)));
+                }
+                assert_eq!(sent.len(), 1, "{servers} servers, class {class}, {not_sent} attempts not sent");
+                // With its last attempt (`max_attempts`) it is given up, and answered at once.
+                let actions: Vec<Action> = (not_sent..4)
+                    .flat_map(|attempt| harness.give(ended(1, attempt, 1.0, Outcome::NotSent)))
+                    .collect();
+                assert_eq!(refusals(&actions), 1, "{servers} servers, class {class}: {actions:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_standstill_that_held_back_many_requests_refuses_none() {
+    let up = (1..=2).map(|id| Backend { rating: 100.0, ..server(id) }).collect();
+    let mut harness = Harness::new(settings(1), up);
+    harness.train(1000, 60, |_| 2.0);
+    let sent: usize = (1..=60).map(|id| sends(&harness.give(request(id, 1, 2000.0))).len()).sum();
+    assert_eq!(sent, 60);
+    harness.pass(200.0);
+    let mut actions: Vec<Action> =
+        (1..=60).flat_map(|id| harness.give(ended(id, 0, 200.0, Outcome::NotSent))).collect();
+    for (id, _) in sends(&actions) {
+        actions.extend(harness.give(ended(id, 1, 2.0, Outcome::Served)));
+    }
+    assert_eq!((refusals(&actions), sends(&actions).len()), (0, 60), "{actions:?}");
+}
