--- a/src/long.rs
+++ b/src/long.rs
@@ -2,7 +2,7 @@
 //! request only from the last byte of the request to the first byte of the answer.
 use crate::choice::{ANSWER_MARGIN_MS, CLOSE_FAILURE_RATE};
 use crate::interface::*;
-use crate::state::{Attempt, Balancer, Request, Server};
+use crate::state::{Attempt, Balancer, Request};
 
 impl Attempt {
     /// Whether its answer has begun and its end is awaited.
@@ -97,7 +97,7 @@
         let time = now + self.expected_latency(r) < r.due_at - ANSWER_MARGIN_MS;
         // Nothing has been sent of it, so that another attempt adds nothing to the load.
         let cost = if r.attempts.last().is_some_and(|a| a.was_not_sent) { 0.0 } else { 1.0 };
-        if !time || !self.may_repeat(r, now) || self.retry_budget < cost || !self.has_untried_server(r) {
+        if !time || !self.may_repeat(r, now) || self.retry_budget < cost {
             return false;
         }
         self.retry_budget -= cost;
@@ -105,16 +105,6 @@
         true
     }
 
-    /// Whether a listed server could still get a request, now or later. Without one it would wait in vain.
-    fn has_untried_server(&self, r: &Request) -> bool {
-        let bound = self.dedup_bound(r);
-        let drops_repeat = |s: &Server| {
-            bound.is_none_or(|(first, group, _)| s.drops_repeats_of(&self.servers[first], group))
-        };
-        let is_left = |(k, s): (usize, &Server)| s.withdrawn_at.is_none() && drops_repeat(s) && !r.tried(k);
-        self.servers.iter().enumerate().any(is_left)
-    }
-
     /// The answer has begun and cannot be replaced. The server's work is done; the rest depends on how fast the client
     /// reads.
     pub(crate) fn started(&mut self, now: Millis, id: RequestId, attempt: usize) {
