A list of backends is taken as far as the memory limit has room, and drains in it always

A list over 4 MiB, which the 36,000 planned backends nearly have, could never be read.

Cause: discovery/mod.rs parsed the whole list into JSON values (a tree for each entry), copied its line twice, made a Host with four strings of each entry, and handed all of them to the core, whatever room there was.

Change: entries are parsed one by one (discovery/list.rs, out of mod.rs); zones and kinds share their names; a line is parsed where it is. list_admission (sans-IO) takes new backends while there is room for them, 4 kB each beside a quarter of the working memory; entries about known ones always count, so that drains and removals take effect. The error names the number, memory_mb and the megabytes missing. A list may have a quarter of the memory limit, between 4 and 32 MiB.

Open: all proxies with the same limit take the same part of a list. Lists in the settings file are not bounded.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -19,6 +19,7 @@
 use crate::address_owners::AddressOwners;
 use crate::closings::Closings;
 use crate::endpoint::Endpoint;
+use crate::list_admission::ListedBackends;
 use crate::permit::{Attempts, Denial, MAX_ANSWER_DELAY, SendFacts, Violation};
 use crate::starts::Starts;
 
@@ -224,6 +225,7 @@
     address_owners: AddressOwners,
     /// The backends as the policy knows them.
     listed: FxHashMap<BackendId, Backend>,
+    listed_backends: ListedBackends,
     /// Number of the newest endpoint.
     last_endpoint_number: u64,
     pending: FxHashMap<RequestId, PendingRequest<O::Context>>,
@@ -253,6 +255,7 @@
             endpoints: FxHashMap::default(),
             address_owners: AddressOwners::default(),
             listed: FxHashMap::default(),
+            listed_backends: ListedBackends::default(),
             last_endpoint_number: 0,
             pending: FxHashMap::default(),
             timers: BinaryHeap::new(),
--- a/crates/sandgap-driver/src/core/backends.rs
+++ b/crates/sandgap-driver/src/core/backends.rs
@@ -11,12 +11,18 @@
 use super::{Core, Effects, Policy, Time, TimerKind};
 use crate::address_owners::Claim;
 use crate::endpoint::{DRAINING, Endpoint, Host, UP};
+use crate::list_admission::ListedBackends;
 use crate::permit::Place;
 
 /// Maximum number of distinct zone names, and of kind names, so that discovery can't grow the tables without bound.
 const MAX_NAMES: usize = 250;
 
 impl<P: Policy, O: Effects> Core<P, O> {
+    /// Records the listed backends in `listed`, for those that read lists. Called before the first list.
+    pub fn record_listed_in(&mut self, listed: ListedBackends) {
+        self.listed_backends = listed;
+    }
+
     /// A list, or changes to it, that is certainly newer than what is known.
     pub fn list(&mut self, now: Time, scope: Scope, hosts: Vec<Host>) {
         for host in &hosts {
@@ -88,6 +94,7 @@
             let (effects, closings) = (&mut self.effects, &mut self.closings);
             // Attempts in flight hold their own reference to the endpoint of a backend that has left.
             self.listed.retain(|id, _| listed.contains(id));
+            self.listed_backends.retain(|number| listed.contains(&BackendId(number)));
             self.endpoints.retain(|id, endpoint| {
                 let stays = listed.contains(id);
                 if !stays {
@@ -182,9 +189,12 @@
             rating: host.rating.unwrap_or(1.0),
             since: self.starts.started_at(now, id, host.start_time_ms),
         };
-        match state {
-            State::Removed => drop(self.listed.remove(&id)),
-            State::Up | State::Draining => drop(self.listed.insert(id, backend.clone())),
+        if state == State::Removed {
+            self.listed.remove(&id);
+            self.listed_backends.remove(id.0);
+        } else {
+            self.listed.insert(id, backend.clone());
+            self.listed_backends.insert(id.0);
         }
         backend
     }
--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -85,7 +85,7 @@
         zone: None,
         kind: None,
         cell: None,
-        health: health.to_owned(),
+        health: Host::health_of(health),
         rating: None,
         start_time_ms: 0.0,
     }
--- a/crates/sandgap-driver/src/endpoint.rs
+++ b/crates/sandgap-driver/src/endpoint.rs
@@ -1,8 +1,10 @@
 //! Destinations of requests: an entry of the list of backends, and one process of a backend.
 
+use std::borrow::Cow;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use wharfhitch::State;
 
@@ -16,14 +18,14 @@
     pub host: String,
     /// Address to connect to; `None` if it can't be parsed.
     pub address: Option<SocketAddr>,
-    /// Zone of the backend.
-    pub zone: Option<String>,
+    /// Zone of the backend. Backends share the few names that there are.
+    pub zone: Option<Arc<str>>,
     /// Kind of machine that the backend runs on.
-    pub kind: Option<String>,
+    pub kind: Option<Arc<str>>,
     /// Cell of the backend.
     pub cell: Option<u64>,
     /// State: `up`, `draining` or `removed`. Any other text counts as `draining`.
-    pub health: String,
+    pub health: Cow<'static, str>,
     /// Rating of the backend's capacity; 1 if it is missing.
     pub rating: Option<f64>,
     /// Unix time in milliseconds at which the backend's process started. 0 if unknown; it is then taken to have started
@@ -39,9 +41,15 @@
 const REMOVED: &str = "removed";
 
 impl Host {
+    /// The value of [`Host::health`] for a text, without memory of its own for the usual ones.
+    pub fn health_of(text: &str) -> Cow<'static, str> {
+        let usual = [UP, DRAINING, REMOVED].into_iter().find(|usual| *usual == text);
+        usual.map_or_else(|| text.to_owned().into(), Cow::Borrowed)
+    }
+
     /// The state that the entry describes; a backend with an unknown health or address gets no requests.
     pub(crate) fn state(&self) -> State {
-        match self.health.as_str() {
+        match &*self.health {
             UP if self.address.is_some() => State::Up,
             REMOVED => State::Removed,
             _ => State::Draining,
--- a/crates/sandgap-driver/src/lib.rs
+++ b/crates/sandgap-driver/src/lib.rs
@@ -7,6 +7,7 @@
 mod closings;
 mod core;
 mod endpoint;
+pub mod list_admission;
 pub mod list_order;
 pub mod permit;
 pub mod reuse;
--- a/crates/sandgap-lab/src/fleet/discovery.rs
+++ b/crates/sandgap-lab/src/fleet/discovery.rs
@@ -127,10 +127,10 @@
         Host {
             host: server.name.clone(),
             address: Some(address(s)),
-            zone: server.zone.map(|z| self.experiment.fleet.zones[z].clone()),
-            kind: self.experiment.servers[server.group].kind.clone(),
+            zone: server.zone.map(|z| self.experiment.fleet.zones[z].as_str().into()),
+            kind: self.experiment.servers[server.group].kind.as_deref().map(Into::into),
             cell: Some(u64::from(server.cell)),
-            health: health.to_owned(),
+            health: Host::health_of(health),
             rating: Some(server.rating),
             start_time_ms: server.born_ms,
         }
--- a/crates/sandgap/src/daemon.rs
+++ b/crates/sandgap/src/daemon.rs
@@ -219,6 +219,7 @@
         memory.clone(),
     ));
     let asked = Rc::new(Notify::new());
+    let lists = discovery::ListReader::new(memory.gauge.clone(), diagnostics.clone());
     let dependencies = Dependencies {
         input_sender: input_sender.clone(),
         pools: vec![upstreams.clone()],
@@ -228,6 +229,7 @@
         serving: serving.clone(),
         diagnostics: diagnostics.clone(),
         view,
+        lists: lists.clone(),
     };
     let (fleet, base) = (config.fleet, config.settings.clone());
     let generations = Generations::new(&config.settings, &config.names);
@@ -240,7 +242,7 @@
         Source::Fixed(hosts) => input_sender.send(Input::List(Scope::Full, hosts)),
         Source::Discovery(_) => {
             input_sender.send(Input::List(Scope::Cached, Vec::new())); // starts the decision library's clock
-            let remembered = discovery::parse_remembered(&config.remembered_list).unwrap_or_default();
+            let remembered = lists.parse_remembered(&config.remembered_list).unwrap_or_default();
             spawn_local(offer_remembered(
                 remembered,
                 discovery::remembered_list_delay(pushed),
@@ -249,7 +251,8 @@
         }
     }
     if let Some(addresses) = addresses {
-        spawn_local(discovery::follow(addresses, input_sender.clone(), (!pushed).then_some(asked)));
+        let asked = (!pushed).then_some(asked);
+        spawn_local(discovery::follow(addresses, lists.clone(), input_sender.clone(), asked));
     }
     let address = listener.local_addr().map_err(context("the listener"))?;
     let front = front::Frontend::new(
--- a/crates/sandgap/src/diagnostics.rs
+++ b/crates/sandgap/src/diagnostics.rs
@@ -50,6 +50,8 @@
     StreamEnd,
     /// A long request was given up while it was sent, by the reason.
     UploadEnd,
+    /// Backends of a list were not taken, by the reason.
+    List,
 }
 
 impl Event {
@@ -70,6 +72,7 @@
             Event::Stream => "stream",
             Event::StreamEnd => "stream_end",
             Event::UploadEnd => "upload_end",
+            Event::List => "list",
         }
     }
 }
--- a/crates/sandgap/src/discovery/assembly.rs
+++ b/crates/sandgap/src/discovery/assembly.rs
@@ -1,8 +1,8 @@
 //! Assembles lists from lines. A list is usually one line, but may be indented JSON over many lines. A truncated line
 //! looks like the beginning of such a list until no further line arrives or a line arrives that does not continue it.
 
-use super::List;
-use super::lines::MAX_LIST_BYTES;
+use super::lines::too_long;
+use super::list::{List, ListReader};
 
 /// Result of one line.
 pub(super) enum LineResult {
@@ -39,7 +39,7 @@
     }
 
     /// Adds a line, without its line end.
-    pub(super) fn push(&mut self, line: &[u8]) -> LineResult {
+    pub(super) fn push(&mut self, line: &[u8], lists: &ListReader) -> LineResult {
         if line.trim_ascii().is_empty() {
             return if self.is_partial() {
                 LineResult::Truncated(self.discard(), None)
@@ -48,21 +48,26 @@
             };
         }
         if self.is_partial()
-            && let Ok(list) = serde_json::from_slice::<List>(line)
+            && let Ok(list) = lists.parse(line)
         {
             // The line is a complete list, so the list before it was truncated.
             return LineResult::Truncated(self.discard(), Some(list));
         }
-        if self.part.len() + line.len() > MAX_LIST_BYTES {
-            return LineResult::Truncated(self.discard(), None);
+        if self.part.len() + line.len() > lists.max_bytes() {
+            self.discard();
+            return LineResult::Truncated(too_long(lists.max_bytes()), None);
         }
         self.scan(line);
-        self.part.extend_from_slice(line);
-        self.part.push(b'\n');
+        let is_whole_line = self.part.is_empty() && self.depth == 0;
+        if !is_whole_line {
+            self.part.extend_from_slice(line);
+            self.part.push(b'\n');
+        }
         if self.depth > 0 {
             return LineResult::Partial;
         }
-        let whole = serde_json::from_slice::<List>(&self.part);
+        // A list of one line is parsed where it is, without a copy.
+        let whole = lists.parse(if is_whole_line { line } else { &self.part });
         *self = ListAssembler::default();
         match whole {
             Ok(list) => LineResult::Complete(list),
@@ -89,9 +94,15 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::diagnostics::Diagnostics;
+    use crate::memory::MemoryGauge;
 
     const LIST: &str = r#"{"seq":7,"whole":true,"hosts":[{"host":"a}\"{","health":"up"},{"host":"b"}]}"#;
 
+    fn reader() -> std::rc::Rc<ListReader> {
+        ListReader::new(MemoryGauge::new(16 << 20, false), Diagnostics::new(None))
+    }
+
     fn indented() -> String {
         let value: serde_json::Value = serde_json::from_str(LIST).expect("JSON");
         serde_json::to_string_pretty(&value).expect("JSON")
@@ -99,18 +110,19 @@
 
     /// Versions of the lists in a text, the number of truncated lists, and whether a list is incomplete at the end.
     fn push_lines(text: &str) -> (Vec<u64>, usize, bool) {
-        let (mut assembly, mut lists, mut truncated) = (ListAssembler::default(), Vec::new(), 0);
+        let lists = reader();
+        let (mut assembly, mut versions, mut truncated) = (ListAssembler::default(), Vec::new(), 0);
         for line in text.lines() {
-            match assembly.push(line.as_bytes()) {
-                LineResult::Complete(list) => lists.push(list.seq),
+            match assembly.push(line.as_bytes(), &lists) {
+                LineResult::Complete(list) => versions.push(list.seq),
                 LineResult::Truncated(_, list) => {
                     truncated += 1;
-                    lists.extend(list.map(|l| l.seq));
+                    versions.extend(list.map(|l| l.seq));
                 }
                 LineResult::Blank | LineResult::Partial => {}
             }
         }
-        (lists, truncated, assembly.is_partial())
+        (versions, truncated, assembly.is_partial())
     }
 
     #[test]
@@ -134,9 +146,10 @@
 
     #[test]
     fn an_unterminated_list_is_bounded() {
-        let mut assembly = ListAssembler::default();
+        let (lists, mut assembly) = (reader(), ListAssembler::default());
         let line = vec![b'['; 64 << 10];
-        let parts = (0..200).take_while(|_| matches!(assembly.push(&line), LineResult::Partial)).count();
-        assert!(parts <= MAX_LIST_BYTES / line.len() && assembly.part.is_empty());
+        let parts =
+            (0..200).take_while(|_| matches!(assembly.push(&line, &lists), LineResult::Partial)).count();
+        assert!(parts <= lists.max_bytes() / line.len() && assembly.part.is_empty());
     }
 }
--- a/crates/sandgap/src/discovery/lines.rs
+++ b/crates/sandgap/src/discovery/lines.rs
@@ -14,15 +14,11 @@
 
 use super::timing::{ANSWER_TIMEOUT, CALL_TIMEOUT, CONNECT_TIMEOUT};
 
-/// Maximum size in bytes of the buffer in which a response body is read, and of a list that is assembled from several
-/// lines. A thousand backends take 200 kB.
-pub(super) const MAX_LIST_BYTES: usize = 4 << 20;
-
 /// Opens a watch: a call to discovery that stays open and delivers changes line by line. `after` is the last version
 /// that is known, if any. `pushed` says that lists are pushed by a local agent, for which other timeouts apply; see
-/// [`super::timing`].
+/// [`super::timing`]. A line has at most `max_bytes`.
 pub(super) async fn open_watch(
-    address: SocketAddr, after: Option<u64>, pushed: bool,
+    address: SocketAddr, after: Option<u64>, pushed: bool, max_bytes: usize,
 ) -> Result<Lines, String> {
     let began = Instant::now();
     let after = after.map_or(String::new(), |seq| format!("&after={seq}"));
@@ -33,7 +29,7 @@
         let stream = timeout(connect_timeout, TcpStream::connect(address))
             .await
             .map_err(|_| "no connection".to_owned())?;
-        get_over(stream.map_err(|e| e.to_string())?, address, &query, began).await
+        get_over(stream.map_err(|e| e.to_string())?, address, &query, began, max_bytes).await
     };
     timeout(answer_timeout, call).await.unwrap_or_else(|_| Err("no answer".into()))
 }
@@ -43,8 +39,10 @@
     /// When the call began.
     pub(super) began: Instant,
     body: hyper::body::Incoming,
-    /// Bytes that were received and not returned yet, at most [`MAX_LIST_BYTES`].
+    /// Bytes that were received and not returned yet.
     buffer: Vec<u8>,
+    /// Maximum length of that buffer in bytes.
+    max_bytes: usize,
     /// Task that drives the connection; dropping it closes the connection.
     _connection: JoinSet<()>,
     _sender: http1::SendRequest<Empty<Bytes>>,
@@ -56,7 +54,8 @@
         let mut searched = 0;
         loop {
             if let Some(at) = self.buffer[searched..].iter().position(|b| *b == b'\n') {
-                let mut line: Vec<u8> = self.buffer.drain(..=searched + at).collect();
+                let rest = self.buffer.split_off(searched + at + 1);
+                let mut line = std::mem::replace(&mut self.buffer, rest);
                 line.pop();
                 return Ok(Some(line));
             }
@@ -77,8 +76,8 @@
     async fn read_frame(&mut self) -> Result<bool, String> {
         let Some(frame) = self.body.frame().await else { return Ok(false) };
         if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
-            if self.buffer.len() + data.len() > MAX_LIST_BYTES {
-                return Err("a line or list is longer than the limit of the buffer".into());
+            if self.buffer.len() + data.len() > self.max_bytes {
+                return Err(too_long(self.max_bytes));
             }
             self.buffer.extend_from_slice(&data);
         }
@@ -86,15 +85,22 @@
     }
 }
 
-/// Requests the list and returns the response, whose body has not been read yet.
-pub(super) async fn get(address: SocketAddr, query: &str) -> Result<Lines, String> {
+/// What is wrong with a list of more than `max_bytes`.
+pub(super) fn too_long(max_bytes: usize) -> String {
+    format!(
+        "a line or list is longer than {max_bytes} bytes, which memory_mb allows: raise it, or list fewer backends"
+    )
+}
+
+/// Requests the list and returns the response, whose body of at most `max_bytes` has not been read yet.
+pub(super) async fn get(address: SocketAddr, query: &str, max_bytes: usize) -> Result<Lines, String> {
     let began = Instant::now();
     let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
-    get_over(stream, address, query, began).await
+    get_over(stream, address, query, began, max_bytes).await
 }
 
 async fn get_over(
-    stream: TcpStream, address: SocketAddr, query: &str, began: Instant,
+    stream: TcpStream, address: SocketAddr, query: &str, began: Instant, max_bytes: usize,
 ) -> Result<Lines, String> {
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(SharedStream::from(stream))).await.map_err(|e| e.to_string())?;
@@ -111,5 +117,12 @@
     if answer.status() != StatusCode::OK {
         return Err(format!("status {}", answer.status()));
     }
-    Ok(Lines { began, body: answer.into_body(), buffer: Vec::new(), _connection: task, _sender: sender })
+    Ok(Lines {
+        began,
+        body: answer.into_body(),
+        buffer: Vec::new(),
+        max_bytes,
+        _connection: task,
+        _sender: sender,
+    })
 }
--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -3,6 +3,7 @@
 
 mod assembly;
 mod lines;
+mod list;
 mod timing;
 
 use std::cell::Cell;
@@ -11,8 +12,6 @@
 use std::time::Duration;
 
 use sandgap_driver::list_order::{ListOrder, ReceivedList, Verdict};
-use serde::Deserialize;
-use serde_json::Value;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -22,62 +21,13 @@
 use crate::note;
 use assembly::{LineResult, ListAssembler};
 use lines::{Lines, get, open_watch};
+use list::List;
+pub use list::ListReader;
 use timing::{
     BACKOFF, CALL_TIMEOUT, FULL_LIST_TIMEOUT, HEARTBEAT_TIMEOUT, HEDGE_DELAY, LINE_GAP_TIMEOUT, LOG_INTERVAL,
     MAX_DOUBLINGS, REGRESSION_RESET, REMEMBERED_LIST_DELAY,
 };
 
-/// Parses an entry as far as possible: one malformed entry must not hide the rest of the list.
-fn parse_entry(entry: &Value) -> Option<Host> {
-    let text = |key: &str| entry[key].as_str().map(str::to_owned);
-    let Some(host) = text("host") else {
-        note!(warn: "discovery: an entry has no name; it is ignored");
-        return None;
-    };
-    let address = entry["dial"].as_str().and_then(|d| d.parse().ok());
-    if address.is_none() && entry["health"] != "removed" {
-        note!(warn: "discovery: {host} has no address");
-    }
-    Some(Host {
-        host,
-        address,
-        zone: text("site"),
-        kind: text("class"),
-        cell: entry["block"].as_u64(),
-        health: text("health").unwrap_or_default(),
-        rating: entry["share"].as_f64(),
-        start_time_ms: entry["born_ms"].as_f64().unwrap_or(0.0),
-    })
-}
-
-/// A full list or the changes since a version, as discovery sends it.
-#[derive(Debug, Deserialize)]
-struct List {
-    seq: u64,
-    whole: bool,
-    hosts: Vec<Value>,
-}
-
-impl List {
-    fn entries(&self) -> Vec<Host> {
-        self.hosts.iter().filter_map(parse_entry).collect()
-    }
-}
-
-/// Parses the list that the configuration remembers; a malformed one is logged and ignored.
-pub fn parse_remembered(known: &Value) -> Option<Vec<Host>> {
-    if known.is_null() {
-        return None;
-    }
-    match List::deserialize(known) {
-        Ok(list) => Some(list.entries()),
-        Err(e) => {
-            note!(warn: "the remembered list can't be used: {e}");
-            None
-        }
-    }
-}
-
 /// How long discovery may take to send its list before the remembered list is used. A local agent answers at once: one
 /// that has not answered within a call's timeout is silent. Elsewhere a list counts only once it has arrived, and a
 /// call may wait in discovery's queue.
@@ -88,7 +38,8 @@
 /// Follows discovery at the configured address. With `asked`, a watch is opened only when the decision library requests
 /// one. After a change of address the old service is read until the new one has sent its list.
 pub async fn follow(
-    mut addresses: watch::Receiver<SocketAddr>, input_sender: InputSender, asked: Option<Rc<Notify>>,
+    mut addresses: watch::Receiver<SocketAddr>, lists: Rc<ListReader>, input_sender: InputSender,
+    asked: Option<Rc<Notify>>,
 ) {
     let start = Instant::now();
     let active_number = Rc::new(Cell::new(0));
@@ -98,6 +49,7 @@
         let address = *addresses.borrow_and_update();
         let source = Watcher {
             address,
+            lists: lists.clone(),
             input_sender: input_sender.clone(),
             start,
             order: ListOrder::new(number > 0),
@@ -130,6 +82,7 @@
 /// The watch of one address, with the list version known there.
 struct Watcher {
     address: SocketAddr,
+    lists: Rc<ListReader>,
     input_sender: InputSender,
     /// Origin of the times that order calls and lists.
     start: Instant,
@@ -173,7 +126,7 @@
             // and a second silence would be noticed too late.
             let after = self.order.resume_version().filter(|_| !silent);
             let first = if silent { FULL_LIST_TIMEOUT } else { HEARTBEAT_TIMEOUT };
-            let error = match open_watch(self.address, after, false).await {
+            let error = match open_watch(self.address, after, false, self.lists.max_bytes()).await {
                 Ok(lines) => {
                     let error = self.read_and_renew(lines, first).await;
                     silent = matches!(error, WatchError::Silent);
@@ -265,7 +218,9 @@
             };
             line_timeout = HEARTBEAT_TIMEOUT;
             self.lines_read += 1;
-            let truncated = match assembly.push(&line) {
+            let result = assembly.push(&line, &self.lists);
+            drop(line); // a long one would be held beside what is made of it
+            let truncated = match result {
                 LineResult::Blank => {
                     self.input_sender.send(Input::DiscoveryAlive);
                     continue;
@@ -307,15 +262,15 @@
                 },
                 () = sleep_until(next), if self.pushed || calls.is_empty() => {
                     let address = self.address;
-                    let pushed = self.pushed;
-                    calls.spawn_local(async move { open_watch(address, after, pushed).await });
+                    let (pushed, max_bytes) = (self.pushed, self.lists.max_bytes());
+                    calls.spawn_local(async move { open_watch(address, after, pushed, max_bytes).await });
                     let now = Instant::now();
                     (self.last_call, next) = (Some(now), now + wait);
                     if !self.pushed {
                         wait = (wait * 2).min(BACKOFF.1);
                     }
                 }
-                line = next_line(&mut old) => match line.map(|line| assembly.push(&line)) {
+                line = next_line(&mut old) => match line.map(|line| assembly.push(&line, &self.lists)) {
                     Some(LineResult::Complete(list) | LineResult::Truncated(_, Some(list))) => {
                         let began = old_began.unwrap_or(self.start);
                         if self.apply(list, true, began).is_err() {
@@ -355,18 +310,19 @@
         if self.is_superseded() {
             return Err(WatchError::Unusable("discovery has moved".into()));
         }
-        let hosts = list.entries();
+        self.lists.report(&list);
+        let List { seq, whole, hosts, .. } = list;
         let arrived = ReceivedList {
-            version: list.seq,
-            whole: list.whole,
+            version: seq,
+            whole,
             empty: hosts.is_empty(),
             after_gap: gap,
             call_began: call_began.saturating_duration_since(self.start),
         };
         let resume_version = self.order.resume_version();
         let verdict = self.order.compare(self.start.elapsed(), arrived);
-        log_list(&list, &hosts, verdict);
-        let scope = if list.whole { Scope::Full } else { Scope::Delta };
+        log_list(seq, whole, &hosts, verdict);
+        let scope = if whole { Scope::Full } else { Scope::Delta };
         match verdict {
             Verdict::MissingBase => {
                 return Err(WatchError::Unusable("changes arrived before any full list".into()));
@@ -381,8 +337,7 @@
                 self.input_sender.send(Input::UncertainList(Scope::Delta, hosts));
                 self.record_regression();
                 return Err(WatchError::Regressed(format!(
-                    "{} after {}",
-                    list.seq,
+                    "{seq} after {}",
                     resume_version.unwrap_or_default()
                 )));
             }
@@ -396,9 +351,9 @@
 }
 
 /// Logs a summary of a list.
-fn log_list(list: &List, hosts: &[Host], verdict: Verdict) {
+fn log_list(seq: u64, whole: bool, hosts: &[Host], verdict: Verdict) {
     let count = |health: &str| hosts.iter().filter(|h| h.health == health).count();
-    let form = if list.whole { "the whole list" } else { "changes" };
+    let form = if whole { "the whole list" } else { "changes" };
     let (up, draining, removed) = (count("up"), count("draining"), count("removed"));
     let order = match verdict {
         Verdict::Newer => "newer",
@@ -407,10 +362,7 @@
         Verdict::Uncertain { refetch: false } => "perhaps older",
         Verdict::MissingBase => "of an unknown list",
     };
-    note!(
-        "discovery: version {}, {form}, {order}: {up} up, {draining} draining, {removed} removed",
-        list.seq
-    );
+    note!("discovery: version {seq}, {form}, {order}: {up} up, {draining} draining, {removed} removed");
 }
 
 /// The next line of a watch; pending for ever without a watch.
@@ -442,14 +394,17 @@
 }
 
 /// Requests the full list once.
-pub async fn fetch(address: SocketAddr, input_sender: InputSender) {
+pub async fn fetch(address: SocketAddr, lists: Rc<ListReader>, input_sender: InputSender) {
     let list = timeout(HEARTBEAT_TIMEOUT, async {
-        let body = get(address, "").await?.rest().await?;
-        serde_json::from_slice::<List>(&body).map_err(|e| format!("a malformed list: {e}"))
+        let body = get(address, "", lists.max_bytes()).await?.rest().await?;
+        lists.parse(&body).map_err(|e| format!("a malformed list: {e}"))
     });
     match list.await.unwrap_or_else(|_| Err("no answer".into())) {
         // It may be older than changes that a watch has delivered meanwhile.
-        Ok(list) => input_sender.send(Input::UncertainList(Scope::Full, list.entries())),
+        Ok(list) => {
+            lists.report(&list);
+            input_sender.send(Input::UncertainList(Scope::Full, list.hosts));
+        }
         Err(e) => {
             note!(warn: "discovery: {e}");
             input_sender.send(Input::List(Scope::Failed, Vec::new()));
--- a/crates/sandgap/src/drains.rs
+++ b/crates/sandgap/src/drains.rs
@@ -64,14 +64,14 @@
             zone: None,
             kind: None,
             cell: None,
-            health: health.into(),
+            health: Host::health_of(health),
             rating: None,
             start_time_ms: 0.0,
         }
     }
 
     fn states(entries: &[Host]) -> Vec<(&str, &str)> {
-        entries.iter().map(|h| (h.host.as_str(), h.health.as_str())).collect()
+        entries.iter().map(|h| (h.host.as_str(), &*h.health)).collect()
     }
 
     #[test]
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -16,7 +16,7 @@
 use wharfhitch::{BackendId, Balancer, Outcome, RequestId, Scope};
 
 use crate::diagnostics::{Diagnostics, Event};
-use crate::discovery;
+use crate::discovery::{self, ListReader};
 use crate::drains::Drains;
 use crate::event::{
     Answer, AnswerBy, Arrival, Attempt, BackendPool, Endpoint, Exchange, Host, Input, InputSender, Lease,
@@ -43,6 +43,8 @@
     pub peers: Option<Rc<Peers>>,
     /// Current address of the discovery service, if there is one.
     pub discovery: Option<watch::Receiver<SocketAddr>>,
+    /// Reads the lists of discovery.
+    pub lists: Rc<ListReader>,
     /// Notified when the decision library requests a discovery subscription.
     pub subscribe: Rc<Notify>,
     /// Notified once a list of backends is known.
@@ -132,7 +134,8 @@
     fn fetch_list(&mut self) {
         if let Some(discovery) = &self.dependencies.discovery {
             let address = *discovery.borrow();
-            tokio::task::spawn_local(discovery::fetch(address, self.dependencies.input_sender.clone()));
+            let (lists, input_sender) = (&self.dependencies.lists, &self.dependencies.input_sender);
+            tokio::task::spawn_local(discovery::fetch(address, lists.clone(), input_sender.clone()));
         }
     }
 
@@ -183,8 +186,10 @@
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let start = Instant::now();
-        let core =
+        let listed = dependencies.lists.listed().clone();
+        let mut core =
             Core::new(balancer, SocketEffects { dependencies, start }, names, unix.as_secs_f64() * 1000.0);
+        core.record_listed_in(listed);
         Driver { core, start, limit_report, drains: None }
     }
 
--- a/crates/sandgap/src/memory/gauge.rs
+++ b/crates/sandgap/src/memory/gauge.rs
@@ -27,6 +27,8 @@
 
 /// Memory in bytes that a request may need beside what its head needs: its parser, a connection to a backend, its answer.
 const REQUEST_BYTES: usize = 40 << 10;
+/// Memory in bytes that a listed backend takes, while the tables that it is in grow.
+const BACKEND_BYTES: usize = 4 << 10;
 /// Copies of a request's head that exist at once: as read, as a table of fields, as sent on.
 const HEAD_COPIES: usize = 5;
 
@@ -138,6 +140,11 @@
         self.successor_bytes.set(if is_alone && self.allows_upgrades { successor } else { 0 });
     }
 
+    /// The memory limit in bytes.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Bytes that may be held: by this process, and by all that share the limit if the others are known.
     fn ceilings(&self) -> (usize, usize) {
         let all = self.limit - self.limit / MARGIN_DIVISOR;
@@ -187,6 +194,16 @@
         self.room() >= step.required_room(self.working_bytes())
     }
 
+    /// Number of further backends that there is room for beside the requests.
+    pub fn room_for_backends(&self) -> usize {
+        self.room().saturating_sub(self.working_bytes() / 4) / BACKEND_BYTES
+    }
+
+    /// Megabytes by which the limit would have to be higher for so many backends, rounded up.
+    pub fn megabytes_for_backends(backends: usize) -> usize {
+        (backends * BACKEND_BYTES).div_ceil(1 << 20)
+    }
+
     /// Whether room is short, so that what is not in use should be given up.
     pub fn is_short(&self) -> bool {
         self.room() < self.working_bytes() / 4
--- a/crates/sandgap/src/rules/book.rs
+++ b/crates/sandgap/src/rules/book.rs
@@ -69,8 +69,8 @@
     Ok(Backend {
         name: host.host.clone(),
         address,
-        zone: host.zone.clone(),
-        kind: host.kind.clone(),
+        zone: host.zone.as_deref().map(str::to_owned),
+        kind: host.kind.as_deref().map(str::to_owned),
         cell: host.cell,
         share: host.rating.unwrap_or(1.0),
         draining: host.health != "up",
@@ -234,8 +234,8 @@
     let host = |b: &Backend| Host {
         host: b.name.clone(),
         address: Some(b.address),
-        zone: b.zone.clone(),
-        kind: b.kind.clone(),
+        zone: b.zone.as_deref().map(Into::into),
+        kind: b.kind.as_deref().map(Into::into),
         cell: b.cell,
         health: if b.draining || book.drained.contains(&b.name) { "draining" } else { "up" }.into(),
         rating: Some(b.share),
--- a/crates/sandgap/src/settings/mod.rs
+++ b/crates/sandgap/src/settings/mod.rs
@@ -235,10 +235,10 @@
     Host {
         host: b.name,
         address: Some(b.address),
-        zone: b.zone,
-        kind: b.kind,
+        zone: b.zone.map(Into::into),
+        kind: b.kind.map(Into::into),
         cell: b.cell,
-        health: b.state,
+        health: b.state.into(),
         rating: Some(b.share),
         start_time_ms: 0.0,
     }
--- a/crates/sandgap/src/settings/tests.rs
+++ b/crates/sandgap/src/settings/tests.rs
@@ -34,7 +34,7 @@
     assert_eq!(config.settings.classes[1].effect, Effect::Keyed { group: Group::Cell, window: 2500.0 });
     assert_eq!(config.connections.dial_timeout, 250.0);
     let Source::Fixed(hosts) = config.source else { panic!("a fixed list") };
-    assert_eq!((hosts[0].rating, hosts[0].health.as_str()), (Some(4.0), "up"));
+    assert_eq!((hosts[0].rating, &*hosts[0].health), (Some(4.0), "up"));
 }
 
 #[test]
--- a/crates/sandgap/tests/large_lists.rs
+++ b/crates/sandgap/tests/large_lists.rs
@@ -43,6 +43,75 @@
     }
 }
 
+/// Backends on a list that the least memory has no room for.
+const TOO_MANY: usize = 20_000;
+
+/// Backends of the largest planned fleet.
+const MOST: usize = 36_000;
+
+/// A list of `count` backends at one address, followed by some `own` ones at another.
+fn many_hosts(seq: u64, count: usize, many: &Backend, own: &[&str], last: &Backend) -> String {
+    let name = |n: usize| format!("s-{n:05}");
+    let first = (0..count).map(|n| host(&name(n), many.address, "up", 0));
+    let own = own.iter().enumerate().map(|(n, health)| host(&format!("own-{n}"), last.address, health, 0));
+    list(seq, true, &first.chain(own).collect::<Vec<_>>())
+}
+
+#[test]
+fn a_list_too_large_for_the_memory_limit_keeps_the_known_backends_and_their_drains() {
+    let (many, last) = (Backend::new(Action::Write(ok("many"))), Backend::new(Action::Write(ok("last"))));
+    for (memory_mb, is_first) in [(16, false), (16, true), (24, false), (24, true)] {
+        let what = format!("{TOO_MANY} backends, {memory_mb} MB, as the first list: {is_first}");
+        let discovery = Discovery::new();
+        if is_first {
+            discovery.publish(&many_hosts(1, TOO_MANY, &many, &[], &last));
+        } else {
+            discovery.publish(&list(1, true, &[host("own-0", last.address, "up", 0)]));
+        }
+        let proxy = Proxy::up(&discovery, &Setup { memory_mb, ..Setup::default() });
+        discovery.publish(&many_hosts(2, TOO_MANY, &many, &["up"], &last));
+        wait_for("the refusal", || proxy.log_contains("memory_mb"));
+        for n in 0..50 {
+            let answer = Client::new(&proxy).request(&page(&format!("{what}-{n}")));
+            assert_eq!(status(answer), 200, "{what}, request {n}");
+        }
+        discovery.publish(&many_hosts(3, TOO_MANY, &many, &["draining"], &last));
+        wait_until_only(&proxy, "the drain", "many");
+        let peak_mb = proxy.peak_resident_kib() as f64 / 1024.0;
+        println!("{what}: peak {peak_mb:.1} MB");
+        assert!(peak_mb < memory_mb as f64, "{what}: {peak_mb:.1} MB");
+    }
+}
+
+#[test]
+fn a_list_of_the_largest_fleet_is_used_whole_with_the_memory_for_it() {
+    let (many, last) = (Backend::new(Action::Write(ok("many"))), Backend::new(Action::Write(ok("last"))));
+    let discovery = Discovery::new();
+    discovery.publish(&list(1, true, &[host("own-0", last.address, "up", 0)]));
+    let proxy = Proxy::up(&discovery, &Setup { memory_mb: 256, ..Setup::default() });
+    discovery.publish(&many_hosts(2, MOST, &many, &["draining"], &last));
+    wait_until_only(&proxy, "the drain", "many");
+    assert!(!proxy.log_contains("memory_mb") && proxy.log_contains("36000 up, 1 draining"));
+    println!("{MOST} backends: peak {} KiB", proxy.peak_resident_kib());
+    assert!(proxy.peak_resident_kib() < 256 << 10);
+}
+
+#[test]
+fn a_list_too_long_to_be_read_leaves_the_list_before_it_and_names_the_setting() {
+    let (many, last) = (Backend::new(Action::Write(ok("many"))), Backend::new(Action::Write(ok("last"))));
+    let discovery = Discovery::new();
+    discovery.publish(&list(1, true, &[host("own-0", last.address, "up", 0)]));
+    let proxy = Proxy::up(&discovery, &Setup { memory_mb: 16, ..Setup::default() });
+    discovery.publish(&many_hosts(2, 2 * MOST, &many, &[], &last));
+    wait_for("the refusal", || proxy.log_contains("memory_mb"));
+    for n in 0..20 {
+        let answer = Client::new(&proxy).request(&page(&format!("known-{n}"))).expect("an answer");
+        assert_eq!(answer.text(), "last", "the known backend is still used");
+    }
+    println!("{} backends: peak {} KiB", 2 * MOST, proxy.peak_resident_kib());
+    assert!(proxy.peak_resident_kib() < 16 << 10);
+}
+
 #[test]
 fn thousands_of_backends_by_file_are_checked_and_used() {
     for size in SIZES {
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -722,6 +722,11 @@
         (result, peak)
     }
 
+    /// Largest resident memory of the process so far, in KiB.
+    pub fn peak_resident_kib(&self) -> usize {
+        self.status_kib("VmHWM:")
+    }
+
     /// A figure of /proc/PID/status in KiB; 0 once the process has ended.
     fn status_kib(&self, figure: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
