--- a/crates/sandgap/src/discovery/list.rs
+++ b/crates/sandgap/src/discovery/list.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Whether there is room for so many further backends.
+    pub(super) fn has_room_for(&self, backends: usize) -> bool {
+        self.memory.room_for_backends() >= backends
+    }
+
     /// Logs the entries of a list that there was no room for.
     pub(super) fn report(&self, list: &List) {
         if list.refused == 0 {
--- a/crates/sandgap/src/discovery/mod.rs
+++ b/crates/sandgap/src/discovery/mod.rs
@@ -59,6 +59,7 @@
             lines_read: 0,
             pushed: asked.is_none(),
             last_call: None,
+            refused: 0,
             regressions: 0,
             regressed_at: None,
         };
@@ -99,6 +100,8 @@
     pushed: bool,
     /// When discovery was last called.
     last_call: Option<Instant>,
+    /// Entries of the last list that there was no room for.
+    refused: usize,
     /// Recent times that versions went backwards, and when that last happened.
     regressions: u32,
     regressed_at: Option<Instant>,
@@ -157,7 +160,7 @@
             let error = self.read(&mut lines, first).await;
             let whole = match &error {
                 WatchError::Malformed(_) => false,
-                WatchError::Regressed(_) => true,
+                WatchError::Regressed(_) | WatchError::Incomplete(_) => true,
                 _ => return error,
             };
             note!(warn: "discovery: {error}; another watch is opened");
@@ -171,11 +174,11 @@
     /// Watches pushed lists, where calls are cheap: whenever the watch is in doubt another one is opened, and the old
     /// one is read until the new one is established.
     async fn watch_pushed(mut self) {
-        let (mut old, mut silent, mut regressed) = (None, 0, false);
+        let (mut old, mut silent, mut is_doubtful) = (None, 0, false);
         loop {
             // A resumed watch sends no list while nothing changes. After two silent watches the full list is requested,
             // which has to arrive at once.
-            let whole = silent > 1 || regressed || self.order.resume_version().is_none();
+            let whole = silent > 1 || is_doubtful || self.order.resume_version().is_none();
             let Some(mut lines) = self.reopen(old.take(), whole).await else { return };
             let before = self.lines_read;
             let error =
@@ -189,9 +192,12 @@
                 _ => 0,
             };
             note!(warn: "discovery: {error}; another watch is opened");
-            regressed = matches!(error, WatchError::Regressed(_));
+            is_doubtful = matches!(error, WatchError::Regressed(_) | WatchError::Incomplete(_));
             match error {
-                WatchError::Silent | WatchError::Malformed(_) | WatchError::Regressed(_) => old = Some(lines),
+                WatchError::Silent
+                | WatchError::Malformed(_)
+                | WatchError::Regressed(_)
+                | WatchError::Incomplete(_) => old = Some(lines),
                 WatchError::Unusable(_) => self.order.forget(),
                 WatchError::Ended(_) => {}
             }
@@ -223,6 +229,9 @@
             let truncated = match result {
                 LineResult::Blank => {
                     self.input_sender.send(Input::DiscoveryAlive);
+                    if self.refused > 0 && self.lists.has_room_for(self.refused) {
+                        return WatchError::Incomplete(self.refused);
+                    }
                     continue;
                 }
                 LineResult::Partial => continue,
@@ -311,6 +320,7 @@
             return Err(WatchError::Unusable("discovery has moved".into()));
         }
         self.lists.report(&list);
+        self.refused = if list.whole { list.refused } else { self.refused + list.refused };
         let List { seq, whole, hosts, .. } = list;
         let arrived = ReceivedList {
             version: seq,
@@ -382,6 +392,9 @@
     /// Versions went backwards: an old list was repeated, or the service restarted its count.
     #[error("version {0}")]
     Regressed(String),
+    /// Entries were left out for lack of memory, and there is room for them now.
+    #[error("there is room now for {0} backends that were left out")]
+    Incomplete(usize),
     /// No heartbeat arrived in time.
     #[error("the watch is silent")]
     Silent,
--- a/crates/sandgap/tests/large_lists.rs
+++ b/crates/sandgap/tests/large_lists.rs
@@ -3,6 +3,8 @@
 
 use std::net::UdpSocket;
 use std::process::Command;
+use std::thread;
+use std::time::Duration;
 
 use sockets::*;
 
@@ -112,6 +114,33 @@
     assert!(proxy.peak_resident_kib() < 16 << 10);
 }
 
+/// Backends that 32 MB have room for, but not beside [`CROWD`] bodies.
+const TIGHT: usize = 3700;
+/// Clients that stop within a body of 60 kB, for which a process with 32 MB has room.
+const CROWD: usize = 100;
+
+#[test]
+fn backends_left_out_for_a_crowd_are_asked_for_again_when_there_is_room() {
+    let (many, last) = (Backend::new(Action::Write(ok("many"))), Backend::new(Action::Write(ok("last"))));
+    let discovery = Discovery::new();
+    let proxy = Proxy::start(&discovery, &Setup { memory_mb: 32, sockets: 1024, ..Setup::default() });
+    let crowd: Vec<Client> = (0..CROWD)
+        .map(|n| {
+            let mut client = Client::new(&proxy);
+            let text = submit(&format!("crowd-{n}"), "5", &"x".repeat(60_000));
+            client.send(&text[..text.len() - 2000]);
+            client
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    discovery.publish(&many_hosts(1, TIGHT, &many, &["up"], &last));
+    wait_for("the refusal", || proxy.log_contains("memory_mb"));
+    drop(crowd);
+    wait_for("the whole list", || proxy.log_contains(&format!("{} up", TIGHT + 1)));
+    assert!(proxy.log_contains("there is room now"));
+    assert!(proxy.peak_resident_kib() < 32 << 10);
+}
+
 #[test]
 fn thousands_of_backends_by_file_are_checked_and_used() {
     for size in SIZES {
