A backend whose answers begin and then hang is found, and tested with one request at a time

Cause: an answer that has begun tells the policy nothing until it ends, and one whose client left counted as served (StreamEnd::ClientLeft).

Change: sandgap_driver::stalls (sans-IO) watches the answers that are incomplete 10 ms after their head. A backend is stalled in a class once three of them have been silent for 0.75 s, or for twice the longest pause after which it went on, while nothing of any other has come since; any byte or whole answer ends that. Event::Stalled closes it for the class, each time for longer, and then lets one request through at a time. Where over nine tenths are closed nobody is. No answer is ended for it. A client that leaves a silent answer counts neither way.

Units of the detector and of the policy.

--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -21,6 +21,7 @@
 use crate::endpoint::Endpoint;
 use crate::list_admission::ListedBackends;
 use crate::permit::{Attempts, Denial, MAX_ANSWER_DELAY, SendFacts, Violation};
+use crate::stalls::Stall;
 use crate::starts::Starts;
 
 /// Time since the process started, on a monotonic clock.
@@ -451,6 +452,15 @@
         }
     }
 
+    /// The answers of a backend in a class hang, or have gone on. Returns the backend's address.
+    pub fn stalled(&mut self, now: Time, stall: Stall) -> Option<std::net::SocketAddr> {
+        let Stall { endpoint: number, class, is_stalled } = stall;
+        let (backend, endpoint) = self.endpoints.iter().find(|(_, endpoint)| endpoint.number == number)?;
+        let (backend, address) = (*backend, endpoint.address);
+        self.handle(now, Event::Stalled { backend, class, is_stalled });
+        Some(address)
+    }
+
     /// An attempt has ended; called exactly once for each that [`Effects::attempt`] has started. The core itself calls it
     /// for attempts that were denied, with [`Outcome::NotSent`].
     pub fn ended(
--- a/crates/sandgap-driver/src/lib.rs
+++ b/crates/sandgap-driver/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod list_order;
 pub mod permit;
 pub mod reuse;
+pub mod stalls;
 mod starts;
 pub mod stream_admission;
 
--- a/crates/sandgap-lab/src/rivals.rs
+++ b/crates/sandgap-lab/src/rivals.rs
@@ -298,6 +298,7 @@
             | Event::Started { .. }
             | Event::Responding { .. }
             | Event::Paused { .. }
+            | Event::Stalled { .. }
             | Event::Uploading(_)
             | Event::Uploaded { .. }
             | Event::Message { .. }
--- a/crates/sandgap/src/diagnostics.rs
+++ b/crates/sandgap/src/diagnostics.rs
@@ -50,6 +50,8 @@
     StreamEnd,
     /// A long request was given up while it was sent, by the reason.
     UploadEnd,
+    /// A backend's answers in a class have begun to hang, or have gone on.
+    Stall,
     /// Backends of a list were not taken, by the reason.
     List,
 }
@@ -72,6 +74,7 @@
             Event::Stream => "stream",
             Event::StreamEnd => "stream_end",
             Event::UploadEnd => "upload_end",
+            Event::Stall => "stall",
             Event::List => "list",
         }
     }
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -222,6 +222,7 @@
             self.core.effects.dependencies.view.mark_caught_up(now);
             if now >= sweep {
                 self.core.effects.dependencies.pools.iter().for_each(|pool| pool.sweep());
+                self.review_stalls();
                 let limits = self.core.policy().limit_estimates();
                 let counts = self.core.effects.dependencies.diagnostics.counts();
                 self.limit_report.update(now.into_std(), limits, &counts, |b| self.core.address(b));
@@ -230,6 +231,17 @@
         }
     }
 
+    /// Tells the core which backends' answers hang, or have gone on.
+    fn review_stalls(&mut self) {
+        let pools = self.core.effects.dependencies.pools.clone();
+        for stall in pools.iter().flat_map(|pool| pool.review_stalls()) {
+            let address = self.core.stalled(self.now(), stall);
+            let fields =
+                || json!({"backend": address, "class": stall.class.0, "is_stalled": stall.is_stalled});
+            self.core.effects.dependencies.diagnostics.trace("stall", fields);
+        }
+    }
+
     /// Handles an input and those queued behind it, up to a bound that keeps timers on time.
     fn take_batch(&mut self, input: Option<Input>, inputs: &mut mpsc::UnboundedReceiver<Input>) {
         input.into_iter().for_each(|input| self.handle(input));
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use sandgap_driver::stalls::Stall;
 pub use sandgap_driver::{Endpoint, Host, InFlightGuard};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -206,6 +207,8 @@
     fn retire(&self, endpoint: &Endpoint);
     /// Closes expired idle connections; called about once a second.
     fn sweep(&self);
+    /// The backends whose answers have begun to hang, or have gone on; called about once a second.
+    fn review_stalls(&self) -> Vec<Stall>;
 }
 
 /// Reports the outcome of an attempt exactly once. An attempt dropped without an outcome is reported as reset, since
--- a/crates/sandgap/src/upstream/attempt.rs
+++ b/crates/sandgap/src/upstream/attempt.rs
@@ -7,11 +7,11 @@
 use sandgap_driver::reuse::{Exchange, Verdict};
 use serde_json::json;
 use tokio::time::{Instant, sleep_until, timeout_at};
-use wharfhitch::Outcome;
+use wharfhitch::{ClassId, Outcome};
 
 use super::progress::{Lateness, SendPrecondition, UploadHeldUp, WriteProgress};
 use super::response::{ResponsePart, StreamConditions, exchange};
-use super::stream::{Stream, StreamId, follow};
+use super::stream::{Stream, StreamEnd, StreamId, follow};
 use super::{Outgoing, Payload, Upstreams};
 use crate::body::{BodyError, Upload};
 use crate::diagnostics::Event;
@@ -70,10 +70,13 @@
                         report.uploaded();
                         until = uploads.take().map_or(until, |upload| message.patience_ends(upload));
                     }
-                    lateness = write_progress.late(), if uploads.is_none() => match lateness {
-                        Lateness::Responding => report.responding(),
-                        Lateness::Paused => report.paused(),
-                    },
+                    lateness = write_progress.late(), if uploads.is_none() => {
+                        write_progress.watch_answer(|| self.stalls.begin(endpoint.number, message.class));
+                        match lateness {
+                            Lateness::Responding => report.responding(),
+                            Lateness::Paused => report.paused(),
+                        }
+                    }
                     () = sleep_until(until), if uploads.is_none() => break None,
                     reason = held_up(&write_progress, &answer_by, message, uploads) => {
                         self.diagnostics.count(Event::UploadEnd, reason.name());
@@ -113,6 +116,10 @@
             }
             Some(Err(_)) | None => Verdict::Proven,
         };
+        if !matches!(&answer, Some(Ok(ResponsePart::Long(..)))) {
+            let is_complete = matches!(&answer, Some(Ok(ResponsePart::Whole(Outcome::Served, ..))));
+            self.end_watch(&write_progress, endpoint.number, message.class, is_complete);
+        }
         match answer {
             // The request ends as on a broken connection, and the connection is closed.
             Some(Ok(_)) if matches!(verdict, Verdict::Doubtful(_)) => {
@@ -137,9 +144,11 @@
                     backend: endpoint.address,
                     diagnostics: &self.diagnostics,
                 };
+                let watch = write_progress.watch_answer(|| self.stalls.begin(endpoint.number, message.class));
                 let slot = progress.may_be_short().then(|| self.streams.begin(endpoint.number));
-                let stream = Stream { progress: &progress, end, slot, shutdown_at: &self.shutdown_at };
+                let stream = Stream { progress: &progress, end, slot, watch, shutdown_at: &self.shutdown_at };
                 let end = follow(id, stream, &answer_by).await;
+                self.end_watch(&write_progress, endpoint.number, message.class, end == StreamEnd::Complete);
                 self.reuse.answer_ended(&exchanges);
                 report.finish(end.outcome(), None);
                 let keep = end.is_reusable() && write_progress.is_complete();
@@ -167,6 +176,17 @@
     }
 }
 
+impl Upstreams {
+    /// An answer is no longer watched for a stall, as it has ended.
+    fn end_watch(&self, write_progress: &WriteProgress, endpoint: u64, class: ClassId, is_complete: bool) {
+        match write_progress.unwatch_answer() {
+            Some(watch) => watch.end(is_complete),
+            None if is_complete => self.stalls.completed(endpoint, class),
+            None => {}
+        }
+    }
+}
+
 /// Waits until a long request that is being written is held up; see [`WriteProgress::held_up`].
 async fn held_up(
     write_progress: &WriteProgress, answer_by: &AnswerBy, message: &Outgoing, upload: Option<&Rc<Upload>>,
--- a/crates/sandgap/src/upstream/mod.rs
+++ b/crates/sandgap/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod progress;
 mod response;
 mod reuse;
+mod stall_watch;
 mod stream;
 
 use std::hash::{Hash as _, Hasher as _};
--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sandgap_driver::stalls::Stall;
 use sandgap_driver::stream_admission::StreamAdmission;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::yield_now;
@@ -13,6 +14,7 @@
 
 use super::connection::{Connection, Exchanges, Liveness};
 use super::reuse::Reuse;
+use super::stall_watch::Stalls;
 use crate::diagnostics::{Diagnostics, Event};
 use crate::event::{BackendPool, Endpoint};
 use crate::memory::Memory;
@@ -45,6 +47,8 @@
     /// Connections opened so far.
     opened: Cell<u64>,
     pub(super) reuse: Rc<Reuse>,
+    /// Finds backends that begin answers and then hang.
+    pub(super) stalls: Stalls,
     /// Which answers of unknown length may begin.
     pub(super) streams: Rc<StreamAdmission>,
     /// When the process ends, once it has been told to.
@@ -70,6 +74,7 @@
             available: Cell::new(sockets),
             memory,
             opened: Cell::default(),
+            stalls: Stalls::new(),
             streams: StreamAdmission::new(sockets),
             shutdown_at: Cell::default(),
         };
@@ -222,6 +227,15 @@
 impl BackendPool for Upstreams {
     fn retire(&self, endpoint: &Endpoint) {
         self.reuse.idle.close(endpoint.number);
+        self.stalls.forget(endpoint.number);
+    }
+
+    fn review_stalls(&self) -> Vec<Stall> {
+        let changes = self.stalls.review();
+        for change in &changes {
+            self.diagnostics.count(Event::Stall, if change.is_stalled { "stalled" } else { "went_on" });
+        }
+        changes
     }
 
     fn sweep(&self) {
--- a/crates/sandgap/src/upstream/progress.rs
+++ b/crates/sandgap/src/upstream/progress.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::Payload;
+use super::stall_watch::StallWatch;
 use crate::body::Upload;
 use crate::event::{AnswerBy, Endpoint, Lease};
 use crate::socket::Socket;
@@ -59,6 +60,8 @@
     pub(super) is_answer_early: Cell<bool>,
     /// Notified when a part of an answer is read.
     part_read: Notify,
+    /// Watches an answer that has begun and is incomplete.
+    watch: RefCell<Option<StallWatch>>,
 }
 
 /// Conditions for sending the first byte: the backend still accepts requests, the request is still unanswered, and a
@@ -161,10 +164,23 @@
     /// Records bytes read of an answer. Bytes that end with an empty line may be a complete interim response (1xx), after
     /// which the final one may take longer.
     pub(super) fn record_read(&self, bytes: &[u8]) {
+        if let Some(watch) = &*self.watch.borrow() {
+            watch.received();
+        }
         self.last_part_at.set((self.in_body.get() || !bytes.ends_with(HEAD_END)).then(Instant::now));
         self.part_read.notify_one();
     }
 
+    /// The present answer is watched for a stall from now on, unless it is already.
+    pub(super) fn watch_answer(&self, begin: impl FnOnce() -> StallWatch) -> StallWatch {
+        self.watch.borrow_mut().get_or_insert_with(begin).clone()
+    }
+
+    /// The present answer is no longer watched; what has watched it.
+    pub(super) fn unwatch_answer(&self) -> Option<StallWatch> {
+        self.watch.take()
+    }
+
     /// Waits until the request's last byte is written.
     pub(super) async fn finished(&self) {
         while !self.is_complete() {
--- a/crates/sandgap/src/upstream/stream.rs
+++ b/crates/sandgap/src/upstream/stream.rs
@@ -8,12 +8,15 @@
 use tokio::time::{Instant, sleep};
 use wharfhitch::{Outcome, RequestId};
 
+use super::stall_watch::StallWatch;
 use crate::body::{AnswerEnd, AnswerProgress, STREAM_IDLE_TIMEOUT};
 use crate::diagnostics::{Diagnostics, Event};
 use crate::event::AnswerBy;
 
 /// Lowest mean rate, in bytes a second, of an answer that may be short and that a process waits for which is told to end.
 const MIN_RATE_AT_SHUTDOWN: f64 = 4096.0;
+/// Silence of a backend after which the client's leaving says nothing good about it.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
 /// Interval between checks of a long answer.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -26,6 +29,8 @@
     BackendFailed,
     /// The client has left, or reads nothing.
     ClientLeft,
+    /// The client has left while the backend was silent.
+    ClientLeftSilence,
     /// The backend has been silent for [`STREAM_IDLE_TIMEOUT`].
     Idle,
     /// The process ends, and the backend has nearly stopped.
@@ -39,17 +44,19 @@
             StreamEnd::Complete => "complete",
             StreamEnd::BackendFailed => "backend_failed",
             StreamEnd::ClientLeft => "client_left",
+            StreamEnd::ClientLeftSilence => "client_left_silence",
             StreamEnd::Idle => "idle",
             StreamEnd::Shutdown => "shutdown",
         }
     }
 
-    /// What the attempt's end says about the backend. A client that leaves or reads nothing is not its fault.
+    /// What the attempt's end says about the backend. A client that leaves or reads nothing is not its fault; one that leaves
+    /// a silent backend says nothing.
     pub(super) fn outcome(self) -> Outcome {
         match self {
             StreamEnd::Complete | StreamEnd::ClientLeft => Outcome::Served,
             StreamEnd::BackendFailed | StreamEnd::Idle => Outcome::Reset,
-            StreamEnd::Shutdown => Outcome::Cancelled,
+            StreamEnd::ClientLeftSilence | StreamEnd::Shutdown => Outcome::Cancelled,
         }
     }
 
@@ -96,6 +103,8 @@
     pub(super) end: AnswerEnd,
     /// Held until the answer has shown that it is long.
     pub(super) slot: Option<StreamSlot>,
+    /// Notices if its backend hangs.
+    pub(super) watch: StallWatch,
     /// When the process ends, once it has been told to.
     pub(super) shutdown_at: &'a Cell<Option<Instant>>,
 }
@@ -119,10 +128,12 @@
                 end = &mut self.end => return match end {
                     Ok(true) => StreamEnd::Complete,
                     Ok(false) => StreamEnd::BackendFailed,
+                    Err(_) if self.watch.silence() >= MIN_SILENCE => StreamEnd::ClientLeftSilence,
                     Err(_) => StreamEnd::ClientLeft,
                 },
                 () = sleep(CHECK_INTERVAL) => {}
             }
+            self.watch.set_waits_for_client(!self.progress.waits_for_backend());
             if !self.progress.may_be_short() {
                 self.slot = None;
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,7 +72,7 @@
 /// Time within which most attempts are answered, in expected latencies.
 const FAIR_LATENCIES: f64 = 3.0;
 /// Factor by which the closing of a server for one class lasts longer than a closing for all classes.
-const CLASS_BACKOFF_FACTOR: f64 = 4.0;
+pub(crate) const CLASS_BACKOFF_FACTOR: f64 = 4.0;
 /// Fraction of servers closed, in total or for one class, above which closings are ignored.
 const DISTRUST_CLOSED_FRACTION: f64 = 0.9;
 /// Fraction of servers closed above which closings are ignored if no larger fraction of attempts is served.
@@ -120,7 +120,7 @@
 }
 
 /// Closes a server for a time that doubles with each call. It is reopened on trial, one request at a time.
-fn close_server(h: &mut Health, now: Millis, span: Millis) {
+pub(crate) fn close_server(h: &mut Health, now: Millis, span: Millis) {
     (h.closed_until, h.backoff, h.on_trial) = (now + span, (2.0 * h.backoff).min(MAX_BACKOFF_MS), true);
 }
 
@@ -143,6 +143,7 @@
             Event::Started { request, attempt } => self.started(now, request, attempt as usize),
             Event::Responding { request, attempt } => self.responding(now, request, attempt as usize),
             Event::Paused { request, attempt } => self.paused(now, request, attempt as usize),
+            Event::Stalled { backend, class, is_stalled } => self.stalled(now, backend, class.0, is_stalled),
             Event::Ended { request, attempt, latency, outcome, closed, .. } => {
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
             }
@@ -329,8 +330,8 @@
     /// leave one class unanswered and serve the rest), and the request is not heavy for a cold server.
     fn may_receive(&self, k: usize, r: &Request, now: Millis) -> bool {
         let (s, l) = (&self.servers[k], &self.cfg.limits);
-        let closed = s.by_class[r.class].closed_until > now
-            && self.closed_fraction[r.class] <= DISTRUST_CLOSED_FRACTION;
+        let closed =
+            s.is_closed_for(r.class, now) && self.closed_fraction[r.class] <= DISTRUST_CLOSED_FRACTION;
         let heavy = s.in_cold_start
             && self.expected_latency(r)
                 > COLD_REQUEST_FRACTION * l.fall_multiple * s.warm_fraction * l.fall_ms;
@@ -474,6 +475,7 @@
             (a.server, a.found_idle, a.silent, a.sent, f64::from(a.held));
         let responded_after = a.responded_after;
         let (class, size, home) = (r.class, r.size, r.home);
+        self.servers[k].begun -= u32::from(std::mem::take(&mut a.has_begun));
         r.done |= closed;
         if r.done || !r.awaits_response() {
             self.running.retain(|o| *o != id);
@@ -500,6 +502,7 @@
                 self.record_answer(now, k, class, sent, mean, latency / size, home == Some(k));
                 self.learn_latency(k, class, latency / size, home == Some(k), found_idle);
                 self.record_result(k, class, true, false, now);
+                self.servers[k].by_class[class].is_stalled = false;
                 if is_blamed && !self.requests[&id].started {
                     self.absolve(k, class, now);
                 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -312,6 +312,15 @@
         /// The attempt.
         attempt: u32,
     },
+    /// The answers of a server in a class begin and then hang, or go on again. Each report of a stall names one more.
+    Stalled {
+        /// The server.
+        backend: BackendId,
+        /// The class.
+        class: ClassId,
+        /// Whether they hang.
+        is_stalled: bool,
+    },
     /// An attempt has ended.
     Ended {
         /// The request.
--- a/src/long.rs
+++ b/src/long.rs
@@ -1,6 +1,6 @@
 //! Requests and answers that take long to transfer. A slow client is not a slow server, so a server is charged for a
 //! request only from the last byte of the request to the first byte of the answer.
-use crate::choice::{ANSWER_MARGIN_MS, CLOSE_FAILURE_RATE};
+use crate::choice::{ANSWER_MARGIN_MS, CLASS_BACKOFF_FACTOR, CLOSE_FAILURE_RATE, close_server};
 use crate::interface::*;
 use crate::state::{Attempt, Balancer, Request};
 
@@ -60,6 +60,8 @@
         }
         a.responded_after = Some(now - a.sent);
         let k = a.server;
+        a.has_begun = true;
+        self.servers[k].begun += 1;
         let holds_slot = !std::mem::replace(&mut a.silent, true);
         let is_awaited = r.awaits_response();
         self.servers[k].last_progress = now;
@@ -90,6 +92,21 @@
         }
     }
 
+    /// The answers of a server in a class hang, or go on again. While they hang it is closed for the class, each time for longer,
+    /// and is tested with one request at a time.
+    pub(crate) fn stalled(&mut self, now: Millis, backend: BackendId, class: usize, is_stalled: bool) {
+        let Some(&k) = self.by_id.get(&backend) else { return };
+        let Some(health) = self.servers[k].by_class.get_mut(class) else { return };
+        health.is_stalled = is_stalled;
+        if is_stalled {
+            close_server(health, now, CLASS_BACKOFF_FACTOR * health.backoff);
+        } else {
+            health.closed_until = health.closed_until.min(now);
+            health.on_trial &= health.failure_rate >= CLOSE_FAILURE_RATE;
+        }
+        self.update_open(k, now);
+    }
+
     /// Queues another attempt, if the request may be repeated and there is time. Retries are limited by a budget that arrivals
     /// fill, to prevent retry storms.
     pub(crate) fn retry(&mut self, now: Millis, id: RequestId) -> bool {
@@ -112,6 +129,7 @@
         r.started = true;
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.ended) else { return };
         let k = a.server;
+        self.servers[k].begun += u32::from(!std::mem::replace(&mut a.has_begun, true));
         self.servers[k].last_progress = now;
         if !std::mem::replace(&mut a.silent, true) {
             self.servers[k].own_attempts -= 1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,14 +14,21 @@
 pub(crate) struct Health {
     pub failure_rate: f64, // moving average of failures
     pub closed_until: Millis,
-    pub backoff: Millis, // length of the next closing
-    pub on_trial: bool,  // reopened after a closing, not yet proven healthy
+    pub backoff: Millis,  // length of the next closing
+    pub on_trial: bool,   // reopened after a closing, not yet proven healthy
+    pub is_stalled: bool, // answers begin and then hang
 }
 
 impl Health {
     /// No failures known.
     pub fn clean(now: Millis) -> Self {
-        Health { failure_rate: 0.0, closed_until: now, backoff: FIRST_BACKOFF_MS, on_trial: false }
+        Health {
+            failure_rate: 0.0,
+            closed_until: now,
+            backoff: FIRST_BACKOFF_MS,
+            on_trial: false,
+            is_stalled: false,
+        }
     }
 }
 
@@ -30,6 +37,7 @@
     pub info: Backend,
     pub withdrawn_at: Option<Millis>, // when its drain or removal was announced
     pub own_attempts: u32, // this proxy's attempts there, including those given up but plausibly running
+    pub begun: u32,        // own attempts whose answers have begun
     pub peer_attempts: u32, // attempts of other proxies, as reported by them
     pub peer_blames: u32,  // number of other proxies that have closed it
     pub relative_latency: (f64, f64), // mean latency relative to its classes' fleet means, and weight
@@ -65,6 +73,7 @@
             info,
             withdrawn_at: None,
             own_attempts: 0,
+            begun: 0,
             peer_attempts: 0,
             peer_blames: 0,
             relative_latency: (1.0, 0.0),
@@ -104,6 +113,13 @@
         }
     }
 
+    /// Whether requests of a class are kept from it. One whose answers hang gets one at a time, once its closing is over.
+    pub fn is_closed_for(&self, class: usize, now: Millis) -> bool {
+        let health = &self.by_class[class];
+        let is_tested = self.own_attempts + self.begun > 0;
+        health.closed_until > now || health.is_stalled && is_tested
+    }
+
     /// Resets its health record.
     pub fn reset_health(&mut self, now: Millis) {
         self.health = Health::clean(now);
@@ -153,6 +169,7 @@
     pub held: u32,                       // requests at the server when it was sent, including itself
     pub silent: bool, // no longer counted at its server: unanswered for too long, still uploading, or answer begun
     pub may_have_run: bool, // it runs or may have run
+    pub has_begun: bool, // its answer has begun, and it has not ended
     pub was_not_sent: bool, // it ended before anything of it was sent
     pub responded_after: Option<Millis>, // time from the send to the head of its answer, if the body came later
 }
@@ -440,6 +457,7 @@
             sent: now,
             ended: false,
             may_have_run: true,
+            has_begun: false,
             was_not_sent: false,
             found_idle,
             held,
@@ -512,7 +530,7 @@
         }
         let count = listed.len() as f64 + 0.01;
         for (class, fraction) in self.closed_fraction.iter_mut().enumerate() {
-            *fraction = listed.iter().filter(|s| s.by_class[class].closed_until > now).count() as f64 / count;
+            *fraction = listed.iter().filter(|s| s.is_closed_for(class, now)).count() as f64 / count;
         }
         (count, listed.iter().filter(|s| s.health.closed_until > now && !s.last_failure_full).count() as f64)
     }
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -158,3 +158,62 @@
         }
     }
 }
+
+fn stalled(server: u64, is_stalled: bool) -> Event {
+    Event::Stalled { backend: BackendId(server), class: ClassId(0), is_stalled }
+}
+
+/// Sends requests whose answers begin and hang; returns to which servers they went.
+fn send_hanging(harness: &mut Harness, ids: std::ops::Range<u64>) -> Vec<u64> {
+    let mut servers = Vec::new();
+    for id in ids {
+        for (request, server) in common::sends(&harness.give(request(id, 0, 4000.0))) {
+            servers.push(server);
+            harness.give(responding(request));
+        }
+        harness.pass(1.0);
+    }
+    servers
+}
+
+#[test]
+fn a_server_whose_answers_hang_is_tested_with_one_request_at_a_time() {
+    let servers = (1..=2).map(|id| Backend { rating: 4.0, ..server(id) }).collect();
+    let mut harness = Harness::new(settings(1), servers);
+    harness.train(100, 60, |_| 2.0);
+    harness.give(stalled(1, true));
+    assert!(!send_hanging(&mut harness, 1000..1020).contains(&1), "it is closed for the class");
+    harness.pass(1200.0);
+    let trials = send_hanging(&mut harness, 1020..1060);
+    assert_eq!(trials.iter().filter(|server| **server == 1).count(), 1, "{trials:?}");
+    let unsafe_sends: Vec<u64> = (2000..2040)
+        .flat_map(|id| {
+            let sent = common::sends(&harness.give(request(id, 1, 4000.0)));
+            harness.give(ended(id, 0, 2.0, Outcome::Served));
+            sent.into_iter().map(|(_, server)| server)
+        })
+        .collect();
+    assert!(unsafe_sends.contains(&1), "other classes use it");
+}
+
+#[test]
+fn a_server_whose_answers_go_on_again_gets_its_requests_at_once() {
+    let servers = (1..=2).map(|id| Backend { rating: 4.0, ..server(id) }).collect();
+    let mut harness = Harness::new(settings(1), servers);
+    harness.train(100, 60, |_| 2.0);
+    harness.give(stalled(1, true));
+    harness.give(stalled(1, true));
+    harness.give(stalled(1, false));
+    harness.pass(1.0);
+    assert!(send_hanging(&mut harness, 1000..1020).iter().filter(|server| **server == 1).count() > 3);
+}
+
+#[test]
+fn with_all_servers_hanging_requests_are_still_sent() {
+    let servers = (1..=3).map(|id| Backend { rating: 4.0, ..server(id) }).collect();
+    let mut harness = Harness::new(settings(1), servers);
+    harness.train(100, 60, |_| 2.0);
+    (1..=3).for_each(|server| drop(harness.give(stalled(server, true))));
+    harness.pass(200.0);
+    assert!(send_hanging(&mut harness, 1000..1020).len() > 10);
+}
