--- a/crates/sandgap-rig/src/fleet/mod.rs
+++ b/crates/sandgap-rig/src/fleet/mod.rs
@@ -126,6 +126,8 @@
     acting: RefCell<Vec<(u64, Micros)>>,
     broken: RefCell<Vec<String>>,
     outs: RefCell<Outs>,
+    /// Backends are still being taken out.
+    holders_go_on: Cell<bool>,
     /// Holders, and the task that halts them, that have not finished.
     active_holders: Cell<usize>,
     /// The versions that a publisher was told to be in force, with their `max_attempts`.
@@ -194,6 +196,7 @@
         acting: RefCell::new(vec![(0, 0); nodes]),
         broken: RefCell::default(),
         outs: RefCell::new(Outs::new(size.bound_out)),
+        holders_go_on: Cell::new(false),
         active_holders: Cell::new(0),
         acknowledged: RefCell::default(),
     });
@@ -219,13 +222,14 @@
         self.set_bounds().await?;
         let begin = Instant::now();
         let bytes = self.net.bytes_passed.get();
-        self.start_holders(begin + self.size.faulty);
+        self.start_holders();
         spawn_local(self.clone().publisher(begin + self.size.faulty));
         for (at, fault) in plan {
             sleep_until(begin + at).await;
             self.inject(fault);
         }
         sleep_until(begin + self.size.faulty).await;
+        self.stop_holders().await;
         self.net.heal();
         let seconds = begin.elapsed().as_secs_f64();
         let bytes_per_proxy = (self.net.bytes_passed.get() - bytes) as f64 / seconds / nodes as f64;
--- a/crates/sandgap-rig/src/fleet/outs.rs
+++ b/crates/sandgap-rig/src/fleet/outs.rs
@@ -48,25 +48,37 @@
     }
 
     /// Starts the holders and the task that halts grants.
-    pub(super) fn start_holders(self: &Rc<Self>, until: Instant) {
+    pub(super) fn start_holders(self: &Rc<Self>) {
         if self.size.holders == 0 {
             return;
         }
+        self.holders_go_on.set(true);
         self.active_holders.set(self.size.holders + 1);
         for n in 0..self.size.holders {
             let run = self.clone();
             spawn_local(async move {
-                run.run_holder(n as u64, until).await;
+                run.run_holder(n as u64).await;
                 run.active_holders.set(run.active_holders.get() - 1);
             });
         }
         let run = self.clone();
         spawn_local(async move {
-            run.run_halts(until).await;
+            run.run_halts().await;
             run.active_holders.set(run.active_holders.get() - 1);
         });
     }
 
+    /// Ends the taking out of backends. With a deliberate defect it goes on first until the checker has found a breach: on a busy
+    /// machine so few backends may be out at once that there is none yet.
+    pub(super) async fn stop_holders(&self) {
+        let end = Instant::now() + MAX_WAIT;
+        let is_awaited = || self.size.hasty != Hasty::No && self.outs.borrow().breaches().is_empty();
+        while is_awaited() && Instant::now() < end {
+            sleep(Duration::from_millis(50)).await;
+        }
+        self.holders_go_on.set(false);
+    }
+
     async fn call(&self, arguments: &[&str]) -> Option<std::process::Output> {
         self.site.cli(arguments).output().await.ok()
     }
@@ -87,9 +99,9 @@
         self.broken.borrow_mut().push(format!("{what} did not succeed within {MAX_WAIT:?}: {said}"));
     }
 
-    async fn run_holder(&self, holder: u64, until: Instant) {
+    async fn run_holder(&self, holder: u64) {
         let mut rng = fastrand::Rng::with_seed(self.seed ^ (holder + 1).wrapping_mul(0x9e37_79b9));
-        while Instant::now() < until {
+        while self.holders_go_on.get() {
             let backend = rng.usize(..self.size.backends);
             let name = format!("b{backend}");
             let wish = format!("{:x}", rng.u64(1..));
@@ -121,11 +133,11 @@
         }
     }
 
-    async fn run_halts(&self, until: Instant) {
+    async fn run_halts(&self) {
         let mut rng = fastrand::Rng::with_seed(self.seed ^ 0x4a17);
         loop {
             sleep(Duration::from_millis(rng.u64(HALT_INTERVAL_MS))).await;
-            if Instant::now() >= until {
+            if !self.holders_go_on.get() {
                 return;
             }
             let acknowledged = match self.size.hasty {
