A wait of a fleet command that ends between two queries tells what it waits for

'sandgap fleet wait' and 'voters' could do the same; 'publish' always did where its patience ended before its version was in force.

Cause: rules/commands.rs and rules/outs.rs compared the time with one `end` both for the wait and for each query. A wait that still had more than the poll interval (50 ms) slept, and if the sleep or the first of the next poll's two queries then passed `end`, `leader` or `ask` gave up without asking anyone.

Change: waits end with the patience, queries with `query_end`; `next_poll` sleeps and gives the poll that follows the time of one answer (0.7 s). It replaces the check and the sleep in four loops; 'publish' names the version that is put forward and where its fate stands.

Result: a new test runs the commands over links that delay each direction by 20 to 140 ms.

--- a/crates/sandgap/src/rules/commands.rs
+++ b/crates/sandgap/src/rules/commands.rs
@@ -33,7 +33,7 @@
 /// Timeout for one voter's answer; then the next voter is asked.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Interval between two status queries.
-pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of differing lines to print.
 const MAX_DIFF_LINES: usize = 200;
 
@@ -314,7 +314,10 @@
 pub(super) struct Caller {
     fleet: Fleet,
     pub(super) json: bool,
-    pub(super) end: Instant,
+    /// When waiting commands stop polling.
+    patience_end: Instant,
+    /// When queries are given up.
+    pub(super) query_end: Instant,
     links: Rc<Links>,
     incoming: mpsc::Receiver<Incoming>,
     next: u64,
@@ -325,7 +328,8 @@
         let (sender, incoming) = mpsc::channel(64);
         let seed = super::now().as_nanos() as u64 ^ u64::from(std::process::id()) << 32;
         let links = Links::new(fleet.key.clone(), format!("hand-{seed:x}"), sender);
-        Caller { fleet, json, end: Instant::now() + patience, links, incoming, next: seed }
+        let end = Instant::now() + patience;
+        Caller { fleet, json, patience_end: end, query_end: end, links, incoming, next: seed }
     }
 
     async fn execute(mut self, call: FleetCommand, config: &Config) -> Result<()> {
@@ -368,7 +372,7 @@
     ) -> Result<T> {
         let mut voters = self.fleet.voters.clone();
         voters.sort_by_key(|(name, _)| Some(name.as_str()) != first);
-        while Instant::now() < self.end {
+        while Instant::now() < self.query_end {
             for (name, address) in &voters {
                 let address = self.fleet.dial_addresses.get(name).copied().unwrap_or(*address);
                 self.links.send(name, Some(address), RULES_CHANNEL, message.encode());
@@ -385,6 +389,22 @@
         Err(CallError::Unavailable(format!("no voter gives a usable answer: {}", names.join(", "))))
     }
 
+    /// Sleeps until the next poll of a waiting command; false when its patience ends before. A poll that begins has the
+    /// time for an answer, so that the end of the patience is not taken for a lost voter.
+    pub(super) async fn next_poll(&mut self) -> bool {
+        if Instant::now() + POLL_INTERVAL >= self.patience_end {
+            return false;
+        }
+        sleep(POLL_INTERVAL).await;
+        self.allow_one_answer();
+        true
+    }
+
+    /// Lets the next queries go on for the time of one answer, also where the patience ends before.
+    pub(super) fn allow_one_answer(&mut self) {
+        self.query_end = self.query_end.max(Instant::now() + ANSWER_TIMEOUT);
+    }
+
     pub(super) fn next_number(&mut self) -> u64 {
         self.next = self.next.wrapping_add(1);
         self.next
@@ -409,7 +429,7 @@
     /// The leader's status; without a leader nothing can change.
     pub(super) async fn leader(&mut self) -> Result<Status> {
         let mut first: Option<String> = None;
-        while Instant::now() < self.end {
+        while Instant::now() < self.query_end {
             let status = self.any_status(first.as_deref()).await?;
             if status.leader.as_deref() == Some(status.voter.as_str()) {
                 return Ok(status);
@@ -532,7 +552,12 @@
                     let text = format!("version {version} was not switched to:\n  {}", reasons.join("\n  "));
                     return Err(CallError::Rejected(text));
                 }
-                Some(VersionState::Pending) | None => sleep(POLL_INTERVAL).await,
+                Some(VersionState::Pending) | None if self.next_poll().await => {}
+                Some(VersionState::Pending) | None => {
+                    return Err(CallError::Unavailable(format!(
+                        "version {version} is put forward, but not in force yet: 'sandgap fleet history' tells its fate"
+                    )));
+                }
             }
         }
     }
@@ -594,7 +619,7 @@
             Ok(status) => status,
             Err(e) => {
                 // Without a leader, one voter's own status is better than none.
-                self.end = Instant::now() + 2 * ANSWER_TIMEOUT;
+                self.query_end = Instant::now() + 2 * ANSWER_TIMEOUT;
                 let status = self.any_status(None).await.map_err(|_| e)?;
                 eprintln!(
                     "sandgap: no leader: nothing can change; what follows is {}'s word alone",
@@ -645,12 +670,11 @@
                 println!("every live proxy acts on version {version} or a later one");
                 return Ok(());
             }
-            if Instant::now() + POLL_INTERVAL >= self.end {
+            if !self.next_poll().await {
                 let text =
                     format!("version {} is in force; behind: {}", status.standing.version, behind.join(", "));
                 return Err(CallError::Rejected(text));
             }
-            sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -674,8 +698,7 @@
             }
             VoterChange::Remove(name) => status.voters.iter().all(|(v, _)| v != name),
         };
-        let mut why = String::new();
-        while Instant::now() < self.end {
+        loop {
             let status = self.leader().await?;
             if is_done(&status) {
                 let names: Vec<&str> = status.voters.iter().map(|(name, _)| name.as_str()).collect();
@@ -687,14 +710,13 @@
                 Message::VotersChanged(n, why) if n == number => Some(why),
                 _ => None,
             };
-            why = self.ask(Some(&status.voter), Message::ChangeVoters(number, change.clone()), take).await?;
-            sleep(POLL_INTERVAL).await;
+            let why =
+                self.ask(Some(&status.voter), Message::ChangeVoters(number, change.clone()), take).await?;
+            if !self.next_poll().await {
+                let late = || "the change was not agreed in time".to_owned();
+                return Err(CallError::Rejected(if why.is_empty() { late() } else { why }));
+            }
         }
-        Err(CallError::Rejected(if why.is_empty() {
-            "the change was not agreed in time".into()
-        } else {
-            why
-        }))
     }
 }
 
--- a/crates/sandgap/src/rules/outs.rs
+++ b/crates/sandgap/src/rules/outs.rs
@@ -8,9 +8,8 @@
 use sandgap_rollout::state_machine::{self, Status, TAG};
 use sandgap_rollout::{Bound, Entry, Permit, PermitRequest, Phase, Target, Verdict};
 use serde_json::{Value, json};
-use tokio::time::sleep;
 
-use super::commands::{CallError, Caller, POLL_INTERVAL, Result, caller_name};
+use super::commands::{CallError, Caller, Result, caller_name};
 
 /// Options of `out`, which requests a permit to take targets out.
 #[derive(Args)]
@@ -105,7 +104,7 @@
             {
                 return Ok(status);
             }
-            if Instant::now() >= self.end {
+            if Instant::now() >= self.query_end {
                 return Err(CallError::Unavailable("the leader changes: try again".into()));
             }
         }
@@ -147,6 +146,7 @@
 
     /// Waits until all targets of a request are out and empty.
     async fn wait_until_empty(&mut self, id: u64) -> Result<()> {
+        self.allow_one_answer();
         loop {
             let status = self.permit_status().await?;
             let permit = status.ledger.permits().find(|p| p.request.id == id);
@@ -164,14 +164,13 @@
                     return self.print_permit(id, &Verdict::Granted(*fence), true);
                 }
             }
-            if Instant::now() + POLL_INTERVAL >= self.end {
+            if !self.next_poll().await {
                 return Err(CallError::Rejected(format!(
                     "still waiting ({}); the wish stands: wait on with 'sandgap fleet outs', or give it up with \
                      'sandgap fleet withdraw {id:x}'",
                     waiting_for(&status, permit)
                 )));
             }
-            sleep(POLL_INTERVAL).await;
         }
     }
 
--- a/crates/sandgap/src/rules/releases.rs
+++ b/crates/sandgap/src/rules/releases.rs
@@ -1,14 +1,11 @@
 //! Fleet commands about releases.
 
-use std::time::Instant;
-
 use clap::{Args, Subcommand};
 use sandgap_rollout::state_machine::Status;
 use sandgap_rollout::{Entry, Phase, Plan, Release, Stage, Target};
 use serde_json::{Value, json};
-use tokio::time::sleep;
 
-use super::commands::{CallError, Caller, POLL_INTERVAL, Result, caller_name};
+use super::commands::{CallError, Caller, Result, caller_name};
 use super::outs::{phase_name, targets};
 
 /// The release commands.
@@ -186,8 +183,8 @@
                 .filter(|(t, ..)| status.ledger.permit_for(release.plan.id, t).is_some())
                 .map(|(t, fence, _)| (t.clone(), fence))
                 .collect();
-            let over = release.stage.has_ended() || Instant::now() + POLL_INTERVAL >= self.end;
-            if !wait || !empty.is_empty() || over {
+            let has_ended = !wait || !empty.is_empty() || release.stage.has_ended();
+            if has_ended || !self.next_poll().await {
                 for (target, fence) in empty {
                     if self.json {
                         println!(
@@ -200,7 +197,6 @@
                 }
                 return Ok(());
             }
-            sleep(POLL_INTERVAL).await;
         }
     }
 }
--- a/crates/sandgap/tests/permits.rs
+++ b/crates/sandgap/tests/permits.rs
@@ -184,3 +184,23 @@
     wait_for("the drain's proof", || phase(&fleet, "b").as_deref() == Some("empty"));
     wait_for("the other's turn", || phase(&fleet, "proxy:v1").as_deref() == Some("empty"));
 }
+
+#[test]
+fn a_wait_that_ends_between_two_queries_tells_what_it_waits_for() {
+    let [first, second, third] = backends();
+    let folder = TempFolder::new("outs-patience");
+    let (fleet, mut proxies) = fleet(&folder, &[&first, &second, &third]);
+    drop(proxies.pop()); // v2, killed: no backend can be proven empty without it
+    wait_for("v2 to be missed", || {
+        outs(&fleet)["targets"].as_array().is_some_and(|a| a.iter().any(|t| t["lost"] == true))
+    });
+    for delay in [20, 60, 100, 140].map(Duration::from_millis) {
+        let words = ["out", "b", "--wait", "--patience", "2", "--wish", "7"];
+        let out = fleet.delayed_fleet_command(0, delay, &words);
+        assert_eq!(out.status.code(), Some(1), "{delay:?}: {out:?}");
+        assert!(output_text(&out).contains("sandgap fleet forget v2"), "{delay:?}: {out:?}");
+        let wait = fleet.delayed_fleet_command(0, delay, &["wait", "9", "--patience", "1"]);
+        assert_eq!(wait.status.code(), Some(1), "{delay:?}: {wait:?}");
+        assert!(output_text(&wait).contains("version 2 is in force"), "{delay:?}: {wait:?}");
+    }
+}
--- a/crates/sandgap/tests/processes/mod.rs
+++ b/crates/sandgap/tests/processes/mod.rs
@@ -2,9 +2,11 @@
 #![allow(dead_code)] // each test file uses only some of these items
 
 use std::fmt::Write as _;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::time::Duration;
 
 use sandgap_rig::system_faults::FailingFolder;
 
@@ -147,6 +149,19 @@
         command.output().expect("the program runs")
     }
 
+    /// Runs `sandgap fleet` like [`Fleet::fleet_command`], over links to the voters that delay bytes in each direction.
+    pub fn delayed_fleet_command(&self, n: usize, delay: Duration, words: &[&str]) -> Output {
+        let relays: Vec<SocketAddr> = self.addresses.iter().map(|to| delaying_relay(*to, delay)).collect();
+        let ways = relays.iter().enumerate();
+        let ways = ways.map(|(v, address)| format!("[[way]]\nto = \"v{v}\"\naddress = \"{address}\"\n"));
+        let settings = std::fs::read_to_string(self.folder.join(format!("v{n}.toml"))).expect("settings");
+        let delayed = self.folder.join("delayed.toml");
+        std::fs::write(&delayed, settings + &ways.collect::<String>()).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
+        command.arg("fleet").args(words).arg("--settings").arg(delayed);
+        command.output().expect("the program runs")
+    }
+
     /// Writes rules with this number of attempts to a file and returns its path.
     pub fn rules_file(&self, attempts: u32) -> String {
         let path = self.folder.join(format!("rules-{attempts}.toml"));
@@ -162,6 +177,33 @@
     }
 }
 
+/// Starts a TCP relay to an address that delays bytes in each direction; returns the relay's address.
+fn delaying_relay(to: SocketAddr, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(to) else { continue };
+            for (from, into) in [(&near, &far), (&far, &near)] {
+                let (from, into) = (from.try_clone().expect("a socket"), into.try_clone().expect("a socket"));
+                std::thread::spawn(move || forward_delayed(from, into, delay));
+            }
+        }
+    });
+    address
+}
+
+fn forward_delayed(mut from: TcpStream, mut into: TcpStream, delay: Duration) {
+    let mut buffer = [0; 16 << 10];
+    while let Ok(count @ 1..) = from.read(&mut buffer) {
+        std::thread::sleep(delay);
+        if into.write_all(&buffer[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = into.shutdown(Shutdown::Both);
+}
+
 /// What a command wrote to stdout, then to stderr.
 pub fn output_text(output: &Output) -> String {
     String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
