A class whose answers hang is tested also where the server always has other requests

Cause: Server::is_closed_for took own_attempts + begun, attempts of all classes, for the trial of the stalled class.

Change: the trial is marked, on its attempt and on the health of its class; another one may follow once it has ended, or once it has turned out to be a long upload, which tells nothing for its while. `begun` is no longer needed.

Result: a_class_whose_answers_hang_is_tested_beside_a_steady_load_of_others (tests/long.rs) counted 0 trials of 60 requests before, 1 now. A second test (a trial that ends without an answer is followed by another, one at a time) passed before as well.

--- a/src/change.rs
+++ b/src/change.rs
@@ -23,7 +23,8 @@
             self.median_failures[id + 1] = previous.map_or(0.0, |l| self.median_failures[l + 1]);
             self.max_attempts_by_class[id] = limits.max_attempts;
             for s in &mut self.servers {
-                s.by_class[id] = previous.map_or_else(|| Health::clean(now), |l| s.by_class[l].clone());
+                let same = |l: usize| Health { is_tested: false, ..s.by_class[l].clone() };
+                s.by_class[id] = previous.map_or_else(|| Health::clean(now), same);
             }
         }
         self.cfg = Settings {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -475,7 +475,9 @@
             (a.server, a.found_idle, a.silent, a.sent, f64::from(a.held));
         let responded_after = a.responded_after;
         let (class, size, home) = (r.class, r.size, r.home);
-        self.servers[k].begun -= u32::from(std::mem::take(&mut a.has_begun));
+        if std::mem::take(&mut a.is_trial) {
+            self.servers[k].by_class[class].is_tested = false;
+        }
         r.done |= closed;
         if r.done || !r.awaits_response() {
             self.running.retain(|o| *o != id);
--- a/src/long.rs
+++ b/src/long.rs
@@ -31,6 +31,9 @@
         (a.silent, a.sent) = (true, f64::INFINITY);
         (r.aim_at, r.due_at) = (f64::INFINITY, f64::INFINITY);
         let k = a.server;
+        if std::mem::take(&mut a.is_trial) {
+            self.servers[k].by_class[r.class].is_tested = false; // an upload may take long without telling anything
+        }
         self.servers[k].own_attempts -= 1;
         self.running.retain(|o| *o != id);
         self.update_open(k, now);
@@ -60,8 +63,6 @@
         }
         a.responded_after = Some(now - a.sent);
         let k = a.server;
-        a.has_begun = true;
-        self.servers[k].begun += 1;
         let holds_slot = !std::mem::replace(&mut a.silent, true);
         let is_awaited = r.awaits_response();
         self.servers[k].last_progress = now;
@@ -129,7 +130,6 @@
         r.started = true;
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.ended) else { return };
         let k = a.server;
-        self.servers[k].begun += u32::from(!std::mem::replace(&mut a.has_begun, true));
         self.servers[k].last_progress = now;
         if !std::mem::replace(&mut a.silent, true) {
             self.servers[k].own_attempts -= 1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,6 +17,7 @@
     pub backoff: Millis,  // length of the next closing
     pub on_trial: bool,   // reopened after a closing, not yet proven healthy
     pub is_stalled: bool, // answers begin and then hang
+    pub is_tested: bool,  // a trial of the stalled class is in flight
 }
 
 impl Health {
@@ -28,6 +29,7 @@
             backoff: FIRST_BACKOFF_MS,
             on_trial: false,
             is_stalled: false,
+            is_tested: false,
         }
     }
 }
@@ -37,7 +39,6 @@
     pub info: Backend,
     pub withdrawn_at: Option<Millis>, // when its drain or removal was announced
     pub own_attempts: u32, // this proxy's attempts there, including those given up but plausibly running
-    pub begun: u32,        // own attempts whose answers have begun
     pub peer_attempts: u32, // attempts of other proxies, as reported by them
     pub peer_blames: u32,  // number of other proxies that have closed it
     pub relative_latency: (f64, f64), // mean latency relative to its classes' fleet means, and weight
@@ -73,7 +74,6 @@
             info,
             withdrawn_at: None,
             own_attempts: 0,
-            begun: 0,
             peer_attempts: 0,
             peer_blames: 0,
             relative_latency: (1.0, 0.0),
@@ -116,8 +116,7 @@
     /// Whether requests of a class are kept from it. One whose answers hang gets one at a time, once its closing is over.
     pub fn is_closed_for(&self, class: usize, now: Millis) -> bool {
         let health = &self.by_class[class];
-        let is_tested = self.own_attempts + self.begun > 0;
-        health.closed_until > now || health.is_stalled && is_tested
+        health.closed_until > now || health.is_stalled && health.is_tested
     }
 
     /// Resets its health record.
@@ -169,7 +168,7 @@
     pub held: u32,                       // requests at the server when it was sent, including itself
     pub silent: bool, // no longer counted at its server: unanswered for too long, still uploading, or answer begun
     pub may_have_run: bool, // it runs or may have run
-    pub has_begun: bool, // its answer has begun, and it has not ended
+    pub is_trial: bool, // it tests whether a class goes on whose answers hung there
     pub was_not_sent: bool, // it ended before anything of it was sent
     pub responded_after: Option<Millis>, // time from the send to the head of its answer, if the body came later
 }
@@ -452,12 +451,15 @@
         self.dequeue(id);
         let held = self.estimated_held(server) + 1;
         let r = self.requests.get_mut(&id).expect("only known requests are sent");
+        let health = &mut self.servers[server].by_class[r.class];
+        let is_trial = health.is_stalled && !health.is_tested;
+        health.is_tested |= is_trial;
         r.attempts.push(Attempt {
             server,
             sent: now,
             ended: false,
             may_have_run: true,
-            has_begun: false,
+            is_trial,
             was_not_sent: false,
             found_idle,
             held,
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -196,6 +196,39 @@
     assert!(unsafe_sends.contains(&1), "other classes use it");
 }
 
+#[test]
+fn a_class_whose_answers_hang_is_tested_beside_a_steady_load_of_others() {
+    let servers = (1..=2).map(|id| Backend { rating: 4.0, ..server(id) }).collect();
+    let mut harness = Harness::new(settings(1), servers);
+    harness.train(100, 60, |_| 2.0);
+    harness.give(stalled(1, true));
+    harness.pass(1200.0);
+    let mut trials = Vec::new();
+    for id in 1000..1060 {
+        harness.give(request(1000 + id, 1, 4000.0)); // at every moment some of the other class are in flight
+        trials.extend(send_hanging(&mut harness, id..id + 1));
+        harness.give(ended(994 + id, 0, 2.0, Outcome::Served));
+    }
+    assert_eq!(trials.iter().filter(|server| **server == 1).count(), 1, "{trials:?}");
+}
+
+#[test]
+fn a_trial_that_ends_without_an_answer_is_followed_by_another() {
+    let servers = (1..=2).map(|id| Backend { rating: 4.0, ..server(id) }).collect();
+    let mut harness = Harness::new(settings(1), servers);
+    harness.train(100, 60, |_| 2.0);
+    harness.give(stalled(1, true));
+    harness.pass(1200.0);
+    let is_trial = |servers: &[u64]| servers.contains(&1);
+    for first in [1000, 1100, 1200] {
+        let mut ids = first..first + 60;
+        let trial = ids.find(|id| is_trial(&send_hanging(&mut harness, *id..id + 1)));
+        let trial = trial.unwrap_or_else(|| panic!("no trial from {first} on"));
+        assert!(!is_trial(&send_hanging(&mut harness, ids)), "one at a time");
+        harness.give(ended(trial, 0, 2000.0, Outcome::Cancelled));
+    }
+}
+
 #[test]
 fn a_server_whose_answers_go_on_again_gets_its_requests_at_once() {
     let servers = (1..=2).map(|id| Backend { rating: 4.0, ..server(id) }).collect();
