A request that its only backends have failed to answer returns to one of them after a rest

What callers saw: with one backend (or a few, each tried once) a safe request whose answer broke off, and one of any class whose connect was refused, waited 4 s and got 503, though the backend was well again after some milliseconds.

Cause: may_receive (choice.rs) passes over a server that has been tried, for good; retry (long.rs) queued the request all the same.

Change: src/retry.rs decides further attempts. A request that is safe, or has certainly not run, may return to a server once no attempt of it is in flight, every listed server that is not closed has been tried, and 250 ms have passed since the failure there, doubled with each attempt. max_attempts and the budget of retries bound it.

--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -146,7 +146,11 @@
 
     /// Starts a backend that picks an action for each request.
     pub fn with(action: impl Fn(&Message) -> Action + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Backend::on(TcpListener::bind("127.0.0.1:0").expect("a port"), action)
+    }
+
+    /// Starts a backend that accepts connections from a listener and picks an action for each request.
+    pub fn on(listener: TcpListener, action: impl Fn(&Message) -> Action + Send + Sync + 'static) -> Self {
         let address = listener.local_addr().expect("an address");
         let (requests, opened, closed) = (Requests::default(), Arc::default(), Arc::default());
         let backend = Backend { address, requests, opened, closed };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -326,8 +326,9 @@
         home.filter(|&h| self.servers[h].free_for_home)
     }
 
-    /// Whether a server may receive a request: it has not been tried, is not closed for the class (some servers
-    /// leave one class unanswered and serve the rest), and the request is not heavy for a cold server.
+    /// Whether a server may receive a request: it has not been tried or may be tried again, is not closed for the
+    /// class (some servers leave one class unanswered and serve the rest), and the request is not heavy for a cold
+    /// server.
     fn may_receive(&self, k: usize, r: &Request, now: Millis) -> bool {
         let (s, l) = (&self.servers[k], &self.cfg.limits);
         let closed =
@@ -335,7 +336,7 @@
         let heavy = s.in_cold_start
             && self.expected_latency(r)
                 > COLD_REQUEST_FRACTION * l.fall_multiple * s.warm_fraction * l.fall_ms;
-        !r.tried(k) && !closed && !heavy
+        (!r.tried(k) || self.may_return(k, r, now)) && !closed && !heavy
     }
 
     // ---- speeds and slots ----
@@ -468,9 +469,8 @@
         closed: bool, out: &mut Vec<Action>,
     ) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.ended) else { return };
-        (a.ended, a.may_have_run) = (true, outcome.may_have_run());
-        a.was_not_sent = outcome == Outcome::NotSent;
+        let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.has_ended()) else { return };
+        a.end = Some(AttemptEnd { at: now, outcome });
         let (k, found_idle, silent, sent, held) =
             (a.server, a.found_idle, a.silent, a.sent, f64::from(a.held));
         let responded_after = a.responded_after;
@@ -541,9 +541,7 @@
         }
         let back = self.retry_after(id);
         let dropped = |(_, group, until)| group == Group::All && now + back < until;
-        let harmless = self.cfg.classes[r.class].effect == Effect::Safe
-            || !r.may_have_run()
-            || self.dedup_bound(r).is_some_and(dropped);
+        let harmless = self.is_harmless(r) || self.dedup_bound(r).is_some_and(dropped);
         let refuse = Action::Refuse { request: id, retry_after: Some(back) };
         out.push(if harmless { refuse } else { Action::Fail(id) });
         self.finish(id);
@@ -598,7 +596,7 @@
             HANG_LATENCIES * usual * self.servers[a.server].relative_latency.0.max(1.0)
                 / self.warm_fraction(a.server, now)
         };
-        let silent = |a: &Attempt| !a.ended && !a.silent && now - a.sent > patience(a);
+        let silent = |a: &Attempt| !a.has_ended() && !a.silent && now - a.sent > patience(a);
         if let Some(i) = r.attempts.iter().position(silent) {
             let (k, class, s) = (r.attempts[i].server, r.class, &self.servers[r.attempts[i].server]);
             let hung = s.health.closed_until <= now && now - s.last_progress > patience(&r.attempts[i]);
@@ -618,13 +616,6 @@
         }
     }
 
-    /// Whether another attempt is allowed, by the request's effect and its number of attempts.
-    pub(crate) fn may_repeat(&self, r: &Request, now: Millis) -> bool {
-        let harmless = self.cfg.classes[r.class].effect == Effect::Safe || !r.may_have_run();
-        let dropped = || self.dedup_bound(r).is_some_and(|(.., until)| now < until);
-        (harmless || dropped()) && r.attempts.len() < self.max_attempts_by_class[r.class] as usize
-    }
-
     // ---- cold starts and drains ----
 
     /// Reviews all servers: slots, budgets of cold servers, ended closings, and the number that look unhealthy.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit_estimate;
 mod long;
 mod message;
+mod retry;
 #[cfg(feature = "settings")]
 pub mod settings;
 mod slots;
--- a/src/long.rs
+++ b/src/long.rs
@@ -1,13 +1,13 @@
 //! Requests and answers that take long to transfer. A slow client is not a slow server, so a server is charged for a
 //! request only from the last byte of the request to the first byte of the answer.
-use crate::choice::{ANSWER_MARGIN_MS, CLASS_BACKOFF_FACTOR, CLOSE_FAILURE_RATE, close_server};
+use crate::choice::{CLASS_BACKOFF_FACTOR, CLOSE_FAILURE_RATE, close_server};
 use crate::interface::*;
 use crate::state::{Attempt, Balancer, Request};
 
 impl Attempt {
     /// Whether its answer has begun and its end is awaited.
     pub fn is_responding(&self) -> bool {
-        !self.ended && self.responded_after.is_some()
+        !self.has_ended() && self.responded_after.is_some()
     }
 }
 
@@ -19,7 +19,7 @@
 
     /// Whether an attempt is in flight whose answer has not begun.
     pub fn awaits_response(&self) -> bool {
-        self.attempts.iter().any(|a| !a.ended && !a.is_responding())
+        self.attempts.iter().any(|a| !a.has_ended() && !a.is_responding())
     }
 }
 
@@ -27,7 +27,7 @@
     /// A long upload has begun. Until it is complete, the request takes no slot and no timeout applies.
     pub(crate) fn uploading(&mut self, now: Millis, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(a) = r.attempts.last_mut().filter(|a| !a.ended && !a.silent) else { return };
+        let Some(a) = r.attempts.last_mut().filter(|a| !a.has_ended() && !a.silent) else { return };
         (a.silent, a.sent) = (true, f64::INFINITY);
         (r.aim_at, r.due_at) = (f64::INFINITY, f64::INFINITY);
         let k = a.server;
@@ -43,7 +43,9 @@
     pub(crate) fn uploaded(&mut self, now: Millis, id: RequestId, budget: Millis) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         (r.aim_at, r.due_at) = (now + self.cfg.classes[r.class].aim.min(budget), now + budget);
-        let Some(a) = r.attempts.last_mut().filter(|a| !a.ended && a.sent.is_infinite()) else { return };
+        let Some(a) = r.attempts.last_mut().filter(|a| !a.has_ended() && a.sent.is_infinite()) else {
+            return;
+        };
         (a.silent, a.sent) = (false, now);
         let s = &mut self.servers[a.server];
         s.last_progress = if s.own_attempts == 0 { now } else { s.last_progress };
@@ -57,7 +59,9 @@
     /// as the body is long; only the client's time ends the wait.
     pub(crate) fn responding(&mut self, now: Millis, id: RequestId, attempt: usize) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.ended && a.sent.is_finite()) else { return };
+        let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.has_ended() && a.sent.is_finite()) else {
+            return;
+        };
         if a.responded_after.is_some() {
             return;
         }
@@ -108,27 +112,12 @@
         self.update_open(k, now);
     }
 
-    /// Queues another attempt, if the request may be repeated and there is time. Retries are limited by a budget that arrivals
-    /// fill, to prevent retry storms.
-    pub(crate) fn retry(&mut self, now: Millis, id: RequestId) -> bool {
-        let r = &self.requests[&id];
-        let time = now + self.expected_latency(r) < r.due_at - ANSWER_MARGIN_MS;
-        // Nothing has been sent of it, so that another attempt adds nothing to the load.
-        let cost = if r.attempts.last().is_some_and(|a| a.was_not_sent) { 0.0 } else { 1.0 };
-        if !time || !self.may_repeat(r, now) || self.retry_budget < cost {
-            return false;
-        }
-        self.retry_budget -= cost;
-        self.enqueue(id, true);
-        true
-    }
-
     /// The answer has begun and cannot be replaced. The server's work is done; the rest depends on how fast the client
     /// reads.
     pub(crate) fn started(&mut self, now: Millis, id: RequestId, attempt: usize) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.started = true;
-        let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.ended) else { return };
+        let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.has_ended()) else { return };
         let k = a.server;
         self.servers[k].last_progress = now;
         if !std::mem::replace(&mut a.silent, true) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,16 +163,36 @@
 pub(crate) struct Attempt {
     pub server: usize,
     pub sent: Millis,
-    pub ended: bool,
+    pub end: Option<AttemptEnd>,         // `None` while it is in flight
     pub found_idle: bool,                // it found the server idle
     pub held: u32,                       // requests at the server when it was sent, including itself
     pub silent: bool, // no longer counted at its server: unanswered for too long, still uploading, or answer begun
-    pub may_have_run: bool, // it runs or may have run
     pub is_trial: bool, // it tests whether a class goes on whose answers hung there
-    pub was_not_sent: bool, // it ended before anything of it was sent
     pub responded_after: Option<Millis>, // time from the send to the head of its answer, if the body came later
 }
 
+/// When and how an attempt ended.
+pub(crate) struct AttemptEnd {
+    pub at: Millis,
+    pub outcome: Outcome,
+}
+
+impl Attempt {
+    pub fn has_ended(&self) -> bool {
+        self.end.is_some()
+    }
+
+    /// Whether it runs or may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.end.as_ref().is_none_or(|end| end.outcome.may_have_run())
+    }
+
+    /// Whether it ended before anything of it was sent.
+    pub fn was_not_sent(&self) -> bool {
+        self.end.as_ref().is_some_and(|end| end.outcome == Outcome::NotSent)
+    }
+}
+
 pub(crate) struct Request {
     pub class: usize,
     pub over_share: bool,
@@ -197,11 +217,11 @@
     }
 
     pub fn running(&self) -> bool {
-        self.attempts.iter().any(|a| !a.ended)
+        self.attempts.iter().any(|a| !a.has_ended())
     }
 
     pub fn may_have_run(&self) -> bool {
-        self.attempts.iter().any(|a| a.may_have_run)
+        self.attempts.iter().any(Attempt::may_have_run)
     }
 
     /// Whether a server has got the request or has failed to take it. An attempt that was not sent tells nothing about its server.
@@ -210,7 +230,7 @@
     }
 
     fn tried_servers(&self) -> impl Iterator<Item = usize> {
-        self.attempts.iter().filter(|a| !a.was_not_sent).map(|a| a.server)
+        self.attempts.iter().filter(|a| !a.was_not_sent()).map(|a| a.server)
     }
 }
 
@@ -457,10 +477,8 @@
         r.attempts.push(Attempt {
             server,
             sent: now,
-            ended: false,
-            may_have_run: true,
+            end: None,
             is_trial,
-            was_not_sent: false,
             found_idle,
             held,
             silent: false,
@@ -593,7 +611,7 @@
     /// For a keyed request that may have run: the first such server, its dedup group, and the end of the dedup window.
     pub(crate) fn dedup_bound(&self, r: &Request) -> Option<(usize, Group, Millis)> {
         let Effect::Keyed { group, window } = self.cfg.classes[r.class].effect else { return None };
-        r.attempts.iter().find(|a| a.may_have_run).map(|a| (a.server, group, a.sent + window))
+        r.attempts.iter().find(|a| a.may_have_run()).map(|a| (a.server, group, a.sent + window))
     }
 
     /// Number of server entries, including vacant ones.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -3,10 +3,6 @@
 use common::*;
 use wharfhitch::*;
 
-fn refusals(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_))).count()
-}
-
 /// Sends `n` unsafe requests; returns request and server of those sent at once.
 fn burst(harness: &mut Harness, first: u64, n: u64) -> Vec<(u64, u64)> {
     (first..first + n).flat_map(|id| sends(&harness.give(request(id, 1, 3000.0)))).collect()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -159,6 +159,11 @@
     actions.iter().filter_map(pick).collect()
 }
 
+/// Number of refusals among the actions.
+pub fn refusals(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_))).count()
+}
+
 struct SentAttempt {
     server: u64,
     at: Millis,
