--- a/crates/sandgap/tests/permits_under_faults.rs
+++ b/crates/sandgap/tests/permits_under_faults.rs
@@ -35,6 +35,13 @@
     assert!(report.broken.is_empty() && report.outs.0 > 0, "{report}");
 }
 
+#[test]
+fn a_violation_that_comes_after_the_play_s_time_is_detected() {
+    let size = Size { hasty: Hasty::Halt, holders: 6, faulty: Duration::from_millis(300), ..size() };
+    let report = run_fleet_plan(size, 34, Vec::new());
+    assert!(report.broken.iter().any(|b| b.contains("AfterHalt")), "{report}");
+}
+
 /// Checks the checker: holders that don't wait, a bound that is too high, a halt that is ignored.
 #[test]
 fn violations_of_the_permit_rules_are_detected() {
