A request whose paused answer goes on to its client leaves the queue for a second attempt

What callers saw: nothing; the log of a soak did ("internal error: a safety rule would have been violated: send_after_answer"). The core denied the send.

Cause: Balancer::paused queues a second attempt; Balancer::started (long.rs) marked the request as started and left it in the queue, so that it was sent when a slot was free.

Change: started takes the request out of the queue. Each test of a proxy now fails where the proxy's log has an internal error.

--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -797,6 +797,9 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
+        if !thread::panicking() {
+            assert!(!self.log_contains("internal error"), "the proxy has reported an error of its own");
+        }
     }
 }
 
--- a/src/long.rs
+++ b/src/long.rs
@@ -117,6 +117,8 @@
     pub(crate) fn started(&mut self, now: Millis, id: RequestId, attempt: usize) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.started = true;
+        self.dequeue(id); // a further attempt may wait since the answer paused
+        let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.has_ended()) else { return };
         let k = a.server;
         self.servers[k].last_progress = now;
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -159,6 +159,25 @@
     }
 }
 
+#[test]
+fn a_request_whose_paused_answer_has_started_to_reach_its_client_is_not_sent_elsewhere() {
+    let mut harness = harness(2);
+    assert_eq!(sends(&harness.give(request(1, 0, 2500.0))), 1);
+    harness.pass(1.0);
+    harness.give(responding(1));
+    // All slots are in use, so that the second attempt waits.
+    assert_eq!((10..12).map(|id| sends(&harness.give(request(id, 1, 4000.0)))).sum::<usize>(), 2);
+    assert_eq!(sends(&harness.give(paused(1))), 0);
+    harness.give(Event::Started { request: RequestId(1), attempt: 0 });
+    let mut actions = Vec::new();
+    for id in 10..12 {
+        actions.extend(harness.give(ended(id, 0, 2.0, Outcome::Served)));
+        actions.extend(harness.pass(20.0));
+    }
+    let again = common::sends(&actions).into_iter().filter(|(id, _)| *id == 1).count();
+    assert_eq!(again, 0, "{actions:?}");
+}
+
 fn stalled(server: u64, is_stalled: bool) -> Event {
     Event::Stalled { backend: BackendId(server), class: ClassId(0), is_stalled }
 }
