Review case 7: after a change of settings, a restart leaves requests unanswered at the kill

Need: an independent review looks for orders of events that break a rule; this case shows one, and fixes nothing.

Seen: a change of settings has dropped the class with the longest deadline. At the next planned restart requests of clients on slow lines are forwarded although SIGKILL comes, 0.7 s after the longest deadline of the deployment, before their time is over: they are never answered.

Cause, as far as known: the time of the last answer is taken from the longest deadline of any class that has ever been in force (Generations::longest), not from those in force or still held by open requests.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)] // no case uses all of it
 mod common;
 mod crossed;
+mod retune;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -53,6 +54,7 @@
 fn play(case: &str, record: &Record) -> Result<Vec<String>, Error> {
     match case {
         "crossed" => crossed::play(record),
+        "retune" => retune::play(record),
         _ => Err("no such case".into()),
     }
 }
