Review case 8: a second copy goes out where the settings permit none

Need: an independent review looks for orders of events that break a rule; this case shows one, and fixes nothing.

Seen: with secondCopies false in the settings, a request whose backend pauses for more than 0.5 s in the middle of its answer is sent to another backend while the first attempt is still out.

Cause, as far as known: nothing reads ceilings.secondCopies, and Balancer::paused makes a further attempt beside the first.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 #[allow(dead_code)] // no case uses all of it
 mod common;
+mod copies;
 mod crossed;
 mod retune;
 
@@ -54,6 +55,7 @@
 fn play(case: &str, record: &Record) -> Result<Vec<String>, Error> {
     match case {
         "crossed" => crossed::play(record),
+        "copies" => copies::play(record),
         "retune" => retune::play(record),
         _ => Err("no such case".into()),
     }
