Review case 9: a backend is said to be empty while a download through a silent proxy lasts

Need: an independent review looks for orders of events that break a rule; this case shows one, and fixes nothing.

Seen: a proxy of a fleet is cut off from the others for 6 s while a client downloads a long answer through it.

Cause, as far as known: a silent proxy counts as idle after its lease, the longest deadline and 1 s; long answers and uploads have no deadline once they have begun.

--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -179,6 +179,29 @@
     writeln!(fs::OpenOptions::new().create(true).append(true).open(path)?, "{id}")
 }
 
+/// A process that was started by `run` with a settings file of the project's own.
+pub struct Running(Proxy);
+
+impl Running {
+    /// Starts it; what it writes goes to `log`.
+    pub fn start(settings: &Path, log: &Path) -> Result<Running, Error> {
+        let log = fs::File::create(log)?;
+        let child = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(deploy_command("run")?)
+            .current_dir(root())
+            .env("NODE_CONFIG", settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        note_process(child.id())?;
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (folder, config, fields) = Default::default();
+        Ok(Running(Proxy { child, address: nowhere, folder, config, fields, discovery: nowhere }))
+    }
+}
+
 fn write_config(path: &Path, fields: &str, discovery: SocketAddr, settings: &str) -> io::Result<()> {
     let text = format!("{{{fields},\"discovery\":\"{discovery}\",\"known\":null,\"settings\":{settings}}}");
     fs::write(path, text)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,8 @@
 mod common;
 mod copies;
 mod crossed;
+mod emptied;
+mod fleet;
 mod retune;
 
 use std::path::Path;
@@ -57,6 +59,7 @@
         "crossed" => crossed::play(record),
         "copies" => copies::play(record),
         "retune" => retune::play(record),
+        "emptied" => emptied::play(record),
         _ => Err("no such case".into()),
     }
 }
