Review case 10: a proxy that was cut off sends to a backend that was said to be empty

Need: an independent review looks for orders of events that break a rule; this case shows one, and fixes nothing.

Seen: a proxy of a fleet is cut off for 6 s. Staff publish rules by which no class is served without a lease, and take a backend out.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod emptied;
 mod fleet;
 mod retune;
+mod stale;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -59,6 +60,7 @@
         "crossed" => crossed::play(record),
         "copies" => copies::play(record),
         "retune" => retune::play(record),
+        "stale" => stale::play(record),
         "emptied" => emptied::play(record),
         _ => Err("no such case".into()),
     }
