--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs;
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, mpsc};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -202,6 +202,19 @@
     }
 }
 
+impl Running {
+    /// Ends it as at a planned restart: SIGTERM, and SIGKILL if it still runs after `wait`.
+    pub fn end(&mut self, wait: Duration) -> Result<(), Error> {
+        self.0.signal("TERM")?;
+        let until = Instant::now() + wait;
+        while !self.0.has_ended() && Instant::now() < until {
+            thread::sleep(ms(10));
+        }
+        self.0.kill();
+        Ok(())
+    }
+}
+
 fn write_config(path: &Path, fields: &str, discovery: SocketAddr, settings: &str) -> io::Result<()> {
     let text = format!("{{{fields},\"discovery\":\"{discovery}\",\"known\":null,\"settings\":{settings}}}");
     fs::write(path, text)
@@ -244,6 +257,7 @@
 pub struct Host {
     pub name: String,
     pub dial: SocketAddr,
+    pub site: &'static str,
     pub block: u32,
     pub health: &'static str,
 }
@@ -251,9 +265,9 @@
 impl Host {
     fn json(&self) -> String {
         format!(
-            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"leuven\",\"class\":\"large-node\",\"block\":{},\
+            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{}\",\"class\":\"large-node\",\"block\":{},\
              \"health\":\"{}\",\"share\":7.0,\"born_ms\":0}}",
-            self.name, self.dial, self.block, self.health
+            self.name, self.dial, self.site, self.block, self.health
         )
     }
 }
@@ -463,6 +477,47 @@
     }
 }
 
+/// A way to an address on which bytes take this long, in each direction; returns its near end.
+pub fn way(target: SocketAddr, one_way: Duration) -> Result<SocketAddr, Error> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(target) else { continue };
+            forward(&near, &far, one_way, Arc::default());
+            forward(&far, &near, one_way, Arc::default());
+        }
+    });
+    Ok(address)
+}
+
+/// Passes bytes on, each this long after it has come, and then the end. While the way is cut, what comes is dropped, and the
+/// other side hears nothing.
+pub fn forward(from: &TcpStream, into: &TcpStream, one_way: Duration, is_cut: Arc<AtomicBool>) {
+    let (Ok(mut from), Ok(mut into)) = (from.try_clone(), into.try_clone()) else { return };
+    let _ = into.set_nodelay(true);
+    let (sender, receiver) = mpsc::channel::<(Instant, Vec<u8>)>();
+    thread::spawn(move || {
+        let mut buffer = [0; 16 << 10];
+        while let Ok(count @ 1..) = from.read(&mut buffer) {
+            if sender.send((Instant::now() + one_way, buffer[..count].to_vec())).is_err() {
+                return;
+            }
+        }
+    });
+    thread::spawn(move || {
+        for (due, bytes) in receiver {
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            if !is_cut.load(Ordering::Relaxed) && into.write_all(&bytes).is_err() {
+                break;
+            }
+        }
+        if !is_cut.load(Ordering::Relaxed) {
+            let _ = into.shutdown(Shutdown::Both);
+        }
+    });
+}
+
 /// A whole answer with status 200.
 pub fn ok(body: &str) -> String {
     format!(
--- a/review/standin-2/copies.rs
+++ b/review/standin-2/copies.rs
@@ -60,7 +60,7 @@
             is_open
         };
         let dial = start_backend(server, Arc::new(behaviour))?;
-        hosts.push(Host { name: format!("s-{server}"), dial, block: 1, health: "up" });
+        hosts.push(Host { name: format!("s-{server}"), dial, site: "leuven", block: 1, health: "up" });
     }
     let agent = Agent::start(hosts)?;
     let settings = settings(&[class("lesson-page", "idempotent", 810, 2000, "")], false, false);
--- a/review/standin-2/retune.rs
+++ b/review/standin-2/retune.rs
@@ -41,7 +41,7 @@
             writer.write_all(ok(&format!("{{\"request\":\"{}\"}}", asked.id())).as_bytes()).is_ok()
         };
         let dial = start_backend(server, Arc::new(behaviour))?;
-        hosts.push(Host { name: format!("s-{server}"), dial, block: 1, health: "up" });
+        hosts.push(Host { name: format!("s-{server}"), dial, site: "leuven", block: 1, health: "up" });
     }
     let agent = Agent::start(hosts)?;
     let submit = class("answer-submit", "at_most_once", 900, DEADLINE_MS as u32, "");
