Review case 10 is another one: a restarted proxy forgets a drain by hand

Seen: a backend that discovery lists is drained by hand for the fleet; a proxy is restarted by plan, acts on the version with the drain, and sends a third of its requests to that backend without end.

Cause, as far as known: the daemon remembers the entries of a list only from its first rules on, and the list comes before them.

Change: review/10 with its claim and script, and its stand-in; the fleet of the stand-ins has backends from discovery, a way of 5 ms to the proxy p, and a cut that ends by itself after 6 s. Case 9 uses the same.

--- a/review/standin-2/emptied.rs
+++ b/review/standin-2/emptied.rs
@@ -9,7 +9,7 @@
 use std::time::Instant;
 
 use crate::common::{Asked, Client, Error, Record, lock, ms, ok, run_number, start_backend, trouble};
-use crate::fleet::{CUT, Fleet};
+use crate::fleet::{CUT, Fleet, Source};
 
 const WORK_MS: u64 = 40;
 /// A long answer: 1 MB in pieces of 10 kB, each 100 ms.
@@ -49,7 +49,8 @@
         };
         backends.push(start_backend(server, Arc::new(behaviour))?);
     }
-    let fleet = Fleet::start(record, backends, "refuse")?;
+    let fleet = Fleet::start(record, Source::Rules(backends), "refuse")?;
+    fleet.bound(record)?;
     let id = format!("{:08x}0000000a", run_number());
     let mut client = Client::connect(fleet.p)?;
     client.send(
@@ -72,7 +73,7 @@
     thread::sleep(ms(1000));
     let server = lock(&serving).ok_or("the download has not begun")?;
     if trouble() {
-        fleet.cut(record, true);
+        fleet.cut(record);
     }
     let cut_at = Instant::now();
     fleet.must(record, &["out", &format!("b{server}"), "--why", "new disk", "--wait"])?;
@@ -80,8 +81,7 @@
     record
         .note(format!("staff: b{server} is said to be empty, {empty_after} ms after the cut; it is stopped"));
     is_stopped.store(true, Ordering::Relaxed);
-    thread::sleep((cut_at + CUT).saturating_duration_since(Instant::now()));
-    fleet.cut(record, false);
+    thread::sleep((cut_at + CUT + ms(200)).saturating_duration_since(Instant::now()));
     let ended = learner.join().map_err(|_| "the learner has failed")?;
     record.note(format!("log of p:\n{}", fleet.log_of_p()));
     Ok(match ended {
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -1,7 +1,6 @@
 //! A fleet of proxies that agree on their rules: three voters, and a proxy `p` that can be cut off from them.
 
 use std::fs;
-use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
@@ -10,11 +9,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::common::{Error, Record, Running, free_address, lock, ms, root};
+use crate::common::{Error, Record, Running, forward, free_address, lock, ms, root};
 
 /// How long the proxy is cut off from the others.
 pub const CUT: Duration = Duration::from_secs(6);
 const VOTERS: usize = 3;
+/// The proxy p stands in another data centre than the voters.
+const ONE_WAY: Duration = Duration::from_millis(5);
 
 /// A way between two proxies that can be cut: open connections stay open and silent, new ones get no answer.
 #[derive(Clone)]
@@ -37,8 +38,8 @@
                 }
                 let Ok(far) = TcpStream::connect(target) else { continue };
                 serving.keep(&far);
-                serving.forward(&near, &far);
-                serving.forward(&far, &near);
+                forward(&near, &far, ONE_WAY, serving.is_cut.clone());
+                forward(&far, &near, ONE_WAY, serving.is_cut.clone());
             }
         });
         Ok(way)
@@ -48,33 +49,25 @@
         lock(&self.open).extend(stream.try_clone());
     }
 
-    fn forward(&self, from: &TcpStream, into: &TcpStream) {
-        let (Ok(mut from), Ok(mut into)) = (from.try_clone(), into.try_clone()) else { return };
-        let is_cut = self.is_cut.clone();
-        thread::spawn(move || {
-            let mut buffer = [0; 16 << 10];
-            while let Ok(count @ 1..) = from.read(&mut buffer) {
-                if !is_cut.load(Ordering::Relaxed) && into.write_all(&buffer[..count]).is_err() {
-                    break;
-                }
-            }
-            if !is_cut.load(Ordering::Relaxed) {
-                let _ = into.shutdown(Shutdown::Both);
-            }
-        });
-    }
-
     /// Ends all connections, as what was cut off is back.
     fn reset(&self) {
         lock(&self.open).drain(..).for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
     }
 }
 
+/// Where the rules take the backends from.
+pub enum Source {
+    /// The rules name them: `b0` and so on.
+    Rules(Vec<SocketAddr>),
+    /// A service at this address lists them.
+    Discovery(SocketAddr),
+}
+
 /// The fleet, its files and addresses.
 pub struct Fleet {
     folder: PathBuf,
     voters: Vec<SocketAddr>,
-    backends: Vec<SocketAddr>,
+    source: Source,
     /// Where clients reach the proxy that can be cut off.
     pub p: SocketAddr,
     is_cut: Arc<AtomicBool>,
@@ -90,16 +83,15 @@
 }
 
 impl Fleet {
-    /// Starts the proxies with these backends. Safe requests are served or refused without a lease (`on_lapse`). At most one
-    /// backend may be out at once.
-    pub fn start(record: &Record, backends: Vec<SocketAddr>, on_lapse: &str) -> Result<Fleet, Error> {
+    /// Starts the proxies. Safe requests are served or refused without a lease (`on_lapse`).
+    pub fn start(record: &Record, source: Source, on_lapse: &str) -> Result<Fleet, Error> {
         let folder = std::env::temp_dir().join(format!("review-2-{}-fleet", std::process::id()));
         fs::create_dir_all(&folder)?;
         fs::write(folder.join("key"), "7c".repeat(32))?;
         let voters = (0..VOTERS).map(|_| free_address()).collect::<Result<Vec<_>, _>>()?;
         let is_cut = Arc::new(AtomicBool::new(false));
         let (ways, proxies) = (Vec::new(), Vec::new());
-        let mut fleet = Fleet { folder, voters, backends, p: free_address()?, is_cut, ways, proxies };
+        let mut fleet = Fleet { folder, voters, source, p: free_address()?, is_cut, ways, proxies };
         // The ways between the proxy p and the others, in both directions.
         let p_fleet = free_address()?;
         let to_p = Way::to(p_fleet, fleet.is_cut.clone())?;
@@ -124,11 +116,26 @@
         let path = fleet.settings("p", fleet.p, p_fleet, &ways_of_p)?;
         fleet.proxies.push(Running::start(&path, &fleet.folder.join("p.log"))?);
         fleet.publish(record, on_lapse)?;
-        fleet.must(record, &["budget", "--set", "backend:fleet:1"])?;
-        fleet.wait_until_healthy()?;
         Ok(fleet)
     }
 
+    /// From now on one backend may be out at once, under a permit.
+    pub fn bound(&self, record: &Record) -> Result<(), Error> {
+        self.must(record, &["budget", "--set", "backend:fleet:1"])?;
+        self.wait_until_healthy()
+    }
+
+    /// A planned restart of p: SIGTERM, its end, and a start under its name and addresses.
+    pub fn restart_p(&mut self, record: &Record) -> Result<(), Error> {
+        let p = self.proxies.last_mut().ok_or("there is no proxy")?;
+        p.end(ms(3700))?;
+        record.note("platform: p has ended after SIGTERM");
+        let (settings, log) = (self.folder.join("p.toml"), self.folder.join("p-again.log"));
+        *p = Running::start(&settings, &log)?;
+        record.note("platform: p is started again");
+        Ok(())
+    }
+
     /// Publishes the rules; see [`Fleet::start`].
     pub fn publish(&self, record: &Record, on_lapse: &str) -> Result<(), Error> {
         let path = self.folder.join(format!("{on_lapse}.toml"));
@@ -136,26 +143,37 @@
         self.must(record, &["publish", &path.to_string_lossy()])
     }
 
-    /// Cuts p off from the other proxies, or ends that.
-    pub fn cut(&self, record: &Record, is_cut: bool) {
-        self.is_cut.store(is_cut, Ordering::Relaxed);
-        if is_cut {
-            return record.note("network: p is cut off from the other proxies");
-        }
-        self.ways.iter().for_each(Way::reset);
-        record.note("network: p is back");
+    /// Cuts p off from the other proxies for [`CUT`].
+    pub fn cut(&self, record: &Record) {
+        let (is_cut, ways, record) = (self.is_cut.clone(), self.ways.clone(), record.clone());
+        is_cut.store(true, Ordering::Relaxed);
+        record.note("network: p is cut off from the other proxies");
+        thread::spawn(move || {
+            thread::sleep(CUT);
+            is_cut.store(false, Ordering::Relaxed);
+            ways.iter().for_each(Way::reset);
+            record.note("network: p is back");
+        });
     }
 
     pub fn log_of_p(&self) -> String {
-        fs::read_to_string(self.folder.join("p.log")).unwrap_or_default()
+        let log = |name| fs::read_to_string(self.folder.join(name)).unwrap_or_default();
+        log("p.log") + &log("p-again.log")
     }
 
     /// Rules in which the class of safe requests is served or refused without a lease.
     fn rules(&self, on_lapse: &str) -> String {
-        let backends = self.backends.iter().enumerate().map(|(number, address)| {
-            format!("[[backend]]\nname = \"b{number}\"\naddress = \"{address}\"\ncell = 1\nshare = 7\n")
-        });
-        let backends: String = backends.collect();
+        let backends: String = match &self.source {
+            Source::Discovery(address) => format!("[discovery]\naddress = \"{address}\"\n"),
+            Source::Rules(all) => {
+                let entry = |(number, address)| {
+                    format!(
+                        "[[backend]]\nname = \"b{number}\"\naddress = \"{address}\"\ncell = 1\nshare = 7\n"
+                    )
+                };
+                all.iter().enumerate().map(entry).collect()
+            }
+        };
         format!(
             "{backends}[[class]]\nname = \"lesson-page\"\neffect = \"safe\"\naim_ms = 810\ndeadline_ms = 2000\n\
              on_lapse = \"{on_lapse}\"\n[[class]]\nname = \"answer-submit\"\neffect = \"unsafe\"\ndeadline_ms = 2000\n\
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,10 +5,10 @@
 mod common;
 mod copies;
 mod crossed;
+mod drained;
 mod emptied;
 mod fleet;
 mod retune;
-mod stale;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -60,8 +60,8 @@
         "crossed" => crossed::play(record),
         "copies" => copies::play(record),
         "retune" => retune::play(record),
-        "stale" => stale::play(record),
         "emptied" => emptied::play(record),
+        "drained" => drained::play(record),
         _ => Err("no such case".into()),
     }
 }
