--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -154,11 +154,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        if let Some(path) = std::env::var_os("PIDS") {
-            let all = fs::read_to_string(&path).unwrap_or_default();
-            let left = all.lines().filter(|line| *line != self.child.id().to_string());
-            let _ = fs::write(&path, left.map(|line| format!("{line}\n")).collect::<String>());
-        }
+        forget_process(self.child.id());
     }
 
     pub fn log(&self) -> String {
@@ -174,11 +170,19 @@
 }
 
 /// Tells the script which process to end if the case is stopped.
-fn note_process(id: u32) -> io::Result<()> {
+pub fn note_process(id: u32) -> io::Result<()> {
     let Some(path) = std::env::var_os("PIDS") else { return Ok(()) };
     writeln!(fs::OpenOptions::new().create(true).append(true).open(path)?, "{id}")
 }
 
+/// A process has ended, and its id is not used any more.
+pub fn forget_process(id: u32) {
+    let Some(path) = std::env::var_os("PIDS") else { return };
+    let all = fs::read_to_string(&path).unwrap_or_default();
+    let left = all.lines().filter(|line| *line != id.to_string());
+    let _ = fs::write(&path, left.map(|line| format!("{line}\n")).collect::<String>());
+}
+
 /// A process that was started by `run` with a settings file of the project's own.
 pub struct Running(Proxy);
 
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -9,7 +9,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::common::{Error, Record, Running, forward, free_address, lock, ms, root};
+use crate::common::{
+    Error, Record, Running, forget_process, forward, free_address, lock, ms, note_process, root,
+};
 
 /// How long the proxy is cut off from the others.
 pub const CUT: Duration = Duration::from_secs(6);
@@ -209,7 +211,12 @@
     fn call_with(&self, settings: &Path, words: &[&str]) -> Result<Output, Error> {
         let mut command = Command::new(root().join("target/release/sandgap"));
         command.arg("fleet").args(words).arg("--settings").arg(settings).args(["--patience", "25"]);
-        Ok(command.stdin(Stdio::null()).output()?)
+        let child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
+        let id = child.id();
+        note_process(id)?;
+        let output = child.wait_with_output();
+        forget_process(id);
+        Ok(output?)
     }
 
     /// A call that has to succeed.
