Review cases 6 to 10 end what they started however they end, and judge no play that went wrong

Need: after SIGKILL to a script its proxies lived on for up to two minutes, a folder could stay, and a proxy that was killed from outside could end in a verdict.

Change: the stand-in watches its script, ends all and removes its folder if that has gone, and says so in record.txt. Case 10 counts from a page that p has served, so that p has a lease on the version.

--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::parent_id;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -175,6 +176,44 @@
     writeln!(fs::OpenOptions::new().create(true).append(true).open(path)?, "{id}")
 }
 
+/// Ends the case if it takes too long or if its script has gone, with everything that it has started.
+pub fn watch_over(record: &Record, path: &Path) {
+    let (start, script) = (Instant::now(), parent_id());
+    while start.elapsed() < ms(110_000) && parent_id() == script {
+        thread::sleep(ms(100));
+    }
+    IS_ENDING.store(true, Ordering::SeqCst);
+    eprintln!("the case has not ended in time, or its script has gone");
+    record.note("verdict: the case could not run: it has not ended in time, or its script has gone");
+    let _ = record.write(path);
+    if let Some(path) = std::env::var_os("PIDS") {
+        // Twice, as a process may have been started meanwhile.
+        for _ in 0..2 {
+            for id in fs::read_to_string(&path).unwrap_or_default().lines() {
+                let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {id}")).status();
+            }
+            thread::sleep(ms(50));
+        }
+        // What still runs may write a file meanwhile.
+        for _ in 0..10 {
+            if fs::remove_dir_all(std::env::temp_dir()).is_ok() {
+                break;
+            }
+            thread::sleep(ms(20));
+        }
+    }
+    std::process::exit(2);
+}
+
+/// Waits for the end of the process if [`watch_over`] has begun to end it.
+pub fn yield_to_the_end() {
+    while IS_ENDING.load(Ordering::SeqCst) {
+        thread::sleep(ms(10));
+    }
+}
+
+static IS_ENDING: AtomicBool = AtomicBool::new(false);
+
 /// A process has ended, and its id is not used any more.
 pub fn forget_process(id: u32) {
     let Some(path) = std::env::var_os("PIDS") else { return };
@@ -207,6 +246,10 @@
 }
 
 impl Running {
+    pub fn has_ended(&mut self) -> bool {
+        self.0.has_ended()
+    }
+
     /// Ends it as at a planned restart: SIGTERM, and SIGKILL if it still runs after `wait`.
     pub fn end(&mut self, wait: Duration) -> Result<(), Error> {
         self.0.signal("TERM")?;
--- a/review/standin-2/drained.rs
+++ b/review/standin-2/drained.rs
@@ -43,7 +43,8 @@
         fleet.restart_p(record)?;
         wait_until_up(&fleet)?;
     }
-    // Every live proxy acts on the version with the drain.
+    // p serves, so that it has a lease on the version in force; every live proxy acts on the version with the drain.
+    wait_until_served(&fleet)?;
     fleet.must(record, &["wait", "2"])?;
     let told_at = Instant::now();
     thread::sleep(ms(GRACE_MS + 500));
@@ -64,6 +65,7 @@
         }
         thread::sleep(ms(50));
     }
+    fleet.check_running()?;
     record.note(format!("log of p:\n{}", fleet.log_of_p()));
     if served == 0 {
         return Err("p has served nothing".into());
@@ -79,7 +81,32 @@
     )])
 }
 
-/// Waits until p serves its clients.
+/// Waits until p serves a page.
+fn wait_until_served(fleet: &Fleet) -> Result<(), Error> {
+    let (run, until) = (run_number(), Instant::now() + ms(20_000));
+    for number in 0..400 {
+        let asked = Client::connect(fleet.p).and_then(|mut client| {
+            client.send(
+                format!(
+                    "GET /lesson-page HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: w{run:07x}{number:08x}\r\n\
+                     X-Timeout: 2.000\r\n\r\n"
+                )
+                .as_bytes(),
+            )?;
+            client.answer(Instant::now() + ms(2600))
+        });
+        if asked.is_ok_and(|answer| answer.status == 200) {
+            return Ok(());
+        }
+        if Instant::now() > until {
+            break;
+        }
+        thread::sleep(ms(50));
+    }
+    Err("p has served no page".into())
+}
+
+/// Waits until p says that it is up.
 fn wait_until_up(fleet: &Fleet) -> Result<(), Error> {
     let until = Instant::now() + ms(20_000);
     while Instant::now() < until {
--- a/review/standin-2/emptied.rs
+++ b/review/standin-2/emptied.rs
@@ -49,7 +49,7 @@
         };
         backends.push(start_backend(server, Arc::new(behaviour))?);
     }
-    let fleet = Fleet::start(record, Source::Rules(backends), "refuse")?;
+    let mut fleet = Fleet::start(record, Source::Rules(backends), "refuse")?;
     fleet.bound(record)?;
     let id = format!("{:08x}0000000a", run_number());
     let mut client = Client::connect(fleet.p)?;
@@ -83,6 +83,7 @@
     is_stopped.store(true, Ordering::Relaxed);
     thread::sleep((cut_at + CUT + ms(200)).saturating_duration_since(Instant::now()));
     let ended = learner.join().map_err(|_| "the learner has failed")?;
+    fleet.check_running()?;
     record.note(format!("log of p:\n{}", fleet.log_of_p()));
     Ok(match ended {
         Ok((200, length)) if length == PIECES * PIECE_BYTES => Vec::new(),
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -158,6 +158,14 @@
         });
     }
 
+    /// Checks that no proxy has ended by itself, which the case isn't about.
+    pub fn check_running(&mut self) -> Result<(), Error> {
+        match self.proxies.iter_mut().any(Running::has_ended) {
+            true => Err("a proxy has ended".into()),
+            false => Ok(()),
+        }
+    }
+
     pub fn log_of_p(&self) -> String {
         let log = |name| fs::read_to_string(self.folder.join(name)).unwrap_or_default();
         log("p.log") + &log("p-again.log")
--- a/review/standin-2/retune.rs
+++ b/review/standin-2/retune.rs
@@ -92,6 +92,9 @@
         }));
     }
     thread::sleep(term.saturating_duration_since(Instant::now()));
+    if proxy.has_ended() {
+        return Err("the proxy has ended before SIGTERM".into());
+    }
     proxy.signal("TERM")?;
     let term = Instant::now();
     record.note("platform: SIGTERM");
@@ -108,6 +111,9 @@
     }
     record.note(format!("log of the proxy:\n{}", proxy.log()));
     let sent = lock(&sent);
+    if sent.len() < 5 {
+        return Err("fewer than half of the clients have sent a whole request".into());
+    }
     let lost = sent.iter().filter(|request| request.taken < killed);
     let lost = lost.filter_map(|request| {
         let why = request.answered.as_ref().err()?;
--- a/review/standin-2/run.sh
+++ b/review/standin-2/run.sh
@@ -6,7 +6,7 @@
 root=$(cd "$folder/../.." && pwd) || exit 2
 standin=$root/target/review-2/standin
 if [ ! -x "$standin" ] || [ ! -x "$root/target/release/sandgap" ]; then
-    echo "build first: the build of the deploy file, then review/build-2.sh" >&2
+    echo "build first: the build of the deploy file, then review/build-2.sh" | tee "$folder/record.txt" >&2
     exit 2
 fi
 temporary=$(mktemp -d) || exit 2
