Review case 10 waits until the proxy has its first rules before discovery tells more

Change: p has served a page, under a lease on the first version, before discovery tells all backends once more.

--- a/review/standin-2/drained.rs
+++ b/review/standin-2/drained.rs
@@ -34,6 +34,7 @@
     let agent = Agent::start(hosts)?;
     let mut fleet = Fleet::start(record, Source::Discovery(agent.address), "refuse")?;
     wait_until_up(&fleet)?;
+    wait_until_served(&fleet)?;
     // An ordinary change of the list, in which discovery tells all backends once more.
     ["s-0", "s-1", "s-2"].iter().for_each(|name| agent.change(name, "up"));
     record.note("discovery: tells all backends once more");
