The end of a process counts the longest deadline of the settings in force

At a planned restart, however long after it, requests that the proxy took from 1.1 s after SIGTERM on were forwarded and unanswered at the kill, which comes 1.7 s after SIGTERM.

Cause: Generations::change (generation.rs) kept the maximum of all deadlines over the life of the process, and Frontend::serve (front/mod.rs) read it once, at SIGTERM. Ruled out: a held generation (the same without an open request); the class in the file (TROUBLE=0, never there).

Change: the longest deadline is that of the generation in force, read when it is used. The time of the last answer is set at SIGTERM and again with each change of settings after it; the earlier one holds.

A longer deadline gives more time from the change on, an open request keeps its own while the process runs on: both held before too.

--- a/crates/sandgap/src/front/limits.rs
+++ b/crates/sandgap/src/front/limits.rs
@@ -37,6 +37,8 @@
 /// Time of the last answer after the longest deadline (as far as the platform counts that) following SIGTERM. The
 /// platform kills the process 0.7 s after the deadline, and open requests are lost then, so this is a little less.
 pub(super) const LAST_ANSWER_AFTER: Duration = Duration::from_millis(500);
+/// Longer deadlines count as this long for the end of the process, ms.
+pub(super) const MAX_DEADLINE_MS: f64 = 1e6;
 /// Interval at which a closing connection is checked and, unless a request is open on it, cut.
 pub(super) const CLOSE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum bytes kept of what a client sends after a request and before its answer. There should be none: any excess
--- a/crates/sandgap/src/front/mod.rs
+++ b/crates/sandgap/src/front/mod.rs
@@ -37,8 +37,8 @@
 use crate::upstream::Upstreams;
 use admission::{Client, Stage};
 use limits::{
-    ACCEPT_AFTER_STOP, ACCEPT_RETRY_DELAY, BACKLOG, FINISH_TIME, LAST_ANSWER_AFTER, MAX_QUEUE_WAIT,
-    MIN_STAGE_AGE, QUEUE_QUIET, SILENT_WAIT, SWEEP_INTERVAL,
+    ACCEPT_AFTER_STOP, ACCEPT_RETRY_DELAY, BACKLOG, FINISH_TIME, LAST_ANSWER_AFTER, MAX_DEADLINE_MS,
+    MAX_QUEUE_WAIT, MIN_STAGE_AGE, QUEUE_QUIET, SILENT_WAIT, SWEEP_INTERVAL,
 };
 use receiving::Receiving;
 pub use request_ids::{RequestIds, RequestProgress};
@@ -66,6 +66,8 @@
     memory_reported: Cell<Option<Instant>>,
     /// See [`crate::config::Config::grace`].
     grace: Duration,
+    /// When the process was told to stop, if it was.
+    stopped_at: Cell<Option<Instant>>,
     /// When the accept queue was last seen empty.
     queue_empty_at: Cell<Instant>,
     /// When an accept last failed for lack of descriptors or buffers.
@@ -104,6 +106,7 @@
             memory,
             memory_reported: Cell::default(),
             grace,
+            stopped_at: Cell::default(),
             queue_empty_at: Cell::new(Instant::now()),
             last_shortage: Cell::default(),
             by_stage: RefCell::default(),
@@ -164,12 +167,8 @@
                 () = self.clone().accept(&listener), if self.serving.accepts() => {}
             }
         }
-        let longest =
-            Duration::from_secs_f64(self.generations.borrow().longest_deadline_ms().min(1e6) / 1000.0);
-        let stopped_at = self.upstreams.view().arrived_at();
-        let last_answer_at = stopped_at + longest.min(self.grace) + LAST_ANSWER_AFTER;
-        self.input_sender.send(Input::Shutdown(last_answer_at));
-        self.upstreams.shut_down(last_answer_at);
+        self.stopped_at.set(Some(self.upstreams.view().arrived_at()));
+        self.limit_answers();
         // If another process accepts from the same queue, nothing in it is lost. That is a newer process, or the previous
         // one while this one has not served yet.
         let other_process_accepts = !self.serving.accepts();
@@ -188,8 +187,9 @@
         drop(listener);
         sleep(SILENT_WAIT).await;
         self.close_all(Stage::Silent);
-        let end = Instant::now() + longest + FINISH_TIME;
+        let begin = Instant::now();
         while self.unfinished() > 0 {
+            let end = begin + self.longest_deadline() + FINISH_TIME;
             // A long answer that has started is not cut off while the process may run.
             let end =
                 if self.long_answers.get() > 0 { end.max(Instant::now() + SWEEP_INTERVAL) } else { end };
@@ -199,6 +199,21 @@
         }
     }
 
+    /// The longest deadline of the classes in force.
+    fn longest_deadline(&self) -> Duration {
+        let longest_ms = self.generations.borrow().longest_deadline_ms();
+        Duration::from_secs_f64(longest_ms.min(MAX_DEADLINE_MS) / 1000.0)
+    }
+
+    /// Once the process was told to stop, limits the time of the last answer by the settings in force: the platform kills the
+    /// process by their longest deadline, whatever older settings open requests still hold.
+    fn limit_answers(&self) {
+        let Some(stopped_at) = self.stopped_at.get() else { return };
+        let last_answer_at = stopped_at + self.longest_deadline().min(self.grace) + LAST_ANSWER_AFTER;
+        self.input_sender.send(Input::Shutdown(last_answer_at));
+        self.upstreams.shut_down(last_answer_at);
+    }
+
     /// Accepts one connection and spawns its task, or makes room for it.
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
         // Over the budget, one connection is evicted for each new one; if none can be, the new one waits for a short time.
@@ -277,7 +292,9 @@
     /// # Errors
     /// If open requests hold too many classes; nothing is changed then.
     pub fn change(&self, settings: &Settings, names: &Names) -> Result<Change, String> {
-        self.generations.borrow_mut().change(settings, names)
+        let change = self.generations.borrow_mut().change(settings, names)?;
+        self.limit_answers();
+        Ok(change)
     }
 
     /// Sets the socket budget of clients and backends together, and the number of processes that share the memory limit:
--- a/crates/sandgap/src/generation.rs
+++ b/crates/sandgap/src/generation.rs
@@ -51,7 +51,6 @@
     /// All tenants named since the start, by number; `tenant_ids` has their numbers by name.
     tenants: Vec<Tenant>,
     tenant_ids: FxHashMap<String, TenantId>,
-    longest: f64,
 }
 
 impl Generations {
@@ -68,7 +67,6 @@
             max_attempts: settings.limits.max_attempts,
             tenants: settings.tenants.clone(),
             tenant_ids,
-            longest: longest_deadline(&settings.classes),
         }
     }
 
@@ -77,9 +75,9 @@
         &self.current
     }
 
-    /// The longest deadline of any class that has been in force, in ms.
+    /// The longest deadline of any class in force, in ms. Classes that only open requests still hold do not count.
     pub fn longest_deadline_ms(&self) -> f64 {
-        self.longest
+        self.current.classes.iter().map(|(.., class)| class.deadline).fold(0.0, f64::max)
     }
 
     /// Whether other settings could be put in force now.
@@ -103,7 +101,6 @@
             settings.classes[0].clone()
         });
         classes.iter().for_each(|(_, id, class)| self.class_rules[id.0] = class.clone());
-        self.longest = self.longest.max(longest_deadline(&settings.classes));
         self.max_attempts = settings.limits.max_attempts;
         let new = Rc::new(Generation { classes, tenants });
         self.past.push(Rc::downgrade(&std::mem::replace(&mut self.current, new)));
@@ -180,10 +177,6 @@
     classes.iter().map(|(_, id, _)| id.0).max().unwrap_or(0)
 }
 
-fn longest_deadline(classes: &[Class]) -> f64 {
-    classes.iter().map(|c| c.deadline).fold(0.0, f64::max)
-}
-
 #[cfg(test)]
 mod tests {
     use serde_json::json;
@@ -222,6 +215,10 @@
         assert_eq!(change_sent.live, [false, true, true]);
         assert_eq!(change_sent.settings.classes[0].deadline, 900.0, "earlier requests keep the old deadline");
         assert_eq!(g.longest_deadline_ms(), 900.0);
+        let held = g.current().clone();
+        change(&mut g, &[("submit", "unsafe", 400.0)], 3);
+        assert_eq!(g.longest_deadline_ms(), 400.0, "a class that only a request holds is not in force");
+        drop(held);
     }
 
     #[test]
--- a/crates/sandgap/src/upstream/pool.rs
+++ b/crates/sandgap/src/upstream/pool.rs
@@ -111,7 +111,7 @@
 
     /// The process has been told to end, and has answered everything by `at`.
     pub fn shut_down(&self, at: Instant) {
-        self.shutdown_at.set(Some(at));
+        self.shutdown_at.set(Some(self.shutdown_at.get().map_or(at, |earlier| earlier.min(at))));
     }
 
     /// Shares the sockets with another process: closes idle connections until at most `target` sockets are in use or none is
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -628,6 +628,14 @@
         Proxy::spawn(command, file)
     }
 
+    /// Starts a proxy by a text of the platform's configuration and waits until it listens.
+    pub fn start_with(text: &str) -> Self {
+        let file = config_file(text);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
+        command.env("NODE_CONFIG", &file).env_remove("TMPDIR");
+        Proxy::spawn(command, file)
+    }
+
     /// Starts `sandgap serve` with a file of sandgap's own settings.
     pub fn serve(settings: &str) -> Self {
         Proxy::serve_with(settings, |_| {})
