The end of an older process after a change of settings has a test

Need: the same fault at an upgrade, where the older process gets SIGTERM as the newer one serves, was read and not played.

Change: a play in which the settings change, a newer process starts, and requests on the older one's connections are completed at drawn moments.

--- a/crates/sandgap/tests/shutdown_after_reload.rs
+++ b/crates/sandgap/tests/shutdown_after_reload.rs
@@ -38,7 +38,13 @@
 
 impl Deadlines {
     fn config(self, discovery: &Discovery) -> String {
-        let text = config(discovery.address, &Setup { sockets: 1024, ..Setup::default() });
+        self.config_at(discovery, None)
+    }
+
+    /// The configuration of a process that listens at an address, or where the system lets it.
+    fn config_at(self, discovery: &Discovery, listen: Option<SocketAddr>) -> String {
+        let text =
+            config(discovery.address, &Setup { sockets: 1024, admin: true, listen, ..Setup::default() });
         let mut config: Value = serde_json::from_str(&text).expect("JSON");
         let classes = config["settings"]["classes"].as_array_mut().expect("classes");
         classes.retain_mut(|class| {
@@ -214,6 +220,52 @@
     });
 }
 
+/// Guards against the same at the end of an older process that a newer one replaces after the change of settings.
+#[test]
+fn requests_at_an_older_process_are_answered_by_the_deadlines_in_force() {
+    let directory = std::env::temp_dir().join(format!("sandgap-reload-upgrade-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory");
+    let discovery = Discovery::new();
+    let backend = Backend::with(|_| {
+        thread::sleep(Duration::from_millis(600));
+        Action::Write(ok(""))
+    });
+    discovery.publish(&list_all_up(&[&backend]));
+    let older = Proxy::start_in(&WITH_LONG_CLASS.config(&discovery), Some(&directory));
+    wait_for("the older process", || older.is_up());
+    older.reload(&SHORT.config(&discovery));
+    wait_for("the new settings", || older.log_count("settings in force") == 1);
+    wait_for("the socket of upgrades", || {
+        directory.read_dir().is_ok_and(|mut entries| entries.next().is_some())
+    });
+    // Connections of the older process, on which requests are completed at drawn moments after its SIGTERM.
+    let text = |n: usize| submit(&format!("u-{n}"), "1", "xx");
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| Client::new(&older)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        let text = text(n);
+        client.send(&text[..text.len() - 1]);
+    }
+    let newer = Proxy::start_in(&SHORT.config_at(&discovery, Some(older.address)), Some(&directory));
+    wait_for("the newer process", || newer.is_up());
+    let term = Instant::now();
+    older.terminate();
+    let mut random = Random(SEED);
+    thread::scope(|scope| {
+        for client in &mut clients {
+            let at = term + Duration::from_millis(random.below(1400));
+            scope.spawn(move || {
+                sleep_until(at);
+                client.send("x");
+                let status = client.answer().map(|answer| answer.status());
+                let answered_ms = ms_after(Instant::now(), term);
+                println!("sent {} ms after SIGTERM: {status:?} after {answered_ms} ms", ms_after(at, term));
+                assert!(status.is_some() && answered_ms <= SHORT.time_to_kill().as_millis() as i128);
+            });
+        }
+    });
+    let _ = std::fs::remove_dir_all(&directory);
+}
+
 /// Guards against an end that comes earlier than the settings in force ask: a longer deadline counts from the change on,
 /// and 3 s of it at most.
 #[test]
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -630,9 +630,15 @@
 
     /// Starts a proxy by a text of the platform's configuration and waits until it listens.
     pub fn start_with(text: &str) -> Self {
+        Proxy::start_in(text, None)
+    }
+
+    /// Like [`Proxy::start_with`]; processes of an upgrade find each other in the directory `shared`.
+    pub fn start_in(text: &str, shared: Option<&std::path::Path>) -> Self {
         let file = config_file(text);
         let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
         command.env("NODE_CONFIG", &file).env_remove("TMPDIR");
+        command.envs(shared.map(|directory| ("TMPDIR", directory)));
         Proxy::spawn(command, file)
     }
 
