An answer in lumps is not given up where one attempt is permitted

Cause: StreamConditions::awaits_replacement (upstream/response.rs) held back each answer of unknown length whose backend was silent, so that another backend could answer in its place. A backend that writes in lumps is as silent as one that hangs.

Change: only an answer whose backend has hung in an earlier one, with nothing since, is held back (AnswerWatch::follows_stalled).

The price: a request whose chunked answer hangs in its body is lost until its backend has hung once.

--- a/crates/sandgap-driver/src/stalls.rs
+++ b/crates/sandgap-driver/src/stalls.rs
@@ -139,6 +139,11 @@
         backend.answers.borrow_mut().retain(|answer| !Rc::ptr_eq(answer, self));
     }
 
+    /// Whether an earlier answer of its backend has stalled until it was given up, and nothing has come of any since.
+    pub fn follows_stalled(&self) -> bool {
+        self.backend.given_up.get() > 0
+    }
+
     /// Whether its backend is known to go on after as long a pause as the present one, and by `until`.
     pub fn is_expected_by(&self, now: Time, until: Time) -> bool {
         let (silence, pause) = (self.silence(now), self.backend.longest_pause.get());
--- a/crates/sandgap/src/upstream/progress.rs
+++ b/crates/sandgap/src/upstream/progress.rs
@@ -187,6 +187,11 @@
         is_paused && !self.is_expected_by(until)
     }
 
+    /// Whether an earlier answer of the present one's backend has stalled, and nothing has come of any since.
+    pub(super) fn follows_stalled(&self) -> bool {
+        self.watch.borrow().as_ref().is_some_and(StallWatch::follows_stalled)
+    }
+
     /// Whether the backend of the present answer is known to go on after such a pause, and by `until`.
     pub(super) fn is_expected_by(&self, until: Instant) -> bool {
         self.watch.borrow().as_ref().is_some_and(|watch| watch.is_expected_by(until))
--- a/crates/sandgap/src/upstream/response.rs
+++ b/crates/sandgap/src/upstream/response.rs
@@ -34,7 +34,7 @@
 const GATHER_DIVISOR: u32 = 2;
 /// Upper bound of that time: a client is owed what its backend has written within 2 s.
 const MAX_GATHER: Duration = Duration::from_millis(1500);
-/// The same for an answer whose backend is silent and not known to go on in time, if another backend may answer in its place:
+/// The same for an answer whose backend is silent and has hung in an earlier one, if another backend may answer in its place:
 /// once its start is passed on, none can.
 const MAX_GATHER_STALLED: Duration = Duration::from_millis(1900);
 /// The start of such an answer is passed on at least this long before the client gives up.
@@ -59,8 +59,8 @@
     /// another one may answer in its place.
     fn awaits_replacement(&self, begun: Instant, write_progress: &WriteProgress) -> bool {
         self.may_be_replaced
+            && write_progress.follows_stalled()
             && !write_progress.is_advancing(begun)
-            && !write_progress.is_expected_by(self.answer_by.instant())
             && begun.elapsed() < MAX_GATHER_STALLED
             && Instant::now() + START_MARGIN + ADMISSION_INTERVAL < self.answer_by.instant()
     }
--- a/crates/sandgap/src/upstream/stall_watch.rs
+++ b/crates/sandgap/src/upstream/stall_watch.rs
@@ -62,6 +62,11 @@
         self.watch.set_waits_for_client(self.start.elapsed(), waits);
     }
 
+    /// Whether an earlier answer of its backend has stalled until it was given up, and nothing has come of any since.
+    pub(super) fn follows_stalled(&self) -> bool {
+        self.watch.follows_stalled()
+    }
+
     /// Whether its backend is known to go on after as long a pause as the present one, and by `until`.
     pub(super) fn is_expected_by(&self, until: Instant) -> bool {
         self.watch.is_expected_by(self.start.elapsed(), until.saturating_duration_since(self.start))
