--- a/crates/sandgap-driver/src/core.rs
+++ b/crates/sandgap-driver/src/core.rs
@@ -5,7 +5,7 @@
 
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -233,8 +233,10 @@
     closings: Closings,
     endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
     address_owners: AddressOwners,
-    /// The backends as the policy knows them.
+    /// The backends as the list has them, without manual drains.
     listed: FxHashMap<BackendId, Backend>,
+    /// Backends that are drained by hand, whether they are listed or not.
+    manual_drains: BTreeSet<BackendId>,
     listed_backends: ListedBackends,
     /// Number of the newest endpoint.
     last_endpoint_number: u64,
@@ -265,6 +267,7 @@
             endpoints: FxHashMap::default(),
             address_owners: AddressOwners::default(),
             listed: FxHashMap::default(),
+            manual_drains: BTreeSet::new(),
             listed_backends: ListedBackends::default(),
             last_endpoint_number: 0,
             pending: FxHashMap::default(),
--- a/crates/sandgap-driver/src/core/backends.rs
+++ b/crates/sandgap-driver/src/core/backends.rs
@@ -1,6 +1,7 @@
 //! The list of backends in the core: applies lists and changes to them to the endpoints, and tells the policy.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -43,6 +44,41 @@
         self.apply_list(now, scope, hosts);
     }
 
+    /// Replaces the set of backends that are drained by hand, by name. A backend in the set gets no new requests whatever the
+    /// list says of it, also if it is listed only later. One that leaves the set gets requests again if the list, as it has
+    /// been applied by then, has it up.
+    pub fn set_manual_drains<'a>(&mut self, now: Time, names: impl IntoIterator<Item = &'a str>) {
+        let drained: BTreeSet<BackendId> = names.into_iter().map(|name| BackendId(number_of(name))).collect();
+        let before = std::mem::replace(&mut self.manual_drains, drained);
+        let changed = before.symmetric_difference(&self.manual_drains);
+        let listed: Vec<Backend> = changed.filter_map(|id| self.listed.get(id)).cloned().collect();
+        if listed.is_empty() {
+            return;
+        }
+        let entries = listed.into_iter().map(|backend| self.apply_state(backend)).collect();
+        self.handle(now, Event::List { scope: Scope::Delta, entries });
+    }
+
+    /// Opens or closes the endpoint of a backend by its state in the list and by manual drains. Returns the backend in the
+    /// state that applies.
+    fn apply_state(&mut self, mut backend: Backend) -> Backend {
+        if backend.state == State::Up && self.manual_drains.contains(&backend.id) {
+            backend.state = State::Draining;
+        }
+        if let Some(endpoint) = self.endpoints.get(&backend.id) {
+            match backend.state {
+                State::Up => endpoint.set_open(true),
+                State::Draining | State::Removed => close_endpoint(endpoint, &mut self.effects),
+            }
+        }
+        backend
+    }
+
+    /// Whether a backend is up according to the list.
+    fn is_listed_up(&self, id: BackendId) -> bool {
+        self.listed.get(&id).is_some_and(|backend| backend.state == State::Up)
+    }
+
     /// Records that a backend drains or is gone; the list entry may lack its start time.
     fn record_closing(&mut self, now: Time, id: BackendId, start_time_ms: f64) {
         let known = self.endpoints.get(&id).map_or(0.0, |endpoint| endpoint.start_time_ms);
@@ -61,7 +97,7 @@
         if let Some(known) = self.endpoints.get(&id).filter(|known| known.start_time_ms > host.start_time_ms)
         {
             (host.address, host.start_time_ms) = (Some(known.address), known.start_time_ms);
-            host.health = if known.is_open() { UP } else { DRAINING }.into();
+            host.health = if self.is_listed_up(id) { UP } else { DRAINING }.into();
             return host;
         }
         if let Some(effective_at) = self.closings.defer_opening(now, id, &host) {
@@ -172,13 +208,6 @@
         }
         if let Some(endpoint) = self.endpoints.get(&id) {
             endpoint.set_place(Place { zone, cell });
-            match state {
-                State::Up => endpoint.set_open(true),
-                State::Draining | State::Removed => close_endpoint(endpoint, &mut self.effects),
-            }
-        }
-        if state == State::Removed {
-            self.endpoints.remove(&id);
         }
         let backend = Backend {
             id,
@@ -189,14 +218,16 @@
             rating: host.rating.unwrap_or(1.0),
             since: self.starts.started_at(now, id, host.start_time_ms),
         };
+        let applied = self.apply_state(backend.clone());
         if state == State::Removed {
+            self.endpoints.remove(&id);
             self.listed.remove(&id);
             self.listed_backends.remove(id.0);
         } else {
-            self.listed.insert(id, backend.clone());
+            self.listed.insert(id, backend);
             self.listed_backends.insert(id.0);
         }
-        backend
+        applied
     }
 }
 
--- a/crates/sandgap-driver/src/core/tests.rs
+++ b/crates/sandgap-driver/src/core/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::endpoint::Host;
 
+mod manual_drains;
 mod reopening;
 mod reused_addresses;
 
--- a/crates/sandgap-driver/src/core/tests/reopening.rs
+++ b/crates/sandgap-driver/src/core/tests/reopening.rs
@@ -3,16 +3,16 @@
 use super::*;
 use crate::REOPEN_AFTER;
 
-fn id(name: &str) -> BackendId {
+pub(super) fn id(name: &str) -> BackendId {
     BackendId(number_of(name))
 }
 
 /// Whether a backend accepts requests.
-fn is_open(core: &Core<ScriptedPolicy, RecordedEffects>, name: &str) -> bool {
+pub(super) fn is_open(core: &Core<ScriptedPolicy, RecordedEffects>, name: &str) -> bool {
     core.endpoints.get(&id(name)).is_some_and(|e| e.is_open())
 }
 
-fn host_started_at(name: &str, port: u16, health: &str, start_time_ms: f64) -> Host {
+pub(super) fn host_started_at(name: &str, port: u16, health: &str, start_time_ms: f64) -> Host {
     Host { start_time_ms, ..host(name, port, health) }
 }
 
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -17,10 +17,9 @@
 
 use crate::diagnostics::{Diagnostics, Event};
 use crate::discovery::{self, ListReader};
-use crate::drains::Drains;
 use crate::event::{
-    Answer, AnswerBy, Arrival, Attempt, BackendPool, Endpoint, Exchange, GiveUp, Host, Input, InputSender,
-    Lease, Reply, Report, StatusQuery, StatusReply,
+    Answer, AnswerBy, Arrival, Attempt, BackendPool, Endpoint, Exchange, GiveUp, Input, InputSender, Lease,
+    Reply, Report, StatusQuery, StatusReply,
 };
 use crate::limit_report::LimitReport;
 use crate::note;
@@ -199,8 +198,6 @@
     core: Core<Balancer, SocketEffects>,
     start: Instant,
     limit_report: LimitReport,
-    /// Manual drains applied on top of the discovery list, in deployments with agreed rules.
-    drains: Option<Drains>,
 }
 
 impl Driver {
@@ -214,7 +211,7 @@
         let mut core =
             Core::new(balancer, SocketEffects { dependencies, start }, names, unix.as_secs_f64() * 1000.0);
         core.record_listed_in(listed);
-        Driver { core, start, limit_report, drains: None }
+        Driver { core, start, limit_report }
     }
 
     /// Handles inputs and timers until the input channel closes.
@@ -325,13 +322,6 @@
         self.start.elapsed()
     }
 
-    /// Marks backends of a list that are drained by hand.
-    fn apply_drains(&mut self, scope: Scope, hosts: &mut [Host]) {
-        if let Some(drains) = &mut self.drains {
-            drains.apply_to_list(scope, hosts);
-        }
-    }
-
     fn handle(&mut self, input: Input) {
         let now = self.now();
         match input {
@@ -403,23 +393,16 @@
             }
             Input::Change(change) => self.core.change(now, *change),
             Input::DiscoveryAlive => self.core.discovery_alive(now),
-            Input::List(scope, mut hosts) => {
-                self.apply_drains(scope, &mut hosts);
-                self.core.list(now, scope, hosts);
-            }
-            Input::UncertainList(scope, mut hosts) => {
-                self.apply_drains(scope, &mut hosts);
-                self.core.uncertain_list(now, scope, hosts);
-            }
+            Input::List(scope, hosts) => self.core.list(now, scope, hosts),
+            Input::UncertainList(scope, hosts) => self.core.uncertain_list(now, scope, hosts),
             Input::PreviousList(hosts) => {
                 if !self.core.effects.dependencies.serving.has_list() {
                     note!(warn: "discovery does not answer; serving from the list of the previous process");
                     self.handle(Input::List(Scope::Cached, hosts));
                 }
             }
-            Input::Drains(names) => {
-                let lines = self.drains.get_or_insert_default().replace(names);
-                self.core.list(now, Scope::Delta, lines);
+            Input::ManualDrains(names) => {
+                self.core.set_manual_drains(now, names.iter().map(String::as_str));
             }
             Input::StatusQuery(query) => self.answer_status(*query),
             Input::Datagram { from, bytes } => self.core.message(now, from, bytes),
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -72,8 +72,8 @@
     UncertainList(Scope, Vec<Host>),
     /// The list of the previous process, used until discovery has delivered one.
     PreviousList(Vec<Host>),
-    /// Backends that are drained by hand, regardless of their state in the list.
-    Drains(BTreeSet<String>),
+    /// Backends that are drained by hand, regardless of their state in the list. Replaces the ones before.
+    ManualDrains(BTreeSet<String>),
     /// A query for the attempts in flight.
     StatusQuery(Box<StatusQuery>),
     /// A message from another proxy.
@@ -88,7 +88,10 @@
 impl Input {
     /// Whether it updates which backends accept requests. Such an input depends on no other.
     pub fn is_backend_update(&self) -> bool {
-        matches!(self, Input::DiscoveryAlive | Input::List(..) | Input::UncertainList(..) | Input::Drains(_))
+        matches!(
+            self,
+            Input::DiscoveryAlive | Input::List(..) | Input::UncertainList(..) | Input::ManualDrains(_)
+        )
     }
 }
 
--- a/crates/sandgap/src/lib.rs
+++ b/crates/sandgap/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod daemon;
 pub mod diagnostics;
 pub mod discovery;
-pub mod drains;
 pub mod driver;
 pub mod event;
 pub mod front;
--- a/crates/sandgap/src/rules/commands.rs
+++ b/crates/sandgap/src/rules/commands.rs
@@ -506,6 +506,12 @@
             println!("{backend} is {} already", if drained { "drained" } else { "in use" });
             return Ok(());
         }
+        if drained && book.backends.is_none() {
+            eprintln!(
+                "sandgap: the backends come from discovery, so the name is not checked: {backend} is drained wherever a \
+                 list has it, now or later"
+            );
+        }
         let why = format!("{} {backend}", if drained { "drain" } else { "undrain" });
         self.propose(&book, why, Some(version)).await
     }
--- a/crates/sandgap/src/rules/runtime.rs
+++ b/crates/sandgap/src/rules/runtime.rs
@@ -329,10 +329,10 @@
         let (settings, names) = book::settings(rules, &self.dependencies.base);
         let change = self.dependencies.front.change(&settings, &names)?;
         self.dependencies.input_sender.send(Input::Change(Box::new(change)));
-        match book::hosts(rules) {
-            Some(hosts) => self.dependencies.input_sender.send(Input::List(Scope::Full, hosts)),
-            None => self.dependencies.input_sender.send(Input::Drains(rules.drained.clone())),
+        if let Some(hosts) = book::hosts(rules) {
+            self.dependencies.input_sender.send(Input::List(Scope::Full, hosts));
         }
+        self.dependencies.input_sender.send(Input::ManualDrains(rules.drained.clone()));
         Ok(())
     }
 
--- a/crates/sandgap/tests/processes/mod.rs
+++ b/crates/sandgap/tests/processes/mod.rs
@@ -151,17 +151,20 @@
 
     /// Runs `sandgap fleet` like [`Fleet::fleet_command`], over links to the voters that delay bytes in each direction.
     pub fn delayed_fleet_command(&self, n: usize, delay: Duration, words: &[&str]) -> Output {
-        let relays: Vec<SocketAddr> = self.addresses.iter().map(|to| delaying_relay(*to, delay)).collect();
-        let ways = relays.iter().enumerate();
-        let ways = ways.map(|(v, address)| format!("[[way]]\nto = \"v{v}\"\naddress = \"{address}\"\n"));
         let settings = std::fs::read_to_string(self.folder.join(format!("v{n}.toml"))).expect("settings");
         let delayed = self.folder.join("delayed.toml");
-        std::fs::write(&delayed, settings + &ways.collect::<String>()).expect("a file");
+        std::fs::write(&delayed, settings + &self.delayed_ways(delay)).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
         command.arg("fleet").args(words).arg("--settings").arg(delayed);
         command.output().expect("the program runs")
     }
 
+    /// Settings by which a process reaches the voters over links that delay bytes in each direction.
+    pub fn delayed_ways(&self, delay: Duration) -> String {
+        let relays = self.addresses.iter().map(|to| delaying_relay(*to, delay)).enumerate();
+        relays.map(|(v, address)| format!("[[way]]\nto = \"v{v}\"\naddress = \"{address}\"\n")).collect()
+    }
+
     /// Writes rules with this number of attempts to a file and returns its path.
     pub fn rules_file(&self, attempts: u32) -> String {
         let path = self.folder.join(format!("rules-{attempts}.toml"));
--- a/crates/sandgap/tests/sockets/mod.rs
+++ b/crates/sandgap/tests/sockets/mod.rs
@@ -756,6 +756,11 @@
         line.map_or(0, |line| line.trim().trim_end_matches(" kB").parse().expect("a number"))
     }
 
+    /// The log so far.
+    pub fn log(&self) -> String {
+        self.log.lock().expect("no panic").clone()
+    }
+
     /// Whether the log contains a text.
     pub fn log_contains(&self, text: &str) -> bool {
         self.log.lock().expect("no panic").contains(text)
