A proxy reports a version as in force only once it is in effect

Runtime::activate logged and reported it as soon as the change and the drains were in the driver's queue; the driver handles them in a later turn, after a standstill up to 32 turns later (view::settle).

Cause: Follower::activate sets `acting`, and Follower::ask reports it (follower.rs); the agent asked at once (agent.rs, Step::Act).

Change: the driver notifies Input::ManualDrains::in_effect once it has handled the drains, which come behind settings and backends. The runtime then logs the version and calls Agent::in_effect, and only then do reports name it. Requests are admitted under the version from the start, as before: they queue behind its changes. Drains are passed on also where the settings of a version can't be put in force. Hollow proxies of the rig and the laboratory confirm at once.

--- a/crates/sandgap-agree/src/agent.rs
+++ b/crates/sandgap-agree/src/agent.rs
@@ -36,7 +36,7 @@
     Write(Write),
     /// Check whether this proxy can use the version, and call [`Agent::checked`].
     Check(Version, Rc<Rulebook>),
-    /// Act on this version.
+    /// Act on this version, and call [`Agent::in_effect`] once it is in effect.
     Act(Version, Rc<Rulebook>),
     /// The enrolment of this process, or the membership list, has changed.
     Enrolment(EnrolmentEvent),
@@ -312,7 +312,7 @@
             Message::Fetch(version) => self.handle_fetch(from, version),
             Message::Book(version, bytes) => {
                 let steps = self.follower.receive_book(version, &bytes);
-                self.carry_out_steps(now, from, steps);
+                self.carry_out_steps(from, steps);
             }
             Message::Reports(all) => self.with_voter(|v, out| v.reports(now, all, out)),
             Message::Publish(proposal) => self.handle_publish(now, from, proposal),
@@ -421,7 +421,7 @@
         if let Some(since) = self.follower.enrolment().and_then(Enrolment::outdated_list) {
             self.send(from.to_owned(), None, Message::FetchMembers(since));
         }
-        self.carry_out_steps(now, from, steps);
+        self.carry_out_steps(from, steps);
     }
 
     fn push_events(&mut self, now: Time, events: Vec<EnrolmentEvent>) {
@@ -458,7 +458,7 @@
 
     fn handle_news(&mut self, now: Time, from: &str, standing: &RulesState) {
         let steps = self.follower.receive_news(now, standing);
-        self.carry_out_steps(now, from, steps);
+        self.carry_out_steps(from, steps);
     }
 
     fn handle_fetch(&mut self, from: &str, version: Version) {
@@ -477,15 +477,12 @@
         self.send(from.to_owned(), None, Message::Unpublished(proposal.id, why));
     }
 
-    fn carry_out_steps(&mut self, now: Time, from: &str, steps: Vec<Step>) {
+    fn carry_out_steps(&mut self, from: &str, steps: Vec<Step>) {
         for step in steps {
             match step {
                 Step::Fetch(version) => self.send(from.to_owned(), None, Message::Fetch(version)),
                 Step::Check(version, book) => self.out.push_back(Output::Check(version, book)),
-                Step::Act(version, book) => {
-                    self.out.push_back(Output::Act(version, book));
-                    self.next_ask = now; // a switch may wait for the report
-                }
+                Step::Act(version, book) => self.out.push_back(Output::Act(version, book)),
             }
         }
     }
@@ -495,12 +492,19 @@
     pub fn checked(&mut self, now: Time, version: Version, usable: Result<(), String>) {
         let steps = self.follower.checked(now, version, usable);
         let name = self.name.clone();
-        self.carry_out_steps(now, &name, steps);
+        self.carry_out_steps(&name, steps);
         self.next_ask = now;
         self.unanswered = 0;
         self.fire(now);
     }
 
+    /// Records that a version is in effect, see [`Follower::in_effect`]. This is reported at once, as a switch may wait for
+    /// it.
+    pub fn in_effect(&mut self, now: Time, version: Version) {
+        self.follower.in_effect(version);
+        self.next_ask = now;
+    }
+
     /// Records that a version could not be activated after all, see [`Follower::cannot_act`].
     pub fn cannot_act(&mut self, version: Version, why: &str) {
         self.follower.cannot_act(version, why);
--- a/crates/sandgap-agree/src/follower.rs
+++ b/crates/sandgap-agree/src/follower.rs
@@ -38,7 +38,8 @@
     Fetch(Version),
     /// Check whether this proxy can use it, and call [`Follower::checked`].
     Check(Version, Rc<Rulebook>),
-    /// Act on it from now on: new requests are taken under it.
+    /// Act on it from now on: new requests are taken under it. Call [`Follower::in_effect`] once it is in effect; until
+    /// then reports name the version before.
     Act(Version, Rc<Rulebook>),
 }
 
@@ -60,6 +61,8 @@
     known: RulesState,
     /// The version acted on; 0 for none.
     acting: Version,
+    /// The version whose effects the caller has confirmed; 0 for none. It is what reports name.
+    in_effect: Version,
     /// The lease on the version acted on.
     lease: Lease,
     /// The lease on a newer version that is not acted on yet. It does not cover the older one, which may have ended
@@ -85,6 +88,7 @@
             tracker: RequestTracker::new(first),
             known: RulesState::default(),
             acting: 0,
+            in_effect: 0,
             lease: Lease::default(),
             ahead_lease: Lease::default(),
             held: BTreeMap::new(),
@@ -128,7 +132,7 @@
         let lease_ms = u32::try_from(self.lease.left(now).as_millis()).unwrap_or(u32::MAX);
         let looked = self.looked.clone();
         let process_token = self.enrolment.as_ref().map_or(0, Enrolment::process_token);
-        let (acting, refused, rider_messages) = (self.acting, self.refused, self.rider_messages.clone());
+        let (acting, refused, rider_messages) = (self.in_effect, self.refused, self.rider_messages.clone());
         let report =
             Report { serial: number, acting, looked, lease_ms, refused, process_token, rider_messages };
         (number, report)
@@ -198,6 +202,14 @@
         self.next_steps(now)
     }
 
+    /// Records that everything that a version says is in effect at this proxy, so that it may report that it acts on it.
+    /// A version that is not acted on any more is ignored.
+    pub fn in_effect(&mut self, version: Version) {
+        if self.acting == version {
+            self.in_effect = version;
+        }
+    }
+
     /// Records that a version could not be activated after all: this proxy takes no requests until another version is
     /// in force.
     pub fn cannot_act(&mut self, version: Version, why: &str) {
@@ -205,7 +217,7 @@
             held.usable = Some(Err(why.to_owned()));
         }
         if self.acting == version {
-            self.acting = 0;
+            (self.acting, self.in_effect) = (0, 0);
             self.lease.release();
             self.unusable = Some(why.to_owned());
         }
@@ -416,6 +428,27 @@
         assert_eq!(f.ask(ms(11)).1.looked, Some((1, Some("no such zone".into()))));
     }
 
+    /// Guards against a report, on which `sandgap fleet wait` rests, that names a version before its drains hold.
+    #[test]
+    fn a_report_names_a_version_only_once_it_is_in_effect() {
+        let mut f = follower();
+        let reported = |f: &mut Follower, now| f.ask(ms(now)).1.acting;
+        grant(&mut f, 0, 5, standing(1, 1));
+        act(&mut f, 10, 1);
+        assert_eq!((reported(&mut f, 11), version(&f, 11)), (0, Some(1)));
+        f.in_effect(1);
+        assert_eq!(reported(&mut f, 12), 1);
+        grant(&mut f, 20, 25, standing(7, 2));
+        act(&mut f, 30, 2);
+        assert_eq!(reported(&mut f, 31), 1);
+        f.in_effect(1);
+        assert_eq!(reported(&mut f, 32), 1, "it has been replaced meanwhile");
+        f.in_effect(2);
+        assert_eq!(reported(&mut f, 33), 2);
+        f.cannot_act(2, "too many classes are held");
+        assert_eq!(reported(&mut f, 34), 0);
+    }
+
     #[test]
     fn a_version_that_could_not_be_activated_gives_no_right() {
         let mut f = follower();
--- a/crates/sandgap-agree/src/messages.rs
+++ b/crates/sandgap-agree/src/messages.rs
@@ -30,7 +30,7 @@
 pub struct Report {
     /// The number of the lease request: of two reports of one process the later one has the higher number.
     pub serial: u64,
-    /// The version that it acts on; 0 for none.
+    /// The version that it acts on and whose effects hold there; 0 for none.
     pub acting: Version,
     /// The latest proposed version that it has checked, and why it can't use it, if so.
     pub looked: Option<(Version, Option<String>)>,
--- a/crates/sandgap-lab/src/agree/simulation.rs
+++ b/crates/sandgap-lab/src/agree/simulation.rs
@@ -317,6 +317,10 @@
             Output::Act(version, book) => {
                 let name = digest(&book.encode().unwrap_or_default());
                 self.checker.record_content(version, name, &book);
+                let now = self.nodes[n].host.clock.local(self.now());
+                if let Some(agent) = &mut self.nodes[n].agent {
+                    agent.in_effect(now, version);
+                }
             }
             Output::Enrolment(EnrolmentEvent::BecameSuccessor(succession)) => self.succeed(n, &succession),
             Output::Enrolment(_) | Output::RiderMessages(..) | Output::Log(_) => {}
--- a/crates/sandgap-lab/src/takeover/simulation.rs
+++ b/crates/sandgap-lab/src/takeover/simulation.rs
@@ -345,10 +345,13 @@
                     process.takeover.handle_enrolment(local, event);
                 }
             }
-            AgentOutput::Check(..)
-            | AgentOutput::Act(..)
-            | AgentOutput::RiderMessages(..)
-            | AgentOutput::Log(_) => {}
+            AgentOutput::Act(version, _) => {
+                let local = self.nodes[n].host.clock.local(self.now());
+                if let Some(process) = &mut self.nodes[n].process {
+                    process.agent.in_effect(local, version);
+                }
+            }
+            AgentOutput::Check(..) | AgentOutput::RiderMessages(..) | AgentOutput::Log(_) => {}
         }
     }
 
--- a/crates/sandgap-rig/src/scale/hollow.rs
+++ b/crates/sandgap-rig/src/scale/hollow.rs
@@ -285,7 +285,10 @@
             match output {
                 Output::Send(to, address, message) => self.send(&to, address, &message),
                 Output::Check(version, _) => self.agent.checked(now(), version, Ok(())),
-                Output::Act(version, _) => self.record_acting(version),
+                Output::Act(version, _) => {
+                    self.record_acting(version);
+                    self.agent.in_effect(now(), version);
+                }
                 Output::Write(_) | Output::Enrolment(_) | Output::RiderMessages(_) | Output::Log(_) => {}
             }
         }
--- a/crates/sandgap/src/driver.rs
+++ b/crates/sandgap/src/driver.rs
@@ -401,8 +401,10 @@
                     self.handle(Input::List(Scope::Cached, hosts));
                 }
             }
-            Input::ManualDrains(names) => {
+            Input::ManualDrains { names, in_effect } => {
                 self.core.set_manual_drains(now, names.iter().map(String::as_str));
+                // Fails if nobody waits for it.
+                let _ = in_effect.send(());
             }
             Input::StatusQuery(query) => self.answer_status(*query),
             Input::Datagram { from, bytes } => self.core.message(now, from, bytes),
--- a/crates/sandgap/src/event.rs
+++ b/crates/sandgap/src/event.rs
@@ -73,7 +73,12 @@
     /// The list of the previous process, used until discovery has delivered one.
     PreviousList(Vec<Host>),
     /// Backends that are drained by hand, regardless of their state in the list. Replaces the ones before.
-    ManualDrains(BTreeSet<String>),
+    ManualDrains {
+        /// The backends' names.
+        names: BTreeSet<String>,
+        /// Notified once the drains and all earlier changes of settings and backends are in effect.
+        in_effect: oneshot::Sender<()>,
+    },
     /// A query for the attempts in flight.
     StatusQuery(Box<StatusQuery>),
     /// A message from another proxy.
@@ -90,7 +95,7 @@
     pub fn is_backend_update(&self) -> bool {
         matches!(
             self,
-            Input::DiscoveryAlive | Input::List(..) | Input::UncertainList(..) | Input::ManualDrains(_)
+            Input::DiscoveryAlive | Input::List(..) | Input::UncertainList(..) | Input::ManualDrains { .. }
         )
     }
 }
--- a/crates/sandgap/src/rules/runtime.rs
+++ b/crates/sandgap/src/rules/runtime.rs
@@ -14,7 +14,7 @@
 use sandgap_fleet::link::{Incoming, Links};
 use sandgap_fleet::members::{Gossip, ProbeTiming};
 use sandgap_fleet::{Identity, Members};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 use wharfhitch::{Scope, Settings};
@@ -75,6 +75,14 @@
     /// Keeps the version in force for the next start.
     kept_version: Option<KeptVersion>,
     watch: Rc<Watch>,
+    /// The version that is being put into effect.
+    activation: Option<Activation>,
+}
+
+/// A version that the driver puts into effect.
+struct Activation {
+    version: Version,
+    in_effect: oneshot::Receiver<()>,
 }
 
 /// Random bits for query numbers and elections.
@@ -128,7 +136,18 @@
         let members = Members::new(me, ProbeTiming::default(), random_u64());
         let kept_version = fleet.kept_version_path.clone().map(KeptVersion::new);
         let watch = Watch::new(dependencies.clone(), agent.clone(), fleet.is_voter(), fleet.zone.clone());
-        Runtime { dependencies, agent, fleet, members, links, incoming, disk: None, kept_version, watch }
+        Runtime {
+            dependencies,
+            agent,
+            fleet,
+            members,
+            links,
+            incoming,
+            disk: None,
+            kept_version,
+            watch,
+            activation: None,
+        }
     }
 
     /// Opens the voter's store. A missing or damaged store is replaced by a blank one with a new seat.
@@ -170,7 +189,7 @@
         let kept = kept.map(|(version, book)| (u64::from_le_bytes(*version), Rulebook::decode(book)));
         match kept {
             Some((version, Ok(book))) => match self.put_in_force(&book) {
-                Ok(()) => {
+                Ok(_) => {
                     note!("rules: version {version} was kept; classes that serve without a lease go by it");
                     self.dependencies.rules.record_unleased_classes(&book);
                     self.dependencies.rules.kept_version.set(version);
@@ -209,6 +228,7 @@
                     }
                 }
                 event = next_disk_event(&mut self.disk) => self.handle_disk_event(event),
+                version = next_in_effect(&mut self.activation) => self.confirm(version),
                 () = sleep(wait) => {}
             }
             self.run_timers();
@@ -313,9 +333,9 @@
         // The version was checked just before. If requests hold too many classes by now, no version is put in force
         // here.
         match self.put_in_force(rules) {
-            Ok(()) => {
+            Ok(in_effect) => {
                 self.dependencies.rules.record_unleased_classes(rules);
-                note!("rules: version {version} in force");
+                self.activation = Some(Activation { version, in_effect });
                 self.keep(version, rules);
             }
             Err(why) => {
@@ -325,14 +345,30 @@
         }
     }
 
-    fn put_in_force(&self, rules: &Rulebook) -> Result<(), String> {
+    /// Reports that a version is in effect.
+    fn confirm(&mut self, version: Version) {
+        note!("rules: version {version} in force");
+        self.agent.borrow_mut().in_effect(now(), version);
+    }
+
+    /// Passes rules to the driver; the receiver is notified once they are in effect. Drains hold even if the settings can't
+    /// be changed.
+    fn put_in_force(&self, rules: &Rulebook) -> Result<oneshot::Receiver<()>, String> {
+        let changed = self.change_settings(rules);
+        let (sender, in_effect) = oneshot::channel();
+        let drains = Input::ManualDrains { names: rules.drained.clone(), in_effect: sender };
+        self.dependencies.input_sender.send(drains);
+        changed.map(|()| in_effect)
+    }
+
+    /// Passes the settings of rules, and their backends if they name any, to the driver.
+    fn change_settings(&self, rules: &Rulebook) -> Result<(), String> {
         let (settings, names) = book::settings(rules, &self.dependencies.base);
         let change = self.dependencies.front.change(&settings, &names)?;
         self.dependencies.input_sender.send(Input::Change(Box::new(change)));
         if let Some(hosts) = book::hosts(rules) {
             self.dependencies.input_sender.send(Input::List(Scope::Full, hosts));
         }
-        self.dependencies.input_sender.send(Input::ManualDrains(rules.drained.clone()));
         Ok(())
     }
 
@@ -352,6 +388,18 @@
     }
 }
 
+/// The version that has been put into effect next; pending for ever while none is being put into effect.
+async fn next_in_effect(activation: &mut Option<Activation>) -> Version {
+    if let Some(pending) = activation
+        && (&mut pending.in_effect).await.is_ok()
+    {
+        let version = pending.version;
+        *activation = None;
+        return version;
+    }
+    std::future::pending().await // without a driver the process ends
+}
+
 /// Joins the fleet. While an older process still holds the address, as in an upgrade, this process asks for leases as a
 /// guest. Once the address is free it joins as a member, and switches over when it has a lease as a member.
 pub async fn serve(dependencies: Dependencies, fleet: Fleet) {
