Rules kept on disk don't undo newer ones at the end of an upgrade

Cause: Runtime::as_member always loads the kept version (runtime.rs), and guest and member, which share the driver, know nothing of each other's version.

Change: Rules::agreed_version, the latest agreed version that this process has put in force under either name. With one nothing kept is loaded, and an older one, told by a voter that lags behind, is not put in force.

--- a/crates/sandgap/src/rules/mod.rs
+++ b/crates/sandgap/src/rules/mod.rs
@@ -65,18 +65,21 @@
     serve_without_lease: RefCell<FxHashSet<String>>,
     /// The version kept from before the start, used until one is agreed.
     kept_version: Cell<Version>,
+    /// The latest agreed version that this process, under whichever name, has put in force; 0 for none.
+    agreed_version: Cell<Version>,
 }
 
 impl Rules {
     /// Rules of an agent without any version yet.
     pub fn new(agent: Agent, bound: Duration, header: Option<HeaderName>) -> Rc<Self> {
-        let (serve_without_lease, kept_version) = Default::default();
+        let (serve_without_lease, kept_version, agreed_version) = Default::default();
         Rc::new(Rules {
             agent: RefCell::new(Rc::new(RefCell::new(agent))),
             bound,
             header,
             serve_without_lease,
             kept_version,
+            agreed_version,
         })
     }
 
--- a/crates/sandgap/src/rules/runtime.rs
+++ b/crates/sandgap/src/rules/runtime.rs
@@ -181,8 +181,12 @@
         self.agent.borrow_mut().vote(now(), saved, riders(), address).map_err(|e| e.to_string())
     }
 
-    /// Loads the version kept from before the start, which serves the classes that need no lease.
+    /// Loads the version kept from before the start, which serves the classes that need no lease. It is not loaded once this
+    /// process has agreed rules as a guest, which it might undo.
     fn load_kept_version(&mut self) {
+        if self.dependencies.rules.agreed_version.get() > 0 {
+            return;
+        }
         let Some(path) = &self.fleet.kept_version_path else { return };
         let Ok(bytes) = std::fs::read(path) else { return };
         let kept = bytes.split_first_chunk::<8>();
@@ -330,10 +334,16 @@
     }
 
     fn activate(&mut self, version: Version, rules: &Rulebook) {
+        let agreed_version = &self.dependencies.rules.agreed_version;
+        if version < agreed_version.get() {
+            // As a guest this process has a newer version in force already.
+            return self.confirm(version);
+        }
         // The version was checked just before. If requests hold too many classes by now, no version is put in force
         // here.
         match self.put_in_force(rules) {
             Ok(in_effect) => {
+                agreed_version.set(version);
                 self.dependencies.rules.record_unleased_classes(rules);
                 self.activation = Some(Activation { version, in_effect });
                 self.keep(version, rules);
--- a/crates/sandgap/tests/manual_drains.rs
+++ b/crates/sandgap/tests/manual_drains.rs
@@ -177,6 +177,30 @@
     fleet.assert_in_use_once_undrained(&new, 3);
 }
 
+/// Guards against a kept version from before the drain that undoes the drain when a guest becomes a member: its file could
+/// not be written meanwhile.
+#[test]
+fn an_older_kept_version_does_not_undo_a_drain_at_the_end_of_an_upgrade() {
+    let folder = TempFolder::new("drain-kept");
+    let fleet = Drained::new(&folder);
+    let listen = free_address();
+    let mut old = fleet.start_on(listen);
+    fleet.used(&old, "before");
+    let path = fleet.kept_rules();
+    wait_for("the kept rules", || path.exists());
+    let kept = std::fs::read(&path).expect("the kept rules");
+    fleet.command_in_force(&["drain", "b"], 2);
+    let new = fleet.start_on(listen);
+    wait_for("the guest's lease", || new.log_contains("as a guest") && new.log_contains("in force"));
+    wait_for("the newer rules", || std::fs::read(&path).is_ok_and(|now| now != kept));
+    std::fs::write(&path, &kept).expect("a file");
+    old.terminate();
+    old.wait();
+    wait_for("the takeover", || new.log_contains("this process's now"));
+    assert!(!new.log_contains("was kept"), "an older version would be put in force");
+    fleet.assert_drained(&new, "member");
+}
+
 /// Guards against a drain of a name that no list has yet: it holds once the name is listed, and staff are told.
 #[test]
 fn a_drain_of_a_backend_that_is_not_listed_yet_holds_once_it_is() {
