A new leader names members only once it must have heard of every lease holder

Another one may hold a lease of the old leader for up to T and act on an older version.

Cause: Voter::status lists the members heard so far (voter/mod.rs), and `wait` takes them for all. decide_pending and the rollout wait for the lease horizon (1.5 T) after an election; the status did not.

Change: a leader names members once it has led for the lease horizon. `fleet status` shows none until then; `wait` that ends earlier says why.

--- a/crates/sandgap-agree/src/messages.rs
+++ b/crates/sandgap-agree/src/messages.rs
@@ -125,7 +125,7 @@
     pub standing: RulesState,
     /// The voters.
     pub voters: Vec<(String, SocketAddr)>,
-    /// The members, if the voter that answers is the leader.
+    /// The members, if the voter that answers is the leader and has led for long enough to have heard of all; else empty.
     pub members: Vec<MemberStatus>,
     /// The versions that are kept.
     pub history: Vec<VersionSummary>,
--- a/crates/sandgap-agree/src/voter/mod.rs
+++ b/crates/sandgap-agree/src/voter/mod.rs
@@ -728,10 +728,16 @@
         self.clients.keys()
     }
 
+    /// Whether this voter leads and every proxy that may hold a lease has asked it since.
+    fn knows_all_members(&self, now: Time) -> bool {
+        let led = self.leading_since.filter(|_| self.leads());
+        led.is_some_and(|led| now >= led + self.timing.lease_horizon())
+    }
+
     /// The status of the fleet, as known here.
     pub fn status(&self, now: Time) -> Status {
         let ago = |at: Time| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
-        let members = if self.leads() { self.members.iter().collect() } else { Vec::new() };
+        let members = if self.knows_all_members(now) { self.members.iter().collect() } else { Vec::new() };
         let seen = |(name, known): (&String, &MemberReport)| MemberStatus {
             name: name.clone(),
             ago_ms: ago(known.at),
--- a/crates/sandgap/src/rules/commands.rs
+++ b/crates/sandgap/src/rules/commands.rs
@@ -677,8 +677,13 @@
                 return Ok(());
             }
             if !self.next_poll().await {
-                let text =
-                    format!("version {} is in force; behind: {}", status.standing.version, behind.join(", "));
+                let version = status.standing.version;
+                let text = match status.members.is_empty() {
+                    true => format!(
+                        "version {version} is in force; the leader is new and has not heard of all proxies"
+                    ),
+                    false => format!("version {version} is in force; behind: {}", behind.join(", ")),
+                };
                 return Err(CallError::Rejected(text));
             }
         }
