Order of first list, first rules, drain and trouble is drawn in a seeded play

Change: each seed of a_drain_holds_in_each_order_of_first_list_first_rules_and_trouble draws how late list and rules are (0 or 400 ms; 0, 5 or 60 ms), when staff drain (before the start, during it, while serving) and the trouble (none, restart, kill, upgrade). Once `wait` is done nothing may go to the drained backend; after `undrain`, with the other one drained, everything must. DRAIN_SEEDS plays others by hand. It takes the place of the test that drew the two delays alone, whose checks it holds.

--- a/crates/sandgap/tests/manual_drains.rs
+++ b/crates/sandgap/tests/manual_drains.rs
@@ -236,27 +236,100 @@
     assert_eq!(fleet.used(&proxy, "after"), [REQUESTS, 0]);
 }
 
-/// Draws how late the first list and the first rules are at a start, and so which of them comes first.
+/// What happens to a proxy beside a drain.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    None,
+    Restart,
+    Kill,
+    Upgrade,
+}
+
+/// When staff drain the backend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Moment {
+    BeforeStart,
+    WhileStarting,
+    WhileServing,
+}
+
+/// A course of events drawn from a seed.
+#[derive(Debug)]
+struct Course {
+    list_delay_ms: usize,
+    rules_delay: Duration,
+    moment: Moment,
+    trouble: Trouble,
+}
+
+impl Course {
+    fn draw(seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        Course {
+            list_delay_ms: [0, 400][rng.usize(..2)],
+            rules_delay: Duration::from_millis([0, 5, 60][rng.usize(..3)]),
+            moment: [Moment::BeforeStart, Moment::WhileStarting, Moment::WhileServing][rng.usize(..3)],
+            trouble: [Trouble::None, Trouble::Restart, Trouble::Kill, Trouble::Upgrade][rng.usize(..4)],
+        }
+    }
+
+    /// Starts a proxy, has staff drain `b` and plays the trouble; returns the proxy that is left.
+    fn play(&self, fleet: &Drained, seed: u64) -> Proxy {
+        fleet.discovery.delay_answers(self.list_delay_ms);
+        let drain_at = |moment| {
+            if moment == self.moment {
+                fleet.command(&["drain", "b"]);
+            }
+        };
+        drain_at(Moment::BeforeStart);
+        let mut proxy = fleet.start_with_late_rules(self.rules_delay);
+        drain_at(Moment::WhileStarting);
+        if self.moment == Moment::WhileServing {
+            fleet.used(&proxy, &format!("{seed}-before"));
+        }
+        drain_at(Moment::WhileServing);
+        match self.trouble {
+            Trouble::None => return proxy,
+            Trouble::Restart => proxy.terminate(),
+            Trouble::Kill => proxy.signal("-KILL"),
+            Trouble::Upgrade => {
+                let newer = fleet.start_on(proxy.address);
+                wait_for("the newer process", || newer.log_contains("as a guest"));
+                proxy.terminate();
+                proxy.wait();
+                return newer;
+            }
+        }
+        proxy.wait();
+        fleet.start_with_late_rules(self.rules_delay)
+    }
+}
+
+/// Draws the order of first list, first rules, drain and trouble. Once `wait` is done, nothing goes to the drained backend,
+/// and after `undrain` it is used again. `DRAIN_SEEDS=FIRST..LAST` plays other seeds.
 #[test]
-fn a_drain_holds_in_each_order_of_the_first_list_and_the_first_rules() {
+fn a_drain_holds_in_each_order_of_first_list_first_rules_and_trouble() {
     let folder = TempFolder::new("drain-orders");
     let fleet = Drained::new(&folder);
-    fleet.command(&["drain", "b"]);
-    let (mut lists_first, mut rules_first) = (0, 0);
-    for seed in [8501_u64, 8502, 8503, 8504, 8505, 8506] {
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let list_delay = [0, 400][rng.usize(..2)];
-        let rules_delay = Duration::from_millis([0, 5, 60][rng.usize(..3)]);
-        fleet.discovery.delay_answers(list_delay);
-        let proxy = fleet.start_with_late_rules(rules_delay);
-        fleet.assert_drained(&proxy, &format!("seed {seed}"));
-        wait_for("list and rules", || proxy.log_contains("the whole list") && proxy.log_contains("in force"));
+    let seeds = std::env::var("DRAIN_SEEDS").unwrap_or_else(|_| "8501..8513".to_owned());
+    let (first, last) = seeds.split_once("..").expect("FIRST..LAST");
+    let seeds: std::ops::Range<u64> = first.parse().expect("a seed")..last.parse().expect("a seed");
+    let (mut lists_first, mut rules_first, mut version) = (0, 0, 1);
+    for seed in seeds {
+        let course = Course::draw(seed);
+        println!("seed {seed}: {course:?}");
+        let proxy = course.play(&fleet, seed);
+        fleet.command(&["wait", &(version + 1).to_string()]);
+        fleet.assert_drained(&proxy, &format!("{seed}-drained"));
         let log = proxy.log();
         let came_first = log.find("the whole list") < log.find("in force");
-        println!(
-            "seed {seed}: list {list_delay} ms, rules {rules_delay:?} late; the list came first: {came_first}"
-        );
         *(if came_first { &mut lists_first } else { &mut rules_first }) += 1;
+        fleet.command(&["undrain", "b"]);
+        fleet.command_in_force(&["drain", "b1"], version + 3);
+        assert_eq!(fleet.used(&proxy, &format!("{seed}-undrained")), [REQUESTS, 0], "seed {seed}");
+        fleet.command_in_force(&["undrain", "b1"], version + 4);
+        version += 4;
     }
-    assert!(lists_first > 0 && rules_first > 0, "{lists_first} and {rules_first}: one order was not played");
+    println!("the list came first {lists_first} times, the rules {rules_first} times");
+    assert!(lists_first > 0 && rules_first > 0, "one order was not played");
 }
