Test fleets hold their addresses, so that no connection takes them

What was seen: permits::a_wait_that_ends_between_two_queries_... failed once ("timed out waiting for all to be seen healthy"), its file at once beside a release build; in a run of the file twice at once a voter logged "Address already in use (os error 98); this process asks as a guest" at its start, for 16 s. A fleet with a guest in place of a voter never has just the targets that the test waits for.

Cause: free_address() bound port 0 and closed it, and the system gave the port to a connection before the voter listened (processes/mod.rs).

Change: a socket that does not listen holds each address (SO_REUSEADDR, SO_REUSEPORT) until the test's process ends, as held_address does for one kind. Connections are not given a port that is bound.

That this was the cause of the first failure is the likeliest, not proven: its log was not kept.

--- a/crates/sandgap/tests/processes/mod.rs
+++ b/crates/sandgap/tests/processes/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use sandgap_rig::system_faults::FailingFolder;
+use socket2::{Domain, Socket, Type};
 
 use crate::sockets::*;
 
@@ -33,9 +34,17 @@
     }
 }
 
-/// An address with a port that is free at present.
+/// An address for a listener of a proxy. A socket that does not listen holds it until the test's process ends, as the system
+/// gives a free port to any connection.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).expect("a socket");
+    socket.set_reuse_port(true).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("a port");
+    let address = socket.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
+    std::mem::forget(socket);
+    address
 }
 
 /// A fleet in which each proxy is a voter.
